The thin whole path: entry, agents, stand-ins, demo

Change: the kernel, the configuration document with checks, framed msgpack between processes, the lease and attempt state machines, agents for prefill, decode and plain endpoints, the entry with the OpenAI interface, stand-ins for engines and platform, and a demo that runs Almaty's fleet in one process. Before: nothing.

--- /dev/null
+++ b/agent/session.go
@@ -0,0 +1,139 @@
+package agent
+
+import (
+	"context"
+	"net"
+	"time"
+
+	"go.uber.org/zap"
+
+	"ebonypulley/config"
+	"ebonypulley/event"
+	"ebonypulley/wire"
+)
+
+// session is one connection from an entry.
+type session struct {
+	conn   *wire.Conn
+	holder wire.Incarnation
+	name   string
+	pushed config.Version
+}
+
+func (s *session) send(m wire.Message) {
+	// A failed send is not reported: the connection has ended then, and the
+	// entry repeats its request on the next one.
+	_ = s.conn.Send(m)
+}
+
+func (a *Agent) serveSession(ctx context.Context, nc net.Conn) {
+	s := &session{conn: wire.NewConn(nc)}
+	late := time.AfterFunc(helloWait, s.conn.Close)
+	defer late.Stop()
+	err := s.conn.Serve(ctx, func(m wire.Message) {
+		if s.name == "" {
+			if a.greet(s, m) {
+				late.Stop()
+			}
+			return
+		}
+		a.handle(s, m)
+	})
+	if wireFault(err) {
+		a.log.Emit(event.PeerRefused, zap.String("remote", s.conn.Remote()), zap.Error(err))
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	delete(a.sessions, s)
+}
+
+// greet admits an entry; anything but a fitting Hello ends the connection.
+func (a *Agent) greet(s *session, m wire.Message) bool {
+	h, ok := m.(*wire.Hello)
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if !ok || h.Version != wire.Version || h.Name == "" || len(a.sessions) >= maxSessions {
+		a.log.Emit(event.PeerRefused, zap.String("remote", s.conn.Remote()))
+		s.conn.Close()
+		return false
+	}
+	s.name = h.Name
+	s.holder = h.Incarnation
+	a.sessions[s] = struct{}{}
+	v := a.store.Version()
+	s.send(&wire.Hello{
+		Version:     wire.Version,
+		Role:        string(a.pool.Role),
+		Name:        a.set.Name,
+		DataCentre:  a.set.DataCentre,
+		Incarnation: a.inc,
+		Generation:  v.Generation,
+		Digest:      v.Digest,
+	})
+	a.renew(s)
+	s.send(a.pong(0))
+	a.compare(s, config.Version{Generation: h.Generation, Digest: h.Digest})
+	return true
+}
+
+func (a *Agent) renew(s *session) {
+	a.peerSeen = time.Now()
+	if a.gate != nil {
+		a.gate.Renew(a.peerSeen, s.holder)
+	}
+}
+
+func (a *Agent) pong(seq uint64) *wire.Pong {
+	v := a.store.Version()
+	return &wire.Pong{Seq: seq, Generation: v.Generation, Digest: v.Digest, Load: a.load()}
+}
+
+func (a *Agent) handle(s *session, m wire.Message) {
+	if c, ok := m.(*wire.Config); ok {
+		verdict, findings := a.store.Offer("peer "+s.name, c.Text)
+		config.LogVerdict(a.log, verdict, a.store.Generation(), findings)
+		return
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	switch m := m.(type) {
+	case *wire.Ping:
+		a.renew(s)
+		s.send(a.pong(m.Seq))
+		a.compare(s, config.Version{Generation: m.Generation, Digest: m.Digest})
+	case wire.Attempted:
+		a.attempt(s, m)
+	}
+}
+
+// compare sends this agent's document to an entry that has an older one.
+func (a *Agent) compare(s *session, theirs config.Version) {
+	cur := a.store.Current()
+	if cur == nil {
+		return
+	}
+	mine := a.store.Version()
+	if mine.Newer(theirs) && s.pushed != mine {
+		s.pushed = mine
+		s.send(&wire.Config{Text: cur.Text})
+	}
+}
+
+// attempt hands a message to the worker. Before there is one nothing can have
+// been held, so a Cancel is true as it stands and all else is refused.
+func (a *Agent) attempt(s *session, m wire.Attempted) {
+	if a.worker != nil {
+		a.worker.handle(s, m)
+		return
+	}
+	if _, ok := m.(*wire.Cancel); ok {
+		s.send(&wire.Cancelled{ID: m.Attempt()})
+		return
+	}
+	s.send(&wire.Refused{ID: m.Attempt(), Reason: wire.NoConfig, Load: a.load()})
+}
+
+// refuse answers a request for which nothing ran and nothing will.
+func (a *Agent) refuse(s *session, id wire.ID, reason wire.Reason, after time.Duration) {
+	s.send(&wire.Refused{ID: id, Reason: reason, RetryAfter: after, Load: a.load()})
+}
--- /dev/null
+++ b/cmd/ebonypulley/daemon.go
@@ -0,0 +1,188 @@
+package main
+
+import (
+	"context"
+	"expvar"
+	"fmt"
+	"net"
+	"net/http"
+	"net/netip"
+	"os"
+	"os/signal"
+	"time"
+
+	"github.com/joomcode/errorx"
+	"github.com/urfave/cli/v3"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+
+	"ebonypulley"
+	"ebonypulley/agent"
+	"ebonypulley/entry"
+	"ebonypulley/event"
+	"ebonypulley/invariant"
+	"ebonypulley/metrics"
+	"ebonypulley/settings"
+	"ebonypulley/standin"
+)
+
+// newLog returns a log of JSON lines on standard error and reports invariant
+// violations to it.
+func newLog(cmd *cli.Command) (*event.Log, error) {
+	level, err := zapcore.ParseLevel(cmd.String("log-level"))
+	if err != nil {
+		return nil, errorx.IllegalArgument.Wrap(err, "log-level")
+	}
+	conf := zap.NewProductionConfig()
+	conf.Level = zap.NewAtomicLevelAt(level)
+	conf.Sampling = nil
+	conf.DisableStacktrace = true
+	conf.DisableCaller = true
+	z, err := conf.Build()
+	if err != nil {
+		return nil, errorx.InitializationFailed.Wrap(err, "log")
+	}
+	log := event.NewLog(z)
+	invariant.SetHandler(func(rule invariant.Rule, detail string) {
+		log.Emit(event.Violation, zap.String("rule", string(rule)), zap.String("detail", detail))
+	})
+	return log, nil
+}
+
+// serve runs a daemon until it ends; SIGTERM drains it.
+func serve(ctx context.Context, d ebonypulley.Daemon, log *event.Log, debug string) error {
+	g := ebonypulley.NewGroup(ctx)
+	if debug != "" {
+		g.Go(func(ctx context.Context) error { return serveDebug(ctx, debug) })
+	}
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, drainSignals...)
+	defer signal.Stop(signals)
+	g.Go(func(ctx context.Context) error {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-signals:
+			return d.Drain(ctx)
+		}
+	})
+	g.Go(func(ctx context.Context) error {
+		defer g.Stop()
+		return d.Run(ctx)
+	})
+	return g.Wait()
+}
+
+const debugHeaderTimeout = 5 * time.Second
+
+// serveDebug shows expvar at /debug/vars.
+func serveDebug(ctx context.Context, addr string) error {
+	ln, err := net.Listen("tcp", addr)
+	if err != nil {
+		return errorx.ExternalError.Wrap(err, "debug address")
+	}
+	mux := http.NewServeMux()
+	mux.Handle("/debug/vars", expvar.Handler())
+	server := &http.Server{Handler: mux, ReadHeaderTimeout: debugHeaderTimeout}
+	stop := context.AfterFunc(ctx, func() { _ = server.Close() })
+	defer stop()
+	if err := server.Serve(ln); err != http.ErrServerClosed {
+		return errorx.ExternalError.Wrap(err, "debug")
+	}
+	return nil
+}
+
+// warnPlainText logs that an address can be reached from other machines
+// without encryption.
+func warnPlainText(log *event.Log, addr string) {
+	ap, err := netip.ParseAddrPort(addr)
+	if err == nil && !ap.Addr().IsLoopback() {
+		log.Emit(event.PlainTextOpen, zap.String("listen", addr))
+	}
+}
+
+func settingsFlags() []cli.Flag {
+	return []cli.Flag{
+		&cli.StringFlag{Name: "settings", Usage: "read the process settings from `FILE`"},
+		&cli.BoolFlag{Name: "print-defaults", Usage: "print a settings file with all fields and exit"},
+	}
+}
+
+// daemonCommand makes the command of one role.
+func daemonCommand(name, usage string, defaults func() any, run func(ctx context.Context, file string, log *event.Log) error) *cli.Command {
+	return &cli.Command{
+		Name:        name,
+		Usage:       usage,
+		Description: "Example:\n  ebonypulley " + name + " --print-defaults > " + name + ".jsonc\n  ebonypulley " + name + " --settings " + name + ".jsonc\n\nSIGTERM drains the process: it takes no new work, ends what is in progress and exits with 0.",
+		Flags:       settingsFlags(),
+		Action: func(ctx context.Context, cmd *cli.Command) error {
+			if cmd.Bool("print-defaults") {
+				return printSettings(defaults())
+			}
+			file := cmd.String("settings")
+			if file == "" {
+				return errorx.IllegalArgument.New("--settings FILE is needed; see --print-defaults")
+			}
+			log, err := newLog(cmd)
+			if err != nil {
+				return err
+			}
+			return run(ctx, file, log)
+		},
+	}
+}
+
+func printSettings(v any) error {
+	text, err := settings.Format(v)
+	if err != nil {
+		return err
+	}
+	_, err = fmt.Print(string(text))
+	return err
+}
+
+func entryCommand() *cli.Command {
+	return daemonCommand("entry", "serve callers on an entry VM",
+		func() any { return settings.DefaultEntry() },
+		func(ctx context.Context, file string, log *event.Log) error {
+			set, err := settings.Entry(file)
+			if err != nil {
+				return err
+			}
+			warnPlainText(log, set.Listen)
+			e := entry.New(set, log, nil)
+			metrics.Publish("entry", func() any { return e.Stats() })
+			return serve(ctx, e, log, set.Debug)
+		})
+}
+
+func agentCommand() *cli.Command {
+	return daemonCommand("agent", "gate the endpoint on this VM",
+		func() any { return settings.DefaultAgent() },
+		func(ctx context.Context, file string, log *event.Log) error {
+			set, err := settings.Agent(file)
+			if err != nil {
+				return err
+			}
+			warnPlainText(log, set.Listen)
+			a := agent.New(set, log)
+			metrics.Publish("agent", func() any { return a.Stats() })
+			return serve(ctx, a, log, set.Debug)
+		})
+}
+
+func standinCommand() *cli.Command {
+	return daemonCommand("standin", "stand in for an engine, a plain service or a service of the platform",
+		func() any { return settings.DefaultStandin() },
+		func(ctx context.Context, file string, log *event.Log) error {
+			set, err := settings.Standin(file)
+			if err != nil {
+				return err
+			}
+			h, err := standin.New(set)
+			if err != nil {
+				return err
+			}
+			return serve(ctx, &standin.Server{Listen: set.Listen, Handler: h}, log, "")
+		})
+}
--- /dev/null
+++ b/cmd/ebonypulley/demo.go
@@ -0,0 +1,160 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"time"
+
+	"github.com/joomcode/errorx"
+	"github.com/urfave/cli/v3"
+
+	"ebonypulley/config"
+	"ebonypulley/examples"
+	"ebonypulley/fleet"
+	"ebonypulley/load"
+)
+
+const (
+	paidKey  = "demo-paid-key"
+	trialKey = "demo-trial-key"
+	// readyTimeout bounds the start of the fleet.
+	readyTimeout = 20 * time.Second
+	// keyWarmup: keys minted before the agents' memory began are refused.
+	keyWarmup = 2 * time.Second
+	// freeTimeout is how long after the last request engines may still hold
+	// memory: the lease time and a little.
+	freeTimeout = 5 * time.Second
+	callerConns = 256
+)
+
+func demoCommand() *cli.Command {
+	return &cli.Command{
+		Name:        "demo",
+		Usage:       "run a whole fleet with stand-ins in this process",
+		Description: "With --for, mixed load is sent and judged; the last line sums it up, and the exit code is 1 if anything was wrong. Without, the fleet stays up for trying it by hand.\n\nExamples:\n  ebonypulley demo --for 10s\n  ebonypulley demo --document examples/mexico.jsonc",
+		Flags: []cli.Flag{
+			&cli.DurationFlag{Name: "for", Usage: "send mixed load for this `TIME`, then stop"},
+			&cli.FloatFlag{Name: "rate", Value: 60, Usage: "mean requests a second"},
+			&cli.Uint64Flag{Name: "seed", Value: 1, Usage: "seed of the load"},
+			&cli.StringFlag{Name: "document", Usage: "the deployment's `FILE`; Almaty's by default"},
+		},
+		Action: runDemo,
+	}
+}
+
+func runDemo(ctx context.Context, cmd *cli.Command) error {
+	if !cmd.IsSet("log-level") {
+		if err := cmd.Root().Set("log-level", "error"); err != nil {
+			return errorx.IllegalArgument.Wrap(err, "log-level")
+		}
+	}
+	log, err := newLog(cmd)
+	if err != nil {
+		return err
+	}
+	doc, err := demoDocument(cmd.String("document"))
+	if err != nil {
+		return err
+	}
+	f, err := fleet.Start(ctx, doc, log)
+	if err != nil {
+		return err
+	}
+	defer f.Stop()
+	readyCtx, cancel := context.WithTimeout(ctx, readyTimeout)
+	defer cancel()
+	if err := f.Ready(readyCtx); err != nil {
+		return err
+	}
+	fmt.Printf("fleet %s: %d entries, %d agents, %d stand-ins\n", doc.Deployment, len(f.Entries), len(f.Agents), len(f.Plan.Standins))
+	if cmd.Duration("for") == 0 {
+		printHints(f)
+		<-ctx.Done()
+		return nil
+	}
+	return driveDemo(ctx, f, cmd)
+}
+
+// demoDocument reads a document and adds two workspaces whose keys the demo
+// knows.
+func demoDocument(file string) (*config.Document, error) {
+	name, text := "almaty.jsonc", examples.Almaty
+	if file != "" {
+		_, read, err := readDocument(file)
+		if err != nil {
+			return nil, err
+		}
+		name, text = file, read
+	}
+	doc, findings := config.Parse(name, text)
+	if err := findings.Err(); err != nil {
+		return nil, err
+	}
+	fleet.AddWorkspace(doc, "demo-paid", paidKey, false)
+	fleet.AddWorkspace(doc, "demo-trial", trialKey, true)
+	return doc, nil
+}
+
+func printHints(f *fleet.Fleet) {
+	urls := f.URLs()
+	c := f.Caller(nil)
+	fmt.Printf("\ntry:\n")
+	fmt.Printf("  curl -s %s/v1/models -H 'Authorization: Bearer %s'\n", urls[0], paidKey)
+	fmt.Printf("  curl -sN %s/v1/chat/completions -H 'Authorization: Bearer %s' -d '{\"model\":%q,\"stream\":true,\"max_tokens\":32,\"messages\":[{\"role\":\"user\",\"content\":\"Write a placement letter.\"}]}'\n", urls[0], paidKey, c.Model)
+	fmt.Printf("  curl -si %s/v1/completions -H 'Authorization: Bearer %s' -d '{\"model\":%q,\"max_tokens\":8,\"prompt\":\"Dear parents\"}'\n", urls[1], trialKey, c.Model)
+	fmt.Printf("  curl -si %s/app/%s%s -H 'Authorization: Bearer %s' -d '{\"seat\":12}'\n", urls[1], c.Route, c.Book, paidKey)
+	fmt.Printf("  curl -si %s/app/%s%s -H 'Authorization: Bearer %s'\n", urls[0], c.Route, c.Look, paidKey)
+	fmt.Println("\nstop with Ctrl-C")
+}
+
+func driveDemo(ctx context.Context, f *fleet.Fleet, cmd *cli.Command) error {
+	time.Sleep(keyWarmup)
+	transport := &http.Transport{MaxIdleConnsPerHost: callerConns}
+	defer transport.CloseIdleConnections()
+	mix := load.Mix{
+		Caller:   f.Caller(&http.Client{Transport: transport}),
+		PaidKey:  paidKey,
+		TrialKey: trialKey,
+		Rate:     cmd.Float("rate"),
+		For:      cmd.Duration("for"),
+		Seed:     cmd.Uint64("seed"),
+		Progress: printProgress,
+	}
+	targets := f.Plan.Document.Targets
+	sum, results, err := mix.Run(ctx, load.Targets{TTFT: targets.TTFT.D(), TBT: targets.TBT.D()})
+	if err != nil {
+		return err
+	}
+	sum = load.Judge(sum, results, f.Runs())
+	freed := f.AwaitFree(freeTimeout)
+	return printSummary(f, sum, freed)
+}
+
+func printProgress(s load.Summary) {
+	fmt.Printf("  %5d ended: %d whole, %d not run, %d unknown, %d cancelled\n", s.Requests, s.Whole, s.NotRun, s.Unknown, s.Cancelled)
+}
+
+func printSummary(f *fleet.Fleet, s load.Summary, freed time.Duration) error {
+	for _, m := range s.Mismatches {
+		fmt.Println("mismatch:", m)
+	}
+	if s.FalseNotRun > 0 {
+		fmt.Printf("refused as not run, but ran: %d\n", s.FalseNotRun)
+	}
+	spent := f.Prefill()
+	fmt.Printf("paid drafts within both targets: %d of %d\n", s.GoodPaid, s.Paid)
+	fmt.Printf("prefill: %d tokens computed, %d from cache, %d wasted\n", spent.Computed, spent.Cached, spent.Wasted)
+	fmt.Printf("engine memory free %s after the last request\n", freed.Round(time.Millisecond))
+	violations := s.Violations + int64(s.FalseNotRun)
+	if freed >= freeTimeout {
+		fmt.Printf("engines still hold %d requests\n", f.Held())
+		violations++
+	}
+	fmt.Printf("demo: requests=%d whole=%d not_run=%d unknown=%d cancelled=%d duplicates=%d violations=%d\n",
+		s.Requests, s.Whole, s.NotRun, s.Unknown, s.Cancelled, s.Duplicates, violations)
+	if s.Duplicates > 0 || violations > 0 || len(s.Mismatches) > 0 {
+		return errReported
+	}
+	return nil
+}
--- /dev/null
+++ b/config/log.go
@@ -0,0 +1,23 @@
+package config
+
+import (
+	"go.uber.org/zap"
+
+	"ebonypulley/event"
+	"ebonypulley/jsonc"
+)
+
+// LogVerdict writes the event that belongs to a verdict; Known and Stale are
+// everyday and write none.
+func LogVerdict(log *event.Log, v Verdict, generation uint64, findings jsonc.Findings) {
+	switch v {
+	case Accepted:
+		log.Emit(event.ConfigAccepted, zap.Uint64("generation", generation))
+	case Conflict:
+		log.Emit(event.ConfigConflict, zap.Uint64("generation", generation))
+	case Invalid:
+		if len(findings) > 0 {
+			log.Emit(event.ConfigInvalid, zap.Uint64("generation", generation), zap.Stringer("findings", findings))
+		}
+	}
+}
--- /dev/null
+++ b/engine/client.go
@@ -0,0 +1,231 @@
+package engine
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"net/url"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/joomcode/errorx"
+)
+
+var (
+	engineErrors = errorx.NewNamespace("engine")
+	// ErrUnreachable is returned when the engine does not answer.
+	ErrUnreachable = engineErrors.NewType("unreachable")
+	// ErrGone is returned when the engine does not know the request or
+	// result any more.
+	ErrGone = engineErrors.NewType("gone")
+	// ErrRefused is returned for any other refusal.
+	ErrRefused = engineErrors.NewType("refused")
+)
+
+const (
+	// maxReply bounds a reply that is not a stream.
+	maxReply = 8 << 20
+	// idleConns is the number of kept connections to the engine.
+	idleConns   = 64
+	dialTimeout = time.Second
+)
+
+// Client speaks to one engine.
+type Client struct {
+	base string
+	http *http.Client
+}
+
+// NewClient returns a client of the engine at base.
+func NewClient(base string) *Client {
+	dialer := net.Dialer{Timeout: dialTimeout}
+	return NewClientWith(base, &http.Client{Transport: &http.Transport{
+		DialContext:         dialer.DialContext,
+		MaxIdleConnsPerHost: idleConns,
+	}})
+}
+
+// NewClientWith returns a client that shares the connections of h.
+func NewClientWith(base string, h *http.Client) *Client {
+	return &Client{base: strings.TrimSuffix(base, "/"), http: h}
+}
+
+// Close ends idle connections.
+func (c *Client) Close() { c.http.CloseIdleConnections() }
+
+func (c *Client) do(ctx context.Context, method, path string, body any) (*http.Response, error) {
+	var r io.Reader
+	if body != nil {
+		b, err := json.Marshal(body)
+		if err != nil {
+			return nil, errorx.IllegalArgument.Wrap(err, "encode")
+		}
+		r = bytes.NewReader(b)
+	}
+	req, err := http.NewRequestWithContext(ctx, method, c.base+path, r)
+	if err != nil {
+		return nil, errorx.IllegalArgument.Wrap(err, "request")
+	}
+	resp, err := c.http.Do(req)
+	if err != nil {
+		return nil, ErrUnreachable.Wrap(err, "%s %s", method, path)
+	}
+	if resp.StatusCode < http.StatusMultipleChoices {
+		return resp, nil
+	}
+	defer resp.Body.Close()
+	text, _ := io.ReadAll(io.LimitReader(resp.Body, 512))
+	if resp.StatusCode == http.StatusNotFound || resp.StatusCode == http.StatusGone {
+		return nil, ErrGone.New("%s %s: %s", method, path, text)
+	}
+	return nil, ErrRefused.New("%s %s: %d %s", method, path, resp.StatusCode, text)
+}
+
+func (c *Client) call(ctx context.Context, method, path string, body, out any) error {
+	resp, err := c.do(ctx, method, path, body)
+	if err != nil {
+		return err
+	}
+	defer resp.Body.Close()
+	if out == nil {
+		_, err = io.Copy(io.Discard, io.LimitReader(resp.Body, maxReply))
+	} else {
+		err = json.NewDecoder(io.LimitReader(resp.Body, maxReply)).Decode(out)
+	}
+	if err != nil {
+		return ErrUnreachable.Wrap(err, "%s %s: reply", method, path)
+	}
+	return nil
+}
+
+// Prefill computes and exports the KV cache of a prompt.
+func (c *Client) Prefill(ctx context.Context, req CompletionRequest) (Completion, error) {
+	req.MaxTokens = 1
+	req.KV = &KVTransfer{DoRemoteDecode: true}
+	var out Completion
+	err := c.call(ctx, http.MethodPost, "/v1/completions", req, &out)
+	if err == nil && (out.KV == nil || out.Usage == nil) {
+		err = ErrRefused.New("prefill reply without kv_transfer_params or usage")
+	}
+	return out, err
+}
+
+// Import brings an exported KV cache into the engine's memory.
+func (c *Client) Import(ctx context.Context, req ImportRequest) error {
+	return c.call(ctx, http.MethodPost, "/v1/kv/import", req, nil)
+}
+
+// DropKV frees an exported result.
+func (c *Client) DropKV(ctx context.Context, handle string) error {
+	return ignoreGone(c.call(ctx, http.MethodDelete, "/v1/kv/"+url.PathEscape(handle), nil, nil))
+}
+
+// Abort frees all that the engine holds for a request.
+func (c *Client) Abort(ctx context.Context, id string) error {
+	return ignoreGone(c.call(ctx, http.MethodDelete, "/v1/requests/"+url.PathEscape(id), nil, nil))
+}
+
+func ignoreGone(err error) error {
+	if errorx.IsOfType(err, ErrGone) {
+		return nil
+	}
+	return err
+}
+
+// Load reads the engine's load.
+func (c *Client) Load(ctx context.Context) (Load, error) {
+	var l Load
+	return l, c.call(ctx, http.MethodGet, "/v1/load", nil, &l)
+}
+
+// State reads what the engine serves.
+func (c *Client) State(ctx context.Context) (State, error) {
+	var s State
+	return s, c.call(ctx, http.MethodGet, "/v1/state", nil, &s)
+}
+
+// Order gives an order to the engine.
+func (c *Client) Order(ctx context.Context, o Order) error {
+	return c.call(ctx, http.MethodPost, "/v1/orders", o, nil)
+}
+
+// CacheEvents reads the cache events after a number.
+func (c *Client) CacheEvents(ctx context.Context, after uint64) (CacheEvents, error) {
+	var e CacheEvents
+	return e, c.call(ctx, http.MethodGet, "/v1/cache/events?after="+strconv.FormatUint(after, 10), nil, &e)
+}
+
+// Stream is a running answer.
+type Stream struct {
+	body io.ReadCloser
+	scan *bufio.Scanner
+}
+
+// Decode starts the generation of an imported request.
+func (c *Client) Decode(ctx context.Context, req CompletionRequest) (*Stream, error) {
+	req.Stream = true
+	req.KV = &KVTransfer{DoRemotePrefill: true}
+	resp, err := c.do(ctx, http.MethodPost, "/v1/completions", req)
+	if err != nil {
+		return nil, err
+	}
+	return newStream(resp), nil
+}
+
+// Resume opens the stream of a running request again at token from.
+func (c *Client) Resume(ctx context.Context, id string, from int) (*Stream, error) {
+	path := "/v1/streams/" + url.PathEscape(id) + "?from=" + strconv.Itoa(from)
+	resp, err := c.do(ctx, http.MethodGet, path, nil)
+	if err != nil {
+		return nil, err
+	}
+	return newStream(resp), nil
+}
+
+const maxEvent = 64 << 10
+
+func newStream(resp *http.Response) *Stream {
+	scan := bufio.NewScanner(resp.Body)
+	scan.Buffer(nil, maxEvent)
+	return &Stream{body: resp.Body, scan: scan}
+}
+
+// Close ends the reading; the request goes on.
+func (s *Stream) Close() { _ = s.body.Close() }
+
+// Next returns the next event; io.EOF after the final one. Any other end is
+// ErrUnreachable.
+func (s *Stream) Next() (Completion, error) {
+	for s.scan.Scan() {
+		data, ok := strings.CutPrefix(s.scan.Text(), "data: ")
+		if !ok {
+			continue
+		}
+		if data == "[DONE]" {
+			return Completion{}, io.EOF
+		}
+		var e Completion
+		if err := json.Unmarshal([]byte(data), &e); err != nil {
+			return Completion{}, ErrRefused.Wrap(err, "stream event")
+		}
+		if len(e.Choices) == 0 {
+			return Completion{}, ErrRefused.New("stream event without a choice")
+		}
+		return e, nil
+	}
+	if err := s.scan.Err(); err != nil {
+		return Completion{}, ErrUnreachable.Wrap(err, "stream")
+	}
+	return Completion{}, ErrUnreachable.New("stream ended before its final event")
+}
+
+// Claim fetches an exported result; engines call it on each other.
+func (c *Client) Claim(ctx context.Context, handle string) (Exported, error) {
+	var x Exported
+	return x, c.call(ctx, http.MethodGet, "/v1/kv/"+url.PathEscape(handle), nil, &x)
+}
--- /dev/null
+++ b/entry/entry.go
@@ -0,0 +1,220 @@
+// Package entry is the process on an entry VM: it takes the callers' HTTP
+// requests, knows workspaces and limits, chooses endpoints, and puts each
+// answer together, whole and once.
+package entry
+
+import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/joomcode/errorx"
+	"go.uber.org/zap"
+
+	"ebonypulley"
+	"ebonypulley/config"
+	"ebonypulley/event"
+	"ebonypulley/limit"
+	"ebonypulley/membership"
+	"ebonypulley/metrics"
+	"ebonypulley/peer"
+	"ebonypulley/platform"
+	"ebonypulley/wire"
+)
+
+// Settings of an entry process.
+type Settings struct {
+	// Name is that of the declared entry.
+	Name string `json:"name"`
+	// DataCentre is where the VM stands.
+	DataCentre string `json:"data_centre"`
+	// Listen is the IP:port for callers.
+	Listen string `json:"listen"`
+	// Debug is the IP:port of expvar; empty for none.
+	Debug string `json:"debug"`
+	// ConfigService and VMList are URLs of the platform's services.
+	ConfigService string `json:"config_service"`
+	VMList        string `json:"vm_list"`
+	// DrainNotice is how long a leaving entry keeps accepting while its
+	// health page already tells the balancer to stop. Default 2s.
+	DrainNotice config.Duration `json:"drain_notice"`
+}
+
+const (
+	tickInterval      = time.Second
+	headerTimeout     = 5 * time.Second
+	idleTimeout       = 2 * time.Minute
+	maxHeader         = 64 << 10
+	pauseAllowed      = 3 * time.Second
+	defaultNotice     = 2 * time.Second
+	initialRetryRatio = 0.1
+)
+
+// Entry is the daemon. Create it with New.
+type Entry struct {
+	set      Settings
+	log      *event.Log
+	inc      wire.Incarnation
+	store    *config.Store
+	view     *membership.View
+	peers    *peer.Manager
+	limits   *limit.Workspaces
+	retries  *limit.RetryBudget
+	profiles profiles
+	prefixes *prefixIndex
+	metrics  *metrics.Set
+	server   *http.Server
+	group    *ebonypulley.Group
+	draining atomic.Bool
+
+	rndMu sync.Mutex
+	rnd   *rand.Rand
+}
+
+var entryErrors = errorx.NewNamespace("entry")
+
+// ErrListen is returned by Run when the address can't be had.
+var ErrListen = entryErrors.NewType("listen")
+
+// New returns an entry; it serves after Run. Dial is nil for TCP.
+func New(set Settings, log *event.Log, dial peer.Dialer) *Entry {
+	if set.DrainNotice == 0 {
+		set.DrainNotice = config.Duration(defaultNotice)
+	}
+	e := &Entry{
+		set:      set,
+		log:      log.With(zap.String("entry", set.Name)),
+		inc:      wire.NewID(),
+		store:    new(config.Store),
+		view:     membership.NewView(),
+		limits:   limit.NewWorkspaces(),
+		retries:  limit.NewRetryBudget(initialRetryRatio),
+		prefixes: newPrefixIndex(),
+		metrics:  metrics.NewSet(),
+		rnd:      rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+	}
+	self := peer.Self{Name: set.Name, DataCentre: set.DataCentre, Incarnation: e.inc}
+	e.peers = peer.NewManager(self, e.store, e.view, e.log, dial)
+	e.server = &http.Server{
+		Handler:           e.routes(),
+		ReadHeaderTimeout: headerTimeout,
+		IdleTimeout:       idleTimeout,
+		MaxHeaderBytes:    maxHeader,
+	}
+	return e
+}
+
+// Store returns the entry's configuration.
+func (e *Entry) Store() *config.Store { return e.store }
+
+// Metrics returns the entry's counters and histograms.
+func (e *Entry) Metrics() *metrics.Set { return e.metrics }
+
+// Run listens and serves until ctx ends or Drain completes.
+func (e *Entry) Run(ctx context.Context) error {
+	ln, err := net.Listen("tcp", e.set.Listen)
+	if err != nil {
+		return ErrListen.Wrap(err, "entry %s", e.set.Name)
+	}
+	return e.Serve(ctx, ln)
+}
+
+// Serve is Run on a listener, which it closes.
+func (e *Entry) Serve(ctx context.Context, ln net.Listener) error {
+	e.group = ebonypulley.NewGroup(ctx)
+	e.log.Emit(event.Started, zap.String("listen", ln.Addr().String()), zap.Stringer("incarnation", e.inc))
+	e.group.Go(e.peers.Run)
+	e.group.Go(e.configLoop)
+	e.group.Go(e.tickLoop)
+	e.watchPlatform()
+	e.group.Go(func(ctx context.Context) error {
+		stop := context.AfterFunc(ctx, func() { _ = e.server.Close() })
+		defer stop()
+		if err := e.server.Serve(ln); err != http.ErrServerClosed {
+			return ErrListen.Wrap(err, "serve")
+		}
+		return nil
+	})
+	err := e.group.Wait()
+	e.log.Emit(event.Stopped)
+	return err
+}
+
+func (e *Entry) watchPlatform() {
+	client := new(http.Client)
+	if e.set.ConfigService != "" {
+		w := platform.Watcher{URL: e.set.ConfigService, Store: e.store, Log: e.log, HTTP: client}
+		e.group.Go(w.Run)
+	}
+	if e.set.VMList != "" {
+		w := platform.VMWatcher{URL: e.set.VMList, View: e.view, Log: e.log, HTTP: client}
+		e.group.Go(w.Run)
+	}
+	e.group.Go(func(ctx context.Context) error {
+		<-ctx.Done()
+		client.CloseIdleConnections()
+		return nil
+	})
+}
+
+// Drain answers health checks with 503 so that the balancer turns away, keeps
+// serving for the notice, then closes the listener, finishes what is in
+// progress and ends Run.
+func (e *Entry) Drain(ctx context.Context) error {
+	if !e.draining.CompareAndSwap(false, true) {
+		<-e.group.Context().Done()
+		return nil
+	}
+	e.log.Emit(event.DrainBegan)
+	e.server.SetKeepAlivesEnabled(false)
+	t := time.NewTimer(e.set.DrainNotice.D())
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-t.C:
+	}
+	if err := e.server.Shutdown(ctx); err != nil {
+		return err
+	}
+	e.log.Emit(event.DrainEnded)
+	e.group.Stop()
+	return nil
+}
+
+func (e *Entry) configLoop(ctx context.Context) error {
+	changed := e.store.Watch()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-changed:
+			doc := e.store.Current().Document
+			e.limits.SetEntries(len(doc.Entries))
+			e.retries.SetRatio(doc.Limits.RetryRatio)
+		}
+	}
+}
+
+func (e *Entry) tickLoop(ctx context.Context) error {
+	tick := time.NewTicker(tickInterval)
+	defer tick.Stop()
+	detector := ebonypulley.NewPauseDetector(pauseAllowed)
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-tick.C:
+		}
+		now := time.Now()
+		if pause := detector.Tick(now); pause > 0 {
+			e.log.Emit(event.Paused, zap.Duration("pause", pause))
+		}
+		e.limits.Tick(now)
+		e.peers.Tick()
+	}
+}
--- /dev/null
+++ b/entry/failure.go
@@ -0,0 +1,109 @@
+package entry
+
+import (
+	"encoding/json"
+	"fmt"
+	"math"
+	"net/http"
+	"strconv"
+	"time"
+
+	"go.uber.org/zap"
+
+	"ebonypulley/event"
+	"ebonypulley/wire"
+)
+
+// failure is an answer that is not the one asked for.
+type failure struct {
+	status  int
+	outcome Outcome
+	// kind and code go into the error object, as OpenAI clients expect.
+	kind    string
+	code    string
+	param   string
+	message string
+	// retryAfter is when to come back; 0 for no advice.
+	retryAfter time.Duration
+}
+
+// errorBody is the error object of the OpenAI interface.
+type errorBody struct {
+	Error errorDetail `json:"error"`
+}
+
+type errorDetail struct {
+	Message string  `json:"message"`
+	Type    string  `json:"type"`
+	Param   *string `json:"param"`
+	Code    *string `json:"code"`
+}
+
+func (f *failure) body() errorBody {
+	d := errorDetail{Message: f.message, Type: f.kind, Code: &f.code}
+	if f.param != "" {
+		d.Param = &f.param
+	}
+	return errorBody{Error: d}
+}
+
+const (
+	kindInvalid     = "invalid_request_error"
+	kindAuth        = "authentication_error"
+	kindLimit       = "rate_limit_error"
+	kindUnavailable = "service_unavailable"
+	kindUnknown     = "outcome_unknown"
+	// minRetry is the shortest advice: Retry-After counts in seconds.
+	minRetry = time.Second
+)
+
+func badRequest(param, format string, args ...any) *failure {
+	return &failure{status: http.StatusBadRequest, outcome: NotRun, kind: kindInvalid, code: "invalid_value", param: param, message: fmt.Sprintf(format, args...)}
+}
+
+func unauthorized(message string) *failure {
+	return &failure{status: http.StatusUnauthorized, outcome: NotRun, kind: kindAuth, code: "invalid_api_key", message: message}
+}
+
+func notFound(code, format string, args ...any) *failure {
+	return &failure{status: http.StatusNotFound, outcome: NotRun, kind: kindInvalid, code: code, message: fmt.Sprintf(format, args...)}
+}
+
+func tooLarge(limit int64) *failure {
+	return &failure{status: http.StatusRequestEntityTooLarge, outcome: NotRun, kind: kindInvalid, code: "body_too_large", message: fmt.Sprintf("the body is larger than %d bytes", limit)}
+}
+
+func limited(after time.Duration) *failure {
+	return &failure{status: http.StatusTooManyRequests, outcome: NotRun, kind: kindLimit, code: "rate_limit_exceeded", message: "the workspace's limit is reached", retryAfter: max(after, minRetry)}
+}
+
+func unavailable(message string, after time.Duration) *failure {
+	return &failure{status: http.StatusServiceUnavailable, outcome: NotRun, kind: kindUnavailable, code: "not_run", message: message, retryAfter: max(after, minRetry)}
+}
+
+// unknownOutcome is the answer to a request that may have run.
+func unknownOutcome(message string) *failure {
+	return &failure{status: http.StatusGatewayTimeout, outcome: Unknown, kind: kindUnknown, code: "outcome_unknown", message: message, retryAfter: minRetry}
+}
+
+// conflict is the answer to a call whose Idempotency-Key stands in the way.
+func conflict(reason wire.Reason, message string) *failure {
+	return &failure{status: http.StatusConflict, outcome: Unknown, kind: kindInvalid, code: string(reason), param: HeaderKey, message: message}
+}
+
+// fail answers with a failure, at once.
+func (q *request) fail(f *failure) {
+	q.e.metrics.Add("refused."+f.code, 1)
+	q.e.log.Emit(event.RequestRefused, zap.Stringer("request", q.id), zap.String("code", f.code), zap.String("message", f.message))
+	if f.outcome == Unknown {
+		q.e.log.Emit(event.OutcomeUnknown, zap.Stringer("request", q.id), zap.String("message", f.message))
+	}
+	q.answering(f.outcome)
+	h := q.w.Header()
+	h.Set("Content-Type", "application/json")
+	if f.retryAfter > 0 {
+		h.Set("Retry-After", strconv.Itoa(int(math.Ceil(f.retryAfter.Seconds()))))
+	}
+	q.w.WriteHeader(f.status)
+	_ = json.NewEncoder(q.w).Encode(f.body())
+}
--- /dev/null
+++ b/event/catalogue.go
@@ -0,0 +1,55 @@
+package event
+
+import "go.uber.org/zap"
+
+// Events of every process: 1xxx.
+var (
+	Started       = define(1001, zap.InfoLevel, "process started")
+	Stopped       = define(1002, zap.InfoLevel, "process stopped")
+	DrainBegan    = define(1003, zap.InfoLevel, "drain began: no new work is taken")
+	DrainEnded    = define(1004, zap.InfoLevel, "drain ended: nothing is in progress")
+	Paused        = define(1005, zap.WarnLevel, "process was paused")
+	Violation     = define(1006, zap.ErrorLevel, "invariant violated")
+	PlainTextOpen = define(1007, zap.WarnLevel, "listening without TLS on an address other than loopback")
+)
+
+// Events of the configuration: 2xxx.
+var (
+	ConfigAccepted    = define(2001, zap.InfoLevel, "configuration accepted")
+	ConfigInvalid     = define(2002, zap.ErrorLevel, "configuration refused: it has findings")
+	ConfigConflict    = define(2003, zap.ErrorLevel, "two configurations have the same generation")
+	ConfigUnreachable = define(2004, zap.WarnLevel, "configuration service does not answer")
+	ConfigReachable   = define(2005, zap.InfoLevel, "configuration service answers again")
+	VMListUnreachable = define(2006, zap.WarnLevel, "VM list does not answer")
+)
+
+// Events of connections between processes: 3xxx.
+var (
+	LinkUp       = define(3001, zap.InfoLevel, "connection to an agent stands")
+	LinkLost     = define(3002, zap.WarnLevel, "connection to an agent ended")
+	LinkSilent   = define(3003, zap.WarnLevel, "connection to an agent is silent and is replaced")
+	PeerRefused  = define(3004, zap.ErrorLevel, "peer refused: it breaks the protocol")
+	PeerDraining = define(3005, zap.InfoLevel, "an endpoint is leaving")
+)
+
+// Events of the entry: 4xxx.
+var (
+	RequestRefused   = define(4001, zap.DebugLevel, "request refused")
+	RequestContinued = define(4002, zap.WarnLevel, "answer continued on another endpoint")
+	AnswerBroken     = define(4003, zap.WarnLevel, "answer broken off: it could not be completed")
+	OutcomeUnknown   = define(4004, zap.WarnLevel, "outcome of a call is unknown")
+	CallerGone       = define(4005, zap.DebugLevel, "caller went away")
+)
+
+// Events of the agent: 5xxx.
+var (
+	LeaseExpired    = define(5001, zap.WarnLevel, "lease expired: its holder is not heard")
+	EndpointDown    = define(5002, zap.ErrorLevel, "endpoint does not answer")
+	EndpointUp      = define(5003, zap.InfoLevel, "endpoint answers")
+	StreamReplaced  = define(5004, zap.WarnLevel, "stream from the engine was silent and is replaced")
+	TransferCut     = define(5005, zap.WarnLevel, "KV transfer cut")
+	OrderGiven      = define(5006, zap.InfoLevel, "order given to the engine")
+	OrderRefused    = define(5007, zap.WarnLevel, "order refused by the engine")
+	EndpointRemoved = define(5008, zap.InfoLevel, "configuration does not declare this endpoint any more")
+	AttemptLost     = define(5009, zap.WarnLevel, "work lost at the endpoint")
+)
--- /dev/null
+++ b/fleet/callers.go
@@ -0,0 +1,89 @@
+package fleet
+
+import (
+	"encoding/hex"
+	"net/http"
+	"time"
+
+	"ebonypulley/config"
+	"ebonypulley/load"
+)
+
+// AddWorkspace adds a workspace with a known key to a document, in the first
+// tier that is or is not confined to spare capacity.
+func AddWorkspace(doc *config.Document, name, key string, spare bool) {
+	hash := config.HashKey(key)
+	for _, t := range doc.Tiers {
+		if t.Spare == spare {
+			doc.Workspaces = append(doc.Workspaces, config.Workspace{
+				Name:      name,
+				Tier:      t.Name,
+				KeySHA256: []string{hex.EncodeToString(hash[:])},
+			})
+			return
+		}
+	}
+}
+
+// Caller returns a caller of the fleet's first model service and route.
+func (f *Fleet) Caller(client *http.Client) load.Caller {
+	doc := f.Plan.Document
+	c := load.Caller{HTTP: client, URLs: f.URLs()}
+	for _, s := range doc.Services {
+		if s.Kind == config.ModelService {
+			c.Model = s.Model
+			break
+		}
+	}
+	route := doc.Routes[0]
+	c.Route = route.Name
+	for _, call := range route.Calls {
+		path := concrete(call.Path)
+		if call.Method == http.MethodPost && c.Book == "" {
+			c.Book = path
+		}
+		if call.Method == http.MethodGet {
+			c.Look = path
+		}
+	}
+	return c
+}
+
+// concrete makes a path that a declared one matches.
+func concrete(path string) string {
+	if n := len(path) - 1; n > 0 && path[n] == '*' {
+		return path[:n] + "12"
+	}
+	return path
+}
+
+// Prefill is the prefill work of the fleet in tokens.
+type Prefill struct {
+	Computed int64
+	Cached   int64
+	Wasted   int64
+}
+
+// Prefill adds up the engines' prefill work and what the entries wasted.
+func (f *Fleet) Prefill() Prefill {
+	var p Prefill
+	for _, e := range f.Engines {
+		s := e.Stats()
+		p.Computed += s.PrefillTokens
+		p.Cached += s.CachedTokens
+	}
+	for _, e := range f.Entries {
+		p.Wasted += e.Metrics().Count("wasted_prefill_tokens")
+	}
+	return p
+}
+
+// AwaitFree waits until no engine holds a request and returns how long that
+// took, at most timeout.
+func (f *Fleet) AwaitFree(timeout time.Duration) time.Duration {
+	began := time.Now()
+	for f.Held() > 0 && time.Since(began) < timeout {
+		time.Sleep(readyPoll)
+	}
+	return min(time.Since(began), timeout)
+}
--- /dev/null
+++ b/plugin.go
@@ -0,0 +1,114 @@
+package ebonypulley
+
+import (
+	"sort"
+	"strings"
+	"sync"
+
+	"github.com/joomcode/errorx"
+)
+
+// PluginID names a plug-in as "<kind>.<name>", for example "scorer.load".
+type PluginID string
+
+// Kind returns the part before the first dot.
+func (id PluginID) Kind() string {
+	kind, _, _ := strings.Cut(string(id), ".")
+	return kind
+}
+
+// Plugin is anything that can be chosen by name in the configuration
+// document. Its kind's package defines the interface it must also satisfy.
+type Plugin interface {
+	// PluginInfo describes the plug-in; it must not depend on the receiver.
+	PluginInfo() PluginInfo
+}
+
+// PluginInfo is what the registry keeps of a plug-in.
+type PluginInfo struct {
+	// ID is unique in the process.
+	ID PluginID
+	// New returns an unprovisioned instance.
+	New func() Plugin
+}
+
+// Provisioner is implemented by plug-ins that prepare state before use.
+type Provisioner interface {
+	Provision() error
+}
+
+// Validator is implemented by plug-ins that can refuse what they were given.
+// Validate runs after Provision.
+type Validator interface {
+	Validate() error
+}
+
+var (
+	pluginErrors = errorx.NewNamespace("plugin")
+	// ErrUnknownPlugin is returned for an ID that nothing registered.
+	ErrUnknownPlugin = pluginErrors.NewType("unknown")
+	// ErrPluginRefused is returned when Provision or Validate fails.
+	ErrPluginRefused = pluginErrors.NewType("refused")
+
+	registryMu sync.RWMutex
+	registry   = make(map[PluginID]PluginInfo)
+)
+
+// RegisterPlugin adds a plug-in; plug-ins call it from init. It panics on a
+// malformed or repeated ID, because that is a mistake in the build.
+func RegisterPlugin(p Plugin) {
+	info := p.PluginInfo()
+	if info.ID.Kind() == string(info.ID) || info.New == nil {
+		panic("plugin: malformed registration of " + string(info.ID))
+	}
+	registryMu.Lock()
+	defer registryMu.Unlock()
+	if _, dup := registry[info.ID]; dup {
+		panic("plugin: registered twice: " + string(info.ID))
+	}
+	registry[info.ID] = info
+}
+
+// NewPlugin returns a provisioned and validated instance of the plug-in.
+func NewPlugin(id PluginID) (Plugin, error) {
+	registryMu.RLock()
+	info, ok := registry[id]
+	registryMu.RUnlock()
+	if !ok {
+		return nil, ErrUnknownPlugin.New("no plug-in %q; known: %s", id, joinIDs(Plugins(id.Kind())))
+	}
+	p := info.New()
+	if pr, ok := p.(Provisioner); ok {
+		if err := pr.Provision(); err != nil {
+			return nil, ErrPluginRefused.Wrap(err, "provision %s", id)
+		}
+	}
+	if v, ok := p.(Validator); ok {
+		if err := v.Validate(); err != nil {
+			return nil, ErrPluginRefused.Wrap(err, "validate %s", id)
+		}
+	}
+	return p, nil
+}
+
+// Plugins lists the registered IDs of a kind, sorted; an empty kind lists all.
+func Plugins(kind string) []PluginID {
+	registryMu.RLock()
+	defer registryMu.RUnlock()
+	var ids []PluginID
+	for id := range registry {
+		if kind == "" || id.Kind() == kind {
+			ids = append(ids, id)
+		}
+	}
+	sort.Slice(ids, func(i, j int) bool { return ids[i] < ids[j] })
+	return ids
+}
+
+func joinIDs(ids []PluginID) string {
+	names := make([]string, len(ids))
+	for i, id := range ids {
+		names[i] = string(id)
+	}
+	return strings.Join(names, ", ")
+}
--- /dev/null
+++ b/plugins/scorer/distance/distance.go
@@ -0,0 +1,27 @@
+// Package distance provides the plug-in scorer.distance.
+package distance
+
+import (
+	"time"
+
+	"ebonypulley"
+	"ebonypulley/schedule"
+)
+
+func init() { ebonypulley.RegisterPlugin(new(Distance)) }
+
+// Distance prefers endpoints near the entry.
+type Distance struct{}
+
+// PluginInfo implements ebonypulley.Plugin.
+func (*Distance) PluginInfo() ebonypulley.PluginInfo {
+	return ebonypulley.PluginInfo{ID: "scorer.distance", New: func() ebonypulley.Plugin { return new(Distance) }}
+}
+
+// scale is the delay one way that halves the score.
+const scale = 2 * time.Millisecond
+
+// Score implements schedule.Scorer.
+func (*Distance) Score(_ *schedule.Request, c *schedule.Candidate) float64 {
+	return 1 / (1 + float64(c.Distance)/float64(scale))
+}
--- /dev/null
+++ b/wire/kinds.go
@@ -0,0 +1,156 @@
+package wire
+
+// Kind implements Message.
+func (*Hello) Kind() Kind { return KindHello }
+
+// Kind implements Message.
+func (*Ping) Kind() Kind { return KindPing }
+
+// Kind implements Message.
+func (*Pong) Kind() Kind { return KindPong }
+
+// Kind implements Message.
+func (*Config) Kind() Kind { return KindConfig }
+
+// Kind implements Message.
+func (*Reserve) Kind() Kind { return KindReserve }
+
+// Kind implements Message.
+func (*Granted) Kind() Kind { return KindGranted }
+
+// Kind implements Message.
+func (*Refused) Kind() Kind { return KindRefused }
+
+// Kind implements Message.
+func (*Prefill) Kind() Kind { return KindPrefill }
+
+// Kind implements Message.
+func (*Prefilled) Kind() Kind { return KindPrefilled }
+
+// Kind implements Message.
+func (*Decode) Kind() Kind { return KindDecode }
+
+// Kind implements Message.
+func (*Chunk) Kind() Kind { return KindChunk }
+
+// Kind implements Message.
+func (*Ack) Kind() Kind { return KindAck }
+
+// Kind implements Message.
+func (*Finish) Kind() Kind { return KindFinish }
+
+// Kind implements Message.
+func (*Failed) Kind() Kind { return KindFailed }
+
+// Kind implements Message.
+func (*Cancel) Kind() Kind { return KindCancel }
+
+// Kind implements Message.
+func (*Cancelled) Kind() Kind { return KindCancelled }
+
+// Kind implements Message.
+func (*Offer) Kind() Kind { return KindOffer }
+
+// Kind implements Message.
+func (*Start) Kind() Kind { return KindStart }
+
+// Kind implements Message.
+func (*Withdraw) Kind() Kind { return KindWithdraw }
+
+// Kind implements Message.
+func (*Outcome) Kind() Kind { return KindOutcome }
+
+// Attempt implements Attempted.
+func (m *Reserve) Attempt() ID { return m.ID }
+
+// Attempt implements Attempted.
+func (m *Granted) Attempt() ID { return m.ID }
+
+// Attempt implements Attempted.
+func (m *Refused) Attempt() ID { return m.ID }
+
+// Attempt implements Attempted.
+func (m *Prefill) Attempt() ID { return m.ID }
+
+// Attempt implements Attempted.
+func (m *Prefilled) Attempt() ID { return m.ID }
+
+// Attempt implements Attempted.
+func (m *Decode) Attempt() ID { return m.ID }
+
+// Attempt implements Attempted.
+func (m *Chunk) Attempt() ID { return m.ID }
+
+// Attempt implements Attempted.
+func (m *Ack) Attempt() ID { return m.ID }
+
+// Attempt implements Attempted.
+func (m *Finish) Attempt() ID { return m.ID }
+
+// Attempt implements Attempted.
+func (m *Failed) Attempt() ID { return m.ID }
+
+// Attempt implements Attempted.
+func (m *Cancel) Attempt() ID { return m.ID }
+
+// Attempt implements Attempted.
+func (m *Cancelled) Attempt() ID { return m.ID }
+
+// Attempt implements Attempted.
+func (m *Offer) Attempt() ID { return m.ID }
+
+// Attempt implements Attempted.
+func (m *Start) Attempt() ID { return m.ID }
+
+// Attempt implements Attempted.
+func (m *Withdraw) Attempt() ID { return m.ID }
+
+// Attempt implements Attempted.
+func (m *Outcome) Attempt() ID { return m.ID }
+
+func newMessage(k Kind) Message {
+	switch k {
+	case KindHello:
+		return new(Hello)
+	case KindPing:
+		return new(Ping)
+	case KindPong:
+		return new(Pong)
+	case KindConfig:
+		return new(Config)
+	case KindReserve:
+		return new(Reserve)
+	case KindGranted:
+		return new(Granted)
+	case KindRefused:
+		return new(Refused)
+	case KindPrefill:
+		return new(Prefill)
+	case KindPrefilled:
+		return new(Prefilled)
+	case KindDecode:
+		return new(Decode)
+	case KindChunk:
+		return new(Chunk)
+	case KindAck:
+		return new(Ack)
+	case KindFinish:
+		return new(Finish)
+	case KindFailed:
+		return new(Failed)
+	case KindCancel:
+		return new(Cancel)
+	case KindCancelled:
+		return new(Cancelled)
+	case KindOffer:
+		return new(Offer)
+	case KindStart:
+		return new(Start)
+	case KindWithdraw:
+		return new(Withdraw)
+	case KindOutcome:
+		return new(Outcome)
+	default:
+		return nil
+	}
+}
