Separate processes under failures: bootstrap from agents, bounded waits

Cause: a fleet of separate processes under kills, freezes, drains and an outage of the configuration service refused 127 of 2,382 requests as not run. By reason: 75 because an entry that was replaced while the service was down had no document; 27 keyed bookings because their key's owner was being replaced; 25 because an entry saw no endpoint for some milliseconds after a pause. Ruled out: refusals by the engines (none). Also found there: reading a document blanked the comments in the published bytes, so that two entries gave one generation two digests and agents logged a conflict.

--- a/cmd/ebonypulley/demo.go
+++ b/cmd/ebonypulley/demo.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/joomcode/errorx"
@@ -25,6 +27,7 @@
 	// freeTimeout is how long after the last request engines may still hold
 	// memory: the lease time and a little.
 	freeTimeout = 5 * time.Second
+	freePoll    = 20 * time.Millisecond
 	callerConns = 256
 )
 
@@ -33,12 +36,9 @@
 		Name:        "demo",
 		Usage:       "run a whole fleet with stand-ins in this process",
 		Description: "With --for, mixed load is sent and judged; the last line sums it up, and the exit code is 1 if anything was wrong. Without, the fleet stays up for trying it by hand.\n\nExamples:\n  ebonypulley demo --for 10s\n  ebonypulley demo --document examples/mexico.jsonc",
-		Flags: []cli.Flag{
-			&cli.DurationFlag{Name: "for", Usage: "send mixed load for this `TIME`, then stop"},
-			&cli.FloatFlag{Name: "rate", Value: 60, Usage: "mean requests a second"},
-			&cli.Uint64Flag{Name: "seed", Value: 1, Usage: "seed of the load"},
+		Flags: append(mixFlags(),
 			&cli.StringFlag{Name: "document", Usage: "the deployment's `FILE`; Almaty's by default"},
-		},
+		),
 		Action: runDemo,
 	}
 }
@@ -97,8 +97,8 @@
 }
 
 func printHints(f *fleet.Fleet) {
-	urls := f.URLs()
 	c := f.Caller(nil)
+	urls := c.URLs
 	fmt.Printf("\ntry:\n")
 	fmt.Printf("  curl -s %s/v1/models -H 'Authorization: Bearer %s'\n", urls[0], paidKey)
 	fmt.Printf("  curl -sN %s/v1/chat/completions -H 'Authorization: Bearer %s' -d '{\"model\":%q,\"stream\":true,\"max_tokens\":32,\"messages\":[{\"role\":\"user\",\"content\":\"Write a placement letter.\"}]}'\n", urls[0], paidKey, c.Model)
@@ -112,47 +112,57 @@
 	time.Sleep(keyWarmup)
 	transport := &http.Transport{MaxIdleConnsPerHost: callerConns}
 	defer transport.CloseIdleConnections()
-	mix := load.Mix{
-		Caller:   f.Caller(&http.Client{Transport: transport}),
-		PaidKey:  paidKey,
-		TrialKey: trialKey,
-		Rate:     cmd.Float("rate"),
-		For:      cmd.Duration("for"),
-		Seed:     cmd.Uint64("seed"),
-		Progress: printProgress,
-	}
-	targets := f.Plan.Document.Targets
-	sum, results, err := mix.Run(ctx, load.Targets{TTFT: targets.TTFT.D(), TBT: targets.TBT.D()})
+	mix := newMix(cmd, f.Caller(&http.Client{Transport: transport}), paidKey, trialKey)
+	sum, results, err := mix.Run(ctx, targetsOf(f.Plan.Document))
 	if err != nil {
 		return err
 	}
-	sum = load.Judge(sum, results, f.Runs())
-	freed := f.AwaitFree(freeTimeout)
-	return printSummary(f, sum, freed)
+	return printSummary("demo", f, load.Judge(sum, results, f.Runs()))
 }
 
 func printProgress(s load.Summary) {
 	fmt.Printf("  %5d ended: %d whole, %d not run, %d unknown, %d cancelled\n", s.Requests, s.Whole, s.NotRun, s.Unknown, s.Cancelled)
 }
 
-func printSummary(f *fleet.Fleet, s load.Summary, freed time.Duration) error {
+// holder tells what the engines hold and have computed.
+type holder interface {
+	Held() int
+	Prefill() fleet.Prefill
+}
+
+// awaitFree waits until no engine holds a request and returns how long that
+// took, at most freeTimeout.
+func awaitFree(h holder) time.Duration {
+	began := time.Now()
+	for h.Held() > 0 && time.Since(began) < freeTimeout {
+		time.Sleep(freePoll)
+	}
+	return min(time.Since(began), freeTimeout)
+}
+
+// printSummary prints what became of the load; its last line is for scripts.
+func printSummary(name string, h holder, s load.Summary) error {
+	freed := awaitFree(h)
 	for _, m := range s.Mismatches {
 		fmt.Println("mismatch:", m)
 	}
+	for _, reason := range slices.Sorted(maps.Keys(s.Reasons)) {
+		fmt.Printf("%5d %s\n", s.Reasons[reason], reason)
+	}
 	if s.FalseNotRun > 0 {
 		fmt.Printf("refused as not run, but ran: %d\n", s.FalseNotRun)
 	}
-	spent := f.Prefill()
-	fmt.Printf("paid drafts within both targets: %d of %d\n", s.GoodPaid, s.Paid)
-	fmt.Printf("prefill: %d tokens computed, %d from cache, %d wasted\n", spent.Computed, spent.Cached, spent.Wasted)
+	spent := h.Prefill()
+	fmt.Printf("paid drafts within both targets: %d of %d; answers broken off: %d\n", s.GoodPaid, s.Paid, s.Broken)
+	fmt.Printf("prefill: %d tokens computed, %d from cache, %d wasted; %d results expired unused\n", spent.Computed, spent.Cached, spent.Wasted, spent.Expired)
 	fmt.Printf("engine memory free %s after the last request\n", freed.Round(time.Millisecond))
 	violations := s.Violations + int64(s.FalseNotRun)
 	if freed >= freeTimeout {
-		fmt.Printf("engines still hold %d requests\n", f.Held())
+		fmt.Printf("engines still hold %d requests\n", h.Held())
 		violations++
 	}
-	fmt.Printf("demo: requests=%d whole=%d not_run=%d unknown=%d cancelled=%d duplicates=%d violations=%d\n",
-		s.Requests, s.Whole, s.NotRun, s.Unknown, s.Cancelled, s.Duplicates, violations)
+	fmt.Printf("%s: requests=%d whole=%d not_run=%d unknown=%d cancelled=%d duplicates=%d violations=%d\n",
+		name, s.Requests, s.Whole, s.NotRun, s.Unknown, s.Cancelled, s.Duplicates, violations)
 	if s.Duplicates > 0 || violations > 0 || len(s.Mismatches) > 0 {
 		return errReported
 	}
--- a/cmd/ebonypulley/main.go
+++ b/cmd/ebonypulley/main.go
@@ -16,7 +16,7 @@
 	_ "ebonypulley/plugins"
 )
 
-// exitError is returned by commands that have printed all there is to say.
+// errReported is returned by commands that have printed all there is to say.
 var errReported = errors.New("reported")
 
 func main() {
@@ -53,6 +53,7 @@
 			checkCommand(),
 			planCommand(),
 			demoCommand(),
+			loadCommand(),
 		},
 		Flags: []cli.Flag{
 			&cli.StringFlag{Name: "log-level", Value: "info", Usage: "least level logged: debug, info, warn or error"},
--- a/entry/choose.go
+++ b/entry/choose.go
@@ -1,9 +1,12 @@
 package entry
 
 import (
+	"context"
 	"sync"
 	"time"
 
+	"github.com/joomcode/errorx"
+
 	"ebonypulley/config"
 	"ebonypulley/peer"
 	"ebonypulley/schedule"
@@ -42,6 +45,39 @@
 	tried   map[string]bool
 }
 
+// chooseSoon is choose, but when no endpoint is ready it looks again for a
+// little while, within the request's own wait.
+//
+// Failure guarded against: an entry that wakes from a pause, or just started,
+// has replaced its connections and sees no endpoint for some milliseconds. It
+// shows as a burst of needless refusals.
+func (q *request) chooseSoon(ctx context.Context, s selection) (*peer.Peer, error) {
+	until := time.Now().Add(min(q.wait(), linkGrace))
+	for {
+		p, err := q.choose(s)
+		if !errorx.IsOfType(err, schedule.ErrNone) || time.Now().After(until) {
+			return p, err
+		}
+		if !pause(ctx, choosePause) {
+			return nil, err
+		}
+	}
+}
+
+const choosePause = 25 * time.Millisecond
+
+// pause returns false when ctx ended first.
+func pause(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-t.C:
+		return true
+	}
+}
+
 // choose picks an endpoint by the policy of the first pool that has any. The
 // document is the one in force now, not that of the request's arrival, so
 // that a leaving endpoint gets nothing more.
--- a/entry/completion.go
+++ b/entry/completion.go
@@ -198,7 +198,7 @@
 func (g *generation) reserve(ctx context.Context, text string) (*exchange, error) {
 	q := g.q
 	tokens := engine.CountTokens(text)
-	p, err := q.choose(selection{service: g.service.Name, role: config.Decode, tokens: tokens, tried: g.triedDecode})
+	p, err := q.chooseSoon(ctx, selection{service: g.service.Name, role: config.Decode, tokens: tokens, tried: g.triedDecode})
 	if err != nil {
 		return nil, err
 	}
@@ -267,7 +267,7 @@
 func (g *generation) prefill(ctx context.Context, text string) (func(), result, error) {
 	q := g.q
 	blocks := engine.Blocks(text)
-	p, err := q.choose(selection{service: g.service.Name, role: config.Prefill, tokens: engine.CountTokens(text), blocks: blocks, tried: g.triedPre})
+	p, err := q.chooseSoon(ctx, selection{service: g.service.Name, role: config.Prefill, tokens: engine.CountTokens(text), blocks: blocks, tried: g.triedPre})
 	if err != nil {
 		return nil, result{}, err
 	}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -39,6 +39,9 @@
 	// ConfigService and VMList are URLs of the platform's services.
 	ConfigService string `json:"config_service"`
 	VMList        string `json:"vm_list"`
+	// Seeds are agents, IP:port, that are asked for the document while this
+	// entry has none and the configuration service does not answer.
+	Seeds []string `json:"seeds"`
 	// DrainNotice is how long a leaving entry keeps accepting while its
 	// health page already tells the balancer to stop. Default 2s.
 	DrainNotice config.Duration `json:"drain_notice"`
@@ -52,6 +55,9 @@
 	pauseAllowed      = 3 * time.Second
 	defaultNotice     = 2 * time.Second
 	initialRetryRatio = 0.1
+	// seedInterval is the pause before each question to a seed; the
+	// configuration service is faster when it answers.
+	seedInterval = 250 * time.Millisecond
 )
 
 // Entry is the daemon. Create it with New.
@@ -59,6 +65,8 @@
 	set      Settings
 	log      *event.Log
 	inc      wire.Incarnation
+	self     peer.Self
+	dial     peer.Dialer
 	store    *config.Store
 	view     *membership.View
 	peers    *peer.Manager
@@ -97,8 +105,9 @@
 		metrics:  metrics.NewSet(),
 		rnd:      rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 	}
-	self := peer.Self{Name: set.Name, DataCentre: set.DataCentre, Incarnation: e.inc}
-	e.peers = peer.NewManager(self, e.store, e.view, e.log, dial)
+	e.self = peer.Self{Name: set.Name, DataCentre: set.DataCentre, Incarnation: e.inc}
+	e.dial = dial
+	e.peers = peer.NewManager(e.self, e.store, e.view, e.log, dial)
 	e.server = &http.Server{
 		Handler:           e.routes(),
 		ReadHeaderTimeout: headerTimeout,
@@ -130,6 +139,7 @@
 	e.group.Go(e.peers.Run)
 	e.group.Go(e.configLoop)
 	e.group.Go(e.tickLoop)
+	e.group.Go(e.bootstrap)
 	e.watchPlatform()
 	e.group.Go(func(ctx context.Context) error {
 		stop := context.AfterFunc(ctx, func() { _ = e.server.Close() })
@@ -144,6 +154,36 @@
 	return err
 }
 
+// bootstrap asks the seeds, in turn, until this entry has a document.
+//
+// Failure guarded against: an entry VM is replaced while the configuration
+// service is down. It shows as an entry that refuses everything until the
+// service is back. The guard holds because every agent keeps the document in
+// force and hands it to whoever has an older one.
+func (e *Entry) bootstrap(ctx context.Context) error {
+	if len(e.set.Seeds) == 0 {
+		return nil
+	}
+	for i := 0; ; i++ {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-time.After(seedInterval):
+		}
+		if e.store.Current() != nil {
+			return nil
+		}
+		addr := e.set.Seeds[i%len(e.set.Seeds)]
+		text, err := peer.Fetch(ctx, e.self, e.dial, addr)
+		if err != nil {
+			e.log.Emit(event.SeedSilent, zap.String("seed", addr), zap.Error(err))
+			continue
+		}
+		verdict, findings := e.store.Offer("seed "+addr, text)
+		config.LogVerdict(e.log, verdict, e.store.Generation(), findings)
+	}
+}
+
 func (e *Entry) watchPlatform() {
 	client := new(http.Client)
 	if e.set.ConfigService != "" {
--- a/entry/plain.go
+++ b/entry/plain.go
@@ -87,13 +87,20 @@
 		case c.q.gone():
 			c.q.callerGone()
 			return
-		case ctx.Err() != nil || !c.again(end, refusals):
+		case ctx.Err() != nil || !c.again(ctx, end, refusals):
 			c.q.fail(end.failure)
 			return
 		}
 	}
 }
 
+const (
+	// ownerWait is how long a call waits for the owner of its
+	// Idempotency-Key: as long as a replaced process takes to come back.
+	ownerWait  = 5 * time.Second
+	ownerPause = 100 * time.Millisecond
+)
+
 // ending is how one attempt ended: with an outcome for the caller, or with a
 // failure.
 type ending struct {
@@ -105,19 +112,24 @@
 	final bool
 }
 
-func (c *call) again(end ending, refusals int) bool {
-	if end.final {
+func (c *call) again(ctx context.Context, end ending, refusals int) bool {
+	switch {
+	case end.final:
 		return false
-	}
-	if !end.ran {
+	case end.ran:
+		return c.decl.Idempotent && c.q.e.retries.Retry()
+	case c.key != "":
+		// There is one owner only: nobody else may run the call.
+		soon := time.Since(c.q.began) < min(ownerWait, c.q.tier.MaxWait.D())
+		return soon && pause(ctx, ownerPause)
+	default:
 		return refusals < maxRefusals
 	}
-	return c.decl.Idempotent && c.q.e.retries.Retry()
 }
 
 // attempt makes one try: offer, then start.
 func (c *call) attempt(ctx context.Context) ending {
-	p, err := c.choose()
+	p, err := c.choose(ctx)
 	if err != nil {
 		return ending{failure: unavailable("no endpoint can take the call now", minRetry), final: true}
 	}
@@ -173,9 +185,9 @@
 // choose picks the endpoint. A call with an Idempotency-Key has exactly one:
 // the key's owner among the declared endpoints, whoever is alive, so that two
 // entries with different views never use two owners.
-func (c *call) choose() (*peer.Peer, error) {
+func (c *call) choose(ctx context.Context) (*peer.Peer, error) {
 	if c.key == "" {
-		return c.q.choose(selection{service: c.route.Service, role: config.Plain, tried: c.tried})
+		return c.q.chooseSoon(ctx, selection{service: c.route.Service, role: config.Plain, tried: c.tried})
 	}
 	doc := c.q.e.store.Current().Document
 	owner := keyOwner(doc.Members(c.route.Service, config.Plain), c.q.workspace.Name, c.key)
--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -20,6 +20,7 @@
 	ConfigConflict    = define(2003, zap.ErrorLevel, "two configurations have the same generation")
 	ConfigUnreachable = define(2004, zap.WarnLevel, "configuration service does not answer")
 	ConfigReachable   = define(2005, zap.InfoLevel, "configuration service answers again")
+	SeedSilent        = define(2007, zap.InfoLevel, "a seed has no configuration to give")
 	VMListUnreachable = define(2006, zap.WarnLevel, "VM list does not answer")
 )
 
--- a/fleet/callers.go
+++ b/fleet/callers.go
@@ -3,7 +3,6 @@
 import (
 	"encoding/hex"
 	"net/http"
-	"time"
 
 	"ebonypulley/config"
 	"ebonypulley/load"
@@ -26,9 +25,15 @@
 }
 
 // Caller returns a caller of the fleet's first model service and route.
-func (f *Fleet) Caller(client *http.Client) load.Caller {
-	doc := f.Plan.Document
-	c := load.Caller{HTTP: client, URLs: f.URLs()}
+func (f *Fleet) Caller(client *http.Client) load.Caller { return CallerOf(f.Plan.Document, client) }
+
+// CallerOf returns a caller of a document's entries, its first model service
+// and its first route.
+func CallerOf(doc *config.Document, client *http.Client) load.Caller {
+	c := load.Caller{HTTP: client}
+	for _, e := range doc.Entries {
+		c.URLs = append(c.URLs, "http://"+e.HTTP)
+	}
 	for _, s := range doc.Services {
 		if s.Kind == config.ModelService {
 			c.Model = s.Model
@@ -62,6 +67,8 @@
 	Computed int64
 	Cached   int64
 	Wasted   int64
+	// Expired counts results that nobody fetched in time.
+	Expired int64
 }
 
 // Prefill adds up the engines' prefill work and what the entries wasted.
@@ -71,19 +78,10 @@
 		s := e.Stats()
 		p.Computed += s.PrefillTokens
 		p.Cached += s.CachedTokens
+		p.Expired += s.ExpiredResults
 	}
 	for _, e := range f.Entries {
 		p.Wasted += e.Metrics().Count("wasted_prefill_tokens")
 	}
 	return p
 }
-
-// AwaitFree waits until no engine holds a request and returns how long that
-// took, at most timeout.
-func (f *Fleet) AwaitFree(timeout time.Duration) time.Duration {
-	began := time.Now()
-	for f.Held() > 0 && time.Since(began) < timeout {
-		time.Sleep(readyPoll)
-	}
-	return min(time.Since(began), timeout)
-}
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -163,15 +163,6 @@
 	return runs
 }
 
-// URLs returns the callers' addresses of all entries, in declared order.
-func (f *Fleet) URLs() []string {
-	var urls []string
-	for _, e := range f.Plan.Entries {
-		urls = append(urls, "http://"+e.Listen)
-	}
-	return urls
-}
-
 // Stop ends all processes at once.
 func (f *Fleet) Stop() {
 	f.group.Stop()
--- a/fleet/plan.go
+++ b/fleet/plan.go
@@ -138,9 +138,27 @@
 		Debug:         debugAddress(e.HTTP),
 		ConfigService: "http://" + p.Platform.Config,
 		VMList:        "http://" + p.Platform.VMs,
+		Seeds:         p.seeds(e.DataCentre),
 	})
 }
 
+// seedCount is how many agents an entry can ask for the document.
+const seedCount = 4
+
+// seeds returns agents, those in the entry's data centre first.
+func (p *Plan) seeds(dc string) []string {
+	var near, far []string
+	for _, e := range p.Document.Endpoints {
+		if e.DataCentre == dc {
+			near = append(near, e.Agent)
+		} else {
+			far = append(far, e.Agent)
+		}
+	}
+	all := append(near[:min(len(near), seedCount/2)], far...)
+	return all[:min(len(all), seedCount)]
+}
+
 func debugAddress(addr string) string {
 	ap := netip.MustParseAddrPort(addr)
 	return netip.AddrPortFrom(ap.Addr(), ap.Port()+debugOffset).String()
--- a/jsonc/decode.go
+++ b/jsonc/decode.go
@@ -1,6 +1,7 @@
 package jsonc
 
 import (
+	"bytes"
 	"encoding"
 	"encoding/json"
 	"fmt"
@@ -57,7 +58,9 @@
 // far as the text fits. The source is never nil.
 func Decode(file string, text []byte, out any) (*Source, Findings) {
 	src := &Source{file: file, text: text, places: make(map[string]int), lineStart: lineStarts(text)}
-	root, err := hujson.Parse(text)
+	// hujson blanks comments in the very bytes it was given; text must stay
+	// as published, because peers compare its digest.
+	root, err := hujson.Parse(bytes.Clone(text))
 	if err != nil {
 		return src, Findings{src.syntaxFinding(err)}
 	}
--- a/load/caller.go
+++ b/load/caller.go
@@ -11,6 +11,7 @@
 	"errors"
 	"io"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"strconv"
 	"strings"
@@ -60,6 +61,8 @@
 	// Mismatch says how a whole answer differs from the right one.
 	Mismatch string
 	Status   int
+	// Reason is the error's message, or that of the broken connection.
+	Reason string
 	// Call is the ID under which the plain service counts the call.
 	Call  string
 	TTFT  time.Duration
@@ -118,15 +121,18 @@
 		Stream:    d.Stream,
 	})
 	began := time.Now()
-	resp, err := c.post(ctx, c.pick(rnd)+"/v1/chat/completions", d.Key, body)
+	resp, err := c.balance(rnd, func(base string) (*http.Response, error) {
+		return c.post(ctx, base+"/v1/chat/completions", d.Key, body)
+	})
 	if err != nil {
-		res.Outcome = entry.Unknown
+		res.lost(err)
 		return res
 	}
 	defer resp.Body.Close()
 	res.note(resp)
 	if resp.StatusCode != http.StatusOK {
-		_, _ = io.Copy(io.Discard, resp.Body)
+		text, _ := io.ReadAll(resp.Body)
+		res.Reason = reasonOf(text)
 		return res
 	}
 	var text string
@@ -220,22 +226,11 @@
 		method, path, body = http.MethodPost, c.Book, []byte("{\"call\":\""+s.ID+"\"}")
 	}
 	began := time.Now()
-	req, err := http.NewRequestWithContext(ctx, method, c.pick(rnd)+"/app/"+c.Route+path, bytes.NewReader(body))
-	if err != nil {
-		res.Outcome = entry.NotRun
-		return res
-	}
-	req.Header.Set("Authorization", "Bearer "+s.Key)
-	req.Header.Set(standin.CallHeader, s.ID)
-	if s.IdempotencyKey != "" {
-		req.Header.Set(entry.HeaderKey, s.IdempotencyKey)
-	}
-	// A broken connection leaves the outcome unknown; http.NewRequest must
-	// not repeat the call by itself.
-	req.GetBody = nil
-	resp, err := c.HTTP.Do(req)
+	resp, err := c.balance(rnd, func(base string) (*http.Response, error) {
+		return c.call(ctx, method, base+"/app/"+c.Route+path, s, body)
+	})
 	if err != nil {
-		res.Outcome = entry.Unknown
+		res.lost(err)
 		return res
 	}
 	defer resp.Body.Close()
@@ -246,12 +241,40 @@
 		res.Broken = true
 		return res
 	}
-	if res.Outcome == entry.Answered && resp.StatusCode == http.StatusOK {
+	switch {
+	case res.Outcome != entry.Answered:
+		res.Reason = reasonOf(text)
+	case resp.StatusCode == http.StatusOK:
 		res.Mismatch = checkCall(text, s.ID, string(body))
 	}
 	return res
 }
 
+// lost notes a request whose connection broke: only the caller's own view of
+// it, so unknown.
+func (r *Result) lost(err error) {
+	r.Outcome = entry.Unknown
+	r.Reason = "connection to the entry broke"
+	if isDial(err) {
+		r.Outcome = entry.NotRun
+		r.Reason = "no entry takes connections"
+	}
+}
+
+// isDial reports whether a request was never sent.
+func isDial(err error) bool {
+	var op *net.OpError
+	return errors.As(err, &op) && op.Op == "dial"
+}
+
+func reasonOf(text []byte) string {
+	var a chatAnswer
+	if json.Unmarshal(text, &a) != nil || a.Error == nil {
+		return "no reason given"
+	}
+	return a.Error.Message
+}
+
 func checkCall(text []byte, call, body string) string {
 	var a standin.PlainAnswer
 	switch err := json.Unmarshal(text, &a); {
@@ -276,7 +299,33 @@
 	return c.HTTP.Do(req)
 }
 
-func (c *Caller) pick(rnd *rand.Rand) string { return c.URLs[rnd.IntN(len(c.URLs))] }
+// call sends one call. A broken connection leaves its outcome open, so
+// net/http must not repeat it by itself: without GetBody it can't.
+func (c *Caller) call(ctx context.Context, method, target string, s CallSpec, body []byte) (*http.Response, error) {
+	req, err := http.NewRequestWithContext(ctx, method, target, bytes.NewReader(body))
+	if err != nil {
+		return nil, err
+	}
+	req.GetBody = nil
+	req.Header.Set("Authorization", "Bearer "+s.Key)
+	req.Header.Set(standin.CallHeader, s.ID)
+	if s.IdempotencyKey != "" {
+		req.Header.Set(entry.HeaderKey, s.IdempotencyKey)
+	}
+	return c.HTTP.Do(req)
+}
+
+// balance sends to an entry at random; like the platform's balancer it goes
+// on to the next one when an entry takes no connections.
+func (c *Caller) balance(rnd *rand.Rand, send func(base string) (*http.Response, error)) (*http.Response, error) {
+	first := rnd.IntN(len(c.URLs))
+	for i := 0; ; i++ {
+		resp, err := send(c.URLs[(first+i)%len(c.URLs)])
+		if err == nil || !isDial(err) || i+1 == len(c.URLs) {
+			return resp, err
+		}
+	}
+}
 
 // errNoURLs is returned for a caller without entries.
 var errNoURLs = errors.New("load: no entries to call")
--- a/load/mix.go
+++ b/load/mix.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"math/rand/v2"
 	"strings"
 	"sync"
@@ -48,6 +49,8 @@
 	GoodPaid   int
 	Paid       int
 	Violations int64
+	// Reasons counts the answers that were not whole by outcome and reason.
+	Reasons map[string]int
 }
 
 // collector gathers results.
@@ -70,7 +73,7 @@
 	if len(m.Caller.URLs) == 0 {
 		return Summary{}, nil, errNoURLs
 	}
-	c := &collector{ttft: t.TTFT, tbt: t.TBT}
+	c := &collector{ttft: t.TTFT, tbt: t.TBT, sum: Summary{Reasons: make(map[string]int)}}
 	var wg sync.WaitGroup
 	rnd := rand.New(rand.NewPCG(m.Seed, 1))
 	end := time.Now().Add(m.For)
@@ -194,6 +197,9 @@
 	default:
 		s.Unknown++
 	}
+	if r.Reason != "" {
+		s.Reasons[string(r.Kind)+" "+string(r.Outcome)+": "+r.Reason]++
+	}
 	c.goodput(r)
 }
 
@@ -218,6 +224,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	s := c.sum
+	s.Reasons = maps.Clone(s.Reasons)
 	s.Violations = invariant.Violations()
 	return s
 }
