The composed path under failure, in virtual time

Cause: the guarantees were only shown by hand. What they found and what was mended: an entry without a document refused instead of holding connections back; a drained entry closed kept connections under its callers' hands; the agent of a removed endpoint that was cut off was never told; a KV result whose transfer was cut in time was thrown away instead of used elsewhere.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -67,12 +67,15 @@
 	idle() bool
 }
 
+var _ ebonypulley.Daemon = (*Agent)(nil)
+
 // Agent is the daemon. Create it with New.
 type Agent struct {
 	set   Settings
 	log   *event.Log
 	inc   wire.Incarnation
 	store *config.Store
+	dial  ebonypulley.Dialer
 	group *ebonypulley.Group
 
 	mu       sync.Mutex
@@ -94,15 +97,17 @@
 // ErrListen is returned by Run when the address can't be had.
 var ErrListen = agentErrors.NewType("listen")
 
-// New returns an agent; it serves after Run.
-func New(set Settings, log *event.Log) *Agent {
+// New returns an agent; it serves after Run. Dial reaches the endpoint and
+// the platform; nil means TCP.
+func New(set Settings, log *event.Log, dial ebonypulley.Dialer) *Agent {
 	return &Agent{
 		set:      set,
 		log:      log.With(zap.String("agent", set.Name)),
 		inc:      wire.NewID(),
 		store:    new(config.Store),
 		sessions: make(map[*session]struct{}),
-		health:   newHealth(),
+		dial:     dial,
+		health:   newHealth(dial.HTTPClient(false)),
 		idle:     make(chan struct{}),
 	}
 }
--- a/agent/config.go
+++ b/agent/config.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net/http"
 	"time"
 
 	"go.uber.org/zap"
@@ -26,14 +25,13 @@
 		URL:   a.set.ConfigService,
 		Store: a.store,
 		Log:   a.log,
-		HTTP:  new(http.Client),
+		HTTP:  a.health.client,
 		Needed: func() bool {
 			a.mu.Lock()
 			defer a.mu.Unlock()
 			return time.Since(a.peerSeen) > peerSilence
 		},
 	}
-	defer w.HTTP.CloseIdleConnections()
 	return w.Run(ctx)
 }
 
--- a/agent/decode.go
+++ b/agent/decode.go
@@ -43,7 +43,7 @@
 func newDecodeWorker(a *Agent, url string) *decodeWorker {
 	return &decodeWorker{
 		a:      a,
-		engine: engine.NewClient(url),
+		engine: engine.NewClient(url, a.dial.HTTPClient(false)),
 		jobs:   make(map[wire.ID]*decodeJob),
 		links:  make(map[string]*limit.Link),
 	}
@@ -245,7 +245,7 @@
 func (w *decodeWorker) dropSource(kv wire.KVRef) {
 	ctx, cancel := context.WithTimeout(w.a.group.Context(), freeTimeout)
 	defer cancel()
-	_ = engine.NewClientWith(kv.URL, w.a.health.client).DropKV(ctx, kv.Handle)
+	_ = engine.NewClient(kv.URL, w.a.health.client).DropKV(ctx, kv.Handle)
 }
 
 // fail ends an attempt that holds memory: the memory is freed first, the
--- a/agent/health.go
+++ b/agent/health.go
@@ -36,8 +36,8 @@
 	failed int
 }
 
-func newHealth() health {
-	return health{client: new(http.Client), poke: make(chan struct{}, 1), down: true}
+func newHealth(client *http.Client) health {
+	return health{client: client, poke: make(chan struct{}, 1), down: true}
 }
 
 // wake makes the next check come at once.
@@ -79,7 +79,7 @@
 	if role == config.Plain {
 		return 0, a.checkPlain(ctx, e)
 	}
-	client := engine.NewClientWith(e.URL, a.health.client)
+	client := engine.NewClient(e.URL, a.health.client)
 	if err := a.orderIfNeeded(ctx, client); err != nil {
 		return 0, err
 	}
@@ -199,6 +199,6 @@
 func wireFault(err error) bool {
 	var netErr net.Error
 	ordinary := err == nil || errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) ||
-		errors.Is(err, net.ErrClosed) || errors.As(err, &netErr)
+		errors.Is(err, net.ErrClosed) || errors.Is(err, io.ErrClosedPipe) || errors.As(err, &netErr)
 	return !ordinary
 }
--- a/agent/plain.go
+++ b/agent/plain.go
@@ -37,7 +37,7 @@
 func newPlainWorker(a *Agent, url string, doc *config.Document) *plainWorker {
 	return &plainWorker{
 		a:       a,
-		service: newService(url),
+		service: newService(url, a.dial),
 		table:   attempt.NewTable(time.Now(), keyLimits(doc)),
 		members: doc.MembersHash(a.pool.Service),
 		jobs:    make(map[wire.ID]*callJob),
--- a/agent/prefill.go
+++ b/agent/prefill.go
@@ -42,7 +42,7 @@
 const keepPrefill = 5 * time.Second
 
 func newPrefillWorker(a *Agent, url string) *prefillWorker {
-	return &prefillWorker{a: a, engine: engine.NewClient(url), url: url, jobs: make(map[wire.ID]*prefillJob)}
+	return &prefillWorker{a: a, engine: engine.NewClient(url, a.dial.HTTPClient(false)), url: url, jobs: make(map[wire.ID]*prefillJob)}
 }
 
 func (w *prefillWorker) handle(s *session, m wire.Attempted) {
--- a/agent/service.go
+++ b/agent/service.go
@@ -4,14 +4,13 @@
 	"bytes"
 	"context"
 	"io"
-	"net"
 	"net/http"
 	"net/http/httptrace"
 	"strings"
-	"time"
 
 	"github.com/joomcode/errorx"
 
+	"ebonypulley"
 	"ebonypulley/attempt"
 	"ebonypulley/engine"
 	"ebonypulley/wire"
@@ -24,11 +23,8 @@
 	once       *http.Client
 }
 
-const (
-	serviceDial = time.Second
-	// maxAnswer bounds an answer of the service; it travels in one frame.
-	maxAnswer = 2 << 20
-)
+// maxAnswer bounds an answer of the service; it travels in one frame.
+const maxAnswer = 2 << 20
 
 // newService returns two clients.
 //
@@ -38,18 +34,12 @@
 // booking that ran twice although it was started once. The guard holds
 // because the client for non-idempotent calls keeps no connections: a
 // request on a fresh connection is never repeated.
-func newService(base string) service {
-	dialer := net.Dialer{Timeout: serviceDial}
+func newService(base string, dial ebonypulley.Dialer) service {
 	client := func(fresh bool) *http.Client {
-		return &http.Client{
-			Transport: &http.Transport{
-				DialContext:        dialer.DialContext,
-				DisableKeepAlives:  fresh,
-				DisableCompression: true,
-			},
-			// A redirect is the caller's to follow.
-			CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
-		}
+		c := dial.HTTPClient(fresh)
+		// A redirect is the caller's to follow.
+		c.CheckRedirect = func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
+		return c
 	}
 	return service{base: strings.TrimSuffix(base, "/"), idempotent: client(false), once: client(true)}
 }
--- a/cmd/ebonypulley/daemon.go
+++ b/cmd/ebonypulley/daemon.go
@@ -165,7 +165,7 @@
 				return err
 			}
 			warnPlainText(log, set.Listen)
-			a := agent.New(set, log)
+			a := agent.New(set, log, nil)
 			metrics.Publish("agent", func() any { return a.Stats() })
 			return serve(ctx, a, log, set.Debug)
 		})
@@ -179,7 +179,7 @@
 			if err != nil {
 				return err
 			}
-			h, err := standin.New(set)
+			h, err := standin.New(set, nil)
 			if err != nil {
 				return err
 			}
--- a/cmd/ebonypulley/demo.go
+++ b/cmd/ebonypulley/demo.go
@@ -57,7 +57,7 @@
 	if err != nil {
 		return err
 	}
-	f, err := fleet.Start(ctx, doc, log)
+	f, err := fleet.StartTCP(ctx, doc, log)
 	if err != nil {
 		return err
 	}
--- a/engine/client.go
+++ b/engine/client.go
@@ -6,12 +6,10 @@
 	"context"
 	"encoding/json"
 	"io"
-	"net"
 	"net/http"
 	"net/url"
 	"strconv"
 	"strings"
-	"time"
 
 	"github.com/joomcode/errorx"
 )
@@ -27,13 +25,8 @@
 	ErrRefused = engineErrors.NewType("refused")
 )
 
-const (
-	// maxReply bounds a reply that is not a stream.
-	maxReply = 8 << 20
-	// idleConns is the number of kept connections to the engine.
-	idleConns   = 64
-	dialTimeout = time.Second
-)
+// maxReply bounds a reply that is not a stream.
+const maxReply = 8 << 20
 
 // Client speaks to one engine.
 type Client struct {
@@ -41,17 +34,8 @@
 	http *http.Client
 }
 
-// NewClient returns a client of the engine at base.
-func NewClient(base string) *Client {
-	dialer := net.Dialer{Timeout: dialTimeout}
-	return NewClientWith(base, &http.Client{Transport: &http.Transport{
-		DialContext:         dialer.DialContext,
-		MaxIdleConnsPerHost: idleConns,
-	}})
-}
-
-// NewClientWith returns a client that shares the connections of h.
-func NewClientWith(base string, h *http.Client) *Client {
+// NewClient returns a client of the engine at base over h's connections.
+func NewClient(base string, h *http.Client) *Client {
 	return &Client{base: strings.TrimSuffix(base, "/"), http: h}
 }
 
--- a/entry/completion.go
+++ b/entry/completion.go
@@ -57,8 +57,10 @@
 	ran         bool
 	triedDecode map[string]bool
 	triedPre    map[string]bool
-	attempts    int
-	lastToken   time.Time
+	// kept is a result whose transfer was cut in time.
+	kept      *result
+	attempts  int
+	lastToken time.Time
 }
 
 func (q *request) newGeneration(c *completionRequest, chat bool) (*generation, *failure) {
@@ -104,6 +106,7 @@
 func (g *generation) run(ctx context.Context) {
 	refusals := 0
 	g.q.e.retries.First()
+	defer g.dropKept()
 	for {
 		before := len(g.delivered)
 		err := g.attempt(ctx)
@@ -135,11 +138,20 @@
 	}
 }
 
+// dropKept frees a kept result that no attempt took.
+func (g *generation) dropKept() {
+	if g.kept != nil {
+		g.wasted(g.kept)
+		g.kept.drop()
+	}
+}
+
 // mayContinue decides about another attempt after one was lost. One that
 // brought tokens is continued freely, because each continuation then makes
-// progress; others draw on the retry budget.
+// progress, and so is one whose prefill result still lives, because it costs
+// no prefill; others draw on the retry budget.
 func (g *generation) mayContinue(before int) bool {
-	return len(g.delivered) > before || g.q.e.retries.Retry()
+	return len(g.delivered) > before || g.kept != nil || g.q.e.retries.Retry()
 }
 
 var errCaller = entryErrors.NewType("caller")
@@ -186,14 +198,40 @@
 		return err
 	}
 	defer decode.close()
-	done, kv, err := g.prefill(ctx, text)
+	kv, err := g.resultFor(ctx, text)
 	if err != nil {
 		return err
 	}
-	defer done()
-	return g.decode(ctx, decode, kv)
+	err = g.decode(ctx, decode, kv)
+	if kv.alive {
+		g.kept = kv
+	} else {
+		kv.drop()
+	}
+	return err
+}
+
+// resultFor returns the kept result of an earlier attempt, if it lives long
+// enough to be imported, or that of a new prefill.
+func (g *generation) resultFor(ctx context.Context, text string) (*result, error) {
+	kept := g.kept
+	g.kept = nil
+	if kept == nil {
+		return g.prefill(ctx, text)
+	}
+	if time.Until(kept.expiry) > minReuse {
+		kept.alive = false
+		g.q.e.metrics.Add("reused_results", 1)
+		return kept, nil
+	}
+	g.wasted(kept)
+	kept.drop()
+	return g.prefill(ctx, text)
 }
 
+// minReuse is the life that a kept result must have left.
+const minReuse = 50 * time.Millisecond
+
 // reserve gets engine memory at a decode endpoint, waiting there if need be.
 func (g *generation) reserve(ctx context.Context, text string) (*exchange, error) {
 	q := g.q
@@ -254,27 +292,30 @@
 type result struct {
 	wire.KVRef
 	expiry time.Time
+	// alive: its transfer was cut, and it can still be used elsewhere.
+	alive bool
+	// drop frees what is left of it at its engine.
+	drop func()
 }
 
-func (r result) ref() wire.KVRef {
+func (r *result) ref() wire.KVRef {
 	ref := r.KVRef
 	ref.Lives = max(time.Until(r.expiry), 0)
 	return ref
 }
 
-// prefill computes the prompt at a prefill endpoint. The returned function
-// frees what is left of it there.
-func (g *generation) prefill(ctx context.Context, text string) (func(), result, error) {
+// prefill computes the prompt at a prefill endpoint.
+func (g *generation) prefill(ctx context.Context, text string) (*result, error) {
 	q := g.q
 	blocks := engine.Blocks(text)
 	p, err := q.chooseSoon(ctx, selection{service: g.service.Name, role: config.Prefill, tokens: engine.CountTokens(text), blocks: blocks, tried: g.triedPre})
 	if err != nil {
-		return nil, result{}, err
+		return nil, err
 	}
 	id := wire.NewID()
 	x, err := open(p, id)
 	if err != nil {
-		return nil, result{}, errRefused.Wrap(err, "prefill")
+		return nil, errRefused.Wrap(err, "prefill")
 	}
 	g.triedPre[x.endpoint()] = true
 	ranBefore := g.ran
@@ -290,25 +331,25 @@
 	m, err := x.next(ctx)
 	if err != nil {
 		x.close()
-		return nil, result{}, err
+		return nil, err
 	}
 	switch m := m.(type) {
 	case *wire.Prefilled:
 		q.e.prefixes.learn(x.endpoint(), m.Load.CacheEpoch, blocks, m.CachedTokens)
 		q.e.metrics.Add("prefill_tokens", int64(m.PromptTokens-m.CachedTokens))
-		return x.close, result{KVRef: m.KV, expiry: time.Now().Add(m.KV.Lives)}, nil
+		return &result{KVRef: m.KV, expiry: time.Now().Add(m.KV.Lives), drop: x.close}, nil
 	case *wire.Refused:
 		g.ran = ranBefore
 		x.close()
-		return nil, result{}, refusedError(x.endpoint(), m)
+		return nil, refusedError(x.endpoint(), m)
 	default:
 		x.close()
-		return nil, result{}, errLost.New("%s lost the prefill", p.Endpoint().Name)
+		return nil, errLost.New("%s lost the prefill", p.Endpoint().Name)
 	}
 }
 
 // decode streams the answer from the endpoint that holds the memory.
-func (g *generation) decode(ctx context.Context, x *exchange, kv result) error {
+func (g *generation) decode(ctx context.Context, x *exchange, kv *result) error {
 	base := len(g.delivered)
 	req := &wire.Decode{
 		ID:        x.stream.ID(),
@@ -324,7 +365,7 @@
 	for {
 		m, err := x.next(ctx)
 		if err != nil {
-			g.wasted(base, kv)
+			g.wastedSince(base, kv)
 			return err
 		}
 		switch m := m.(type) {
@@ -333,10 +374,13 @@
 		case *wire.Finish:
 			return g.finish(m, base)
 		case *wire.Failed:
-			g.wasted(base, kv)
+			kv.alive = m.KVAlive
+			if !kv.alive {
+				g.wastedSince(base, kv)
+			}
 			return errLost.New("%s: %s", x.endpoint(), m.Reason)
 		case *wire.Refused:
-			g.wasted(base, kv)
+			g.wastedSince(base, kv)
 			return refusedError(x.endpoint(), m)
 		}
 		if err != nil {
@@ -345,13 +389,17 @@
 	}
 }
 
-// wasted counts a prefill that brought no token.
-func (g *generation) wasted(base int, kv result) {
+// wastedSince counts a prefill that brought no token.
+func (g *generation) wastedSince(base int, kv *result) {
 	if len(g.delivered) == base {
-		g.q.e.metrics.Add("wasted_prefill_tokens", kv.Bytes/engine.KVBytesPerToken)
+		g.wasted(kv)
 	}
 }
 
+func (g *generation) wasted(kv *result) {
+	g.q.e.metrics.Add("wasted_prefill_tokens", kv.Bytes/engine.KVBytesPerToken)
+}
+
 // ackEvery is the number of tokens between two acknowledgements; half of it
 // below the window keeps the agent from pausing.
 const ackEvery = 64
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -55,18 +55,22 @@
 	pauseAllowed      = 3 * time.Second
 	defaultNotice     = 2 * time.Second
 	initialRetryRatio = 0.1
+	// startWait is how long a new entry holds connections back.
+	startWait = 5 * time.Second
 	// seedInterval is the pause before each question to a seed; the
 	// configuration service is faster when it answers.
 	seedInterval = 250 * time.Millisecond
 )
 
+var _ ebonypulley.Daemon = (*Entry)(nil)
+
 // Entry is the daemon. Create it with New.
 type Entry struct {
 	set      Settings
 	log      *event.Log
 	inc      wire.Incarnation
 	self     peer.Self
-	dial     peer.Dialer
+	dial     ebonypulley.Dialer
 	store    *config.Store
 	view     *membership.View
 	peers    *peer.Manager
@@ -89,7 +93,7 @@
 var ErrListen = entryErrors.NewType("listen")
 
 // New returns an entry; it serves after Run. Dial is nil for TCP.
-func New(set Settings, log *event.Log, dial peer.Dialer) *Entry {
+func New(set Settings, log *event.Log, dial ebonypulley.Dialer) *Entry {
 	if set.DrainNotice == 0 {
 		set.DrainNotice = config.Duration(defaultNotice)
 	}
@@ -144,6 +148,7 @@
 	e.group.Go(func(ctx context.Context) error {
 		stop := context.AfterFunc(ctx, func() { _ = e.server.Close() })
 		defer stop()
+		e.awaitDocument(ctx)
 		if err := e.server.Serve(ln); err != http.ErrServerClosed {
 			return ErrListen.Wrap(err, "serve")
 		}
@@ -154,6 +159,18 @@
 	return err
 }
 
+// awaitDocument holds new connections back, in the listener's queue, until
+// this entry can serve them or has tried for startWait. A newcomer then
+// refuses nobody for want of a document that comes a moment later.
+func (e *Entry) awaitDocument(ctx context.Context) {
+	until := time.Now().Add(startWait)
+	for e.ReadyEndpoints() == 0 && time.Now().Before(until) {
+		if !pause(ctx, choosePause) {
+			return
+		}
+	}
+}
+
 // bootstrap asks the seeds, in turn, until this entry has a document.
 //
 // Failure guarded against: an entry VM is replaced while the configuration
@@ -185,7 +202,7 @@
 }
 
 func (e *Entry) watchPlatform() {
-	client := new(http.Client)
+	client := e.dial.HTTPClient(false)
 	if e.set.ConfigService != "" {
 		w := platform.Watcher{URL: e.set.ConfigService, Store: e.store, Log: e.log, HTTP: client}
 		e.group.Go(w.Run)
@@ -204,13 +221,17 @@
 // Drain answers health checks with 503 so that the balancer turns away, keeps
 // serving for the notice, then closes the listener, finishes what is in
 // progress and ends Run.
+//
+// Failure guarded against: a caller sends on a kept connection at the moment
+// the server closes it, and the request is lost. The guard holds because
+// during the notice every answer closes its connection from the caller's
+// side, so that no kept connection in use is left at the end.
 func (e *Entry) Drain(ctx context.Context) error {
 	if !e.draining.CompareAndSwap(false, true) {
 		<-e.group.Context().Done()
 		return nil
 	}
 	e.log.Emit(event.DrainBegan)
-	e.server.SetKeepAlivesEnabled(false)
 	t := time.NewTimer(e.set.DrainNotice.D())
 	defer t.Stop()
 	select {
@@ -255,6 +276,6 @@
 			e.log.Emit(event.Paused, zap.Duration("pause", pause))
 		}
 		e.limits.Tick(now)
-		e.peers.Tick()
+		e.peers.Tick(now)
 	}
 }
--- a/entry/request.go
+++ b/entry/request.go
@@ -76,6 +76,9 @@
 	return func(w http.ResponseWriter, r *http.Request) {
 		q := &request{e: e, id: wire.NewID(), w: w, r: r, began: time.Now()}
 		w.Header().Set(HeaderRequestID, q.id.String())
+		if e.draining.Load() {
+			w.Header().Set("Connection", "close")
+		}
 		e.metrics.Add("requests", 1)
 		if f := q.authenticate(); f != nil {
 			q.fail(f)
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -17,7 +17,23 @@
 	"ebonypulley/standin"
 )
 
-// Fleet is a whole deployment in one process, over loopback TCP.
+// Network is what a fleet's processes speak over; a process is named, so that
+// a test's network can tell them apart.
+type Network interface {
+	Listen(process, addr string) (net.Listener, error)
+	Dialer(process string) ebonypulley.Dialer
+}
+
+// TCP is the machine's own network.
+type TCP struct{}
+
+// Listen implements Network.
+func (TCP) Listen(_, addr string) (net.Listener, error) { return net.Listen("tcp", addr) }
+
+// Dialer implements Network.
+func (TCP) Dialer(string) ebonypulley.Dialer { return nil }
+
+// Fleet is a whole deployment in one process.
 type Fleet struct {
 	Plan     *Plan
 	Config   *standin.ConfigService
@@ -25,12 +41,20 @@
 	Services map[string]*standin.PlainService
 	Agents   map[string]*agent.Agent
 	Entries  map[string]*entry.Entry
+	net      Network
 	group    *ebonypulley.Group
 	log      *event.Log
+	running  map[string]*process
+}
+
+// process is one running process of a fleet.
+type process struct {
+	stop  context.CancelFunc
+	ended chan struct{}
 }
 
-// Start runs a fleet from a document, in a loopback network that is free.
-func Start(ctx context.Context, doc *config.Document, log *event.Log) (*Fleet, error) {
+// StartTCP runs a fleet from a document, in a loopback network that is free.
+func StartTCP(ctx context.Context, doc *config.Document, log *event.Log) (*Fleet, error) {
 	network, err := freeNetwork(doc)
 	if err != nil {
 		return nil, err
@@ -39,6 +63,11 @@
 	if err != nil {
 		return nil, err
 	}
+	return Start(ctx, TCP{}, doc, text, log)
+}
+
+// Start runs a fleet over a network.
+func Start(ctx context.Context, network Network, doc *config.Document, text []byte, log *event.Log) (*Fleet, error) {
 	plan, err := NewPlan(doc, text)
 	if err != nil {
 		return nil, err
@@ -49,18 +78,22 @@
 		Services: make(map[string]*standin.PlainService),
 		Agents:   make(map[string]*agent.Agent),
 		Entries:  make(map[string]*entry.Entry),
+		net:      network,
 		group:    ebonypulley.NewGroup(ctx),
 		log:      log,
+		running:  make(map[string]*process),
 	}
-	if err := f.startStandins(); err != nil {
-		f.Stop()
-		return nil, err
+	for _, s := range plan.Standins {
+		if err := f.startStandin(s); err != nil {
+			f.Stop()
+			return nil, err
+		}
 	}
 	for _, s := range plan.Agents {
-		f.StartAgent(s)
+		f.StartAgent(s.Name)
 	}
 	for _, s := range plan.Entries {
-		f.StartEntry(s)
+		f.StartEntry(s.Name)
 	}
 	return f, nil
 }
@@ -80,40 +113,85 @@
 	return "", errorx.ExternalError.New("no loopback network is free")
 }
 
-func (f *Fleet) startStandins() error {
-	for _, s := range f.Plan.Standins {
-		h, err := standin.New(s.Settings)
+// run starts one process of the fleet.
+func (f *Fleet) run(name, addr string, serve func(ctx context.Context, ln net.Listener) error) {
+	ctx, stop := context.WithCancel(f.group.Context())
+	p := &process{stop: stop, ended: make(chan struct{})}
+	f.running[name] = p
+	f.group.Go(func(context.Context) error {
+		defer close(p.ended)
+		ln, err := f.net.Listen(name, addr)
 		if err != nil {
-			return err
+			return errorx.ExternalError.Wrap(err, "process %s", name)
 		}
-		switch h := h.(type) {
-		case *standin.ConfigService:
-			h.Publish(f.Plan.Text)
-			f.Config = h
-		case *standin.Engine:
-			f.Engines[s.Name] = h
-		case *standin.PlainService:
-			f.Services[s.Name] = h
+		err = serve(ctx, ln)
+		if ctx.Err() != nil {
+			return nil
 		}
-		server := &standin.Server{Listen: s.Settings.Listen, Handler: h}
-		f.group.Go(server.Run)
+		return err
+	})
+}
+
+// Kill ends a process at once, without a drain. Its connections end as its
+// network ends them.
+func (f *Fleet) Kill(name string) {
+	f.running[name].stop()
+	<-f.running[name].ended
+}
+
+// Drain lets an agent or entry finish and waits for the end of its process.
+func (f *Fleet) Drain(ctx context.Context, name string) error {
+	var d ebonypulley.Daemon = f.Entries[name]
+	if a, ok := f.Agents[name]; ok {
+		d = a
 	}
+	if err := d.Drain(ctx); err != nil {
+		return err
+	}
+	<-f.running[name].ended
 	return nil
 }
 
-// StartAgent runs an agent; a second one of the same name replaces the first
-// in Agents and needs its address to be free.
-func (f *Fleet) StartAgent(s agent.Settings) {
-	a := agent.New(s, f.log)
-	f.Agents[s.Name] = a
-	f.group.Go(func(ctx context.Context) error { return a.Run(ctx) })
+func (f *Fleet) startStandin(s NamedStandin) error {
+	h, err := standin.New(s.Settings, f.net.Dialer(s.Name))
+	if err != nil {
+		return err
+	}
+	switch h := h.(type) {
+	case *standin.ConfigService:
+		h.Publish(f.Plan.Text)
+		f.Config = h
+	case *standin.Engine:
+		f.Engines[s.Name] = h
+	case *standin.PlainService:
+		f.Services[s.Name] = h
+	}
+	server := &standin.Server{Handler: h}
+	f.run(s.Name, s.Settings.Listen, server.Serve)
+	return nil
+}
+
+// StartAgent runs the agent of an endpoint; after Kill or Drain it runs a
+// successor.
+func (f *Fleet) StartAgent(name string) {
+	for _, s := range f.Plan.Agents {
+		if s.Name == name {
+			a := agent.New(s, f.log, f.net.Dialer(name))
+			f.Agents[name] = a
+			f.run(name, s.Listen, a.Serve)
+		}
+	}
 }
 
 // StartEntry runs an entry, as StartAgent does an agent.
-func (f *Fleet) StartEntry(s entry.Settings) {
-	e := entry.New(s, f.log, nil)
-	f.Entries[s.Name] = e
-	f.group.Go(func(ctx context.Context) error { return e.Run(ctx) })
+func (f *Fleet) StartEntry(name string) {
+	for _, s := range f.Plan.Entries {
+		if s.Name == name {
+			e := entry.New(s, f.log, f.net.Dialer(name))
+			f.Entries[name] = e
+			f.run(name, s.Listen, e.Serve)
+		}
+	}
 }
 
 // readyPoll is the pause between two looks in Ready.
--- a/load/caller.go
+++ b/load/caller.go
@@ -254,7 +254,7 @@
 // it, so unknown.
 func (r *Result) lost(err error) {
 	r.Outcome = entry.Unknown
-	r.Reason = "connection to the entry broke"
+	r.Reason = "connection to the entry broke: " + err.Error()
 	if isDial(err) {
 		r.Outcome = entry.NotRun
 		r.Reason = "no entry takes connections"
--- a/peer/fetch.go
+++ b/peer/fetch.go
@@ -5,6 +5,7 @@
 
 	"github.com/joomcode/errorx"
 
+	"ebonypulley"
 	"ebonypulley/wire"
 )
 
@@ -14,13 +15,10 @@
 // Fetch asks an agent for the configuration document in force there. It is
 // how an entry that starts while the configuration service is down learns
 // which endpoints exist.
-func Fetch(ctx context.Context, self Self, dial Dialer, addr string) ([]byte, error) {
-	if dial == nil {
-		dial = dialTCP
-	}
+func Fetch(ctx context.Context, self Self, dial ebonypulley.Dialer, addr string) ([]byte, error) {
 	ctx, cancel := context.WithTimeout(ctx, DialTimeout)
 	defer cancel()
-	nc, err := dial(ctx, addr)
+	nc, err := dial.OrTCP()(ctx, "tcp", addr)
 	if err != nil {
 		return nil, ErrDown.Wrap(err, "fetch from %s", addr)
 	}
--- a/peer/manager.go
+++ b/peer/manager.go
@@ -2,9 +2,10 @@
 
 import (
 	"context"
-	"net"
 	"sync"
+	"time"
 
+	"ebonypulley"
 	"ebonypulley/config"
 	"ebonypulley/event"
 	"ebonypulley/membership"
@@ -16,7 +17,7 @@
 	store *config.Store
 	view  *membership.View
 	log   *event.Log
-	dial  Dialer
+	dial  ebonypulley.Dialer
 
 	mu    sync.Mutex
 	wg    sync.WaitGroup
@@ -24,16 +25,8 @@
 }
 
 // NewManager returns a manager without peers; dial may be nil for TCP.
-func NewManager(self Self, store *config.Store, view *membership.View, log *event.Log, dial Dialer) *Manager {
-	if dial == nil {
-		dial = dialTCP
-	}
-	return &Manager{self: self, store: store, view: view, log: log, dial: dial, peers: make(map[string]*Peer)}
-}
-
-func dialTCP(ctx context.Context, addr string) (net.Conn, error) {
-	var d net.Dialer
-	return d.DialContext(ctx, "tcp", addr)
+func NewManager(self Self, store *config.Store, view *membership.View, log *event.Log, dial ebonypulley.Dialer) *Manager {
+	return &Manager{self: self, store: store, view: view, log: log, dial: dial.OrTCP(), peers: make(map[string]*Peer)}
 }
 
 // Run follows the document until ctx ends.
@@ -75,8 +68,17 @@
 	m.wg.Go(func() { p.run(ctx) })
 }
 
-// Tick stops the peers of removed endpoints that no attempt uses any more.
-func (m *Manager) Tick() {
+// removedKeep is how long the agent of a removed endpoint is sought, to tell
+// it so.
+const removedKeep = 10 * time.Minute
+
+// Tick stops the peers of removed endpoints that no attempt uses any more and
+// whose agents know the document that removed them.
+//
+// Failure guarded against: an endpoint is removed while its agent is cut off.
+// It shows as an agent that serves entries with an old view after the
+// partition. The guard holds because it is dialled until it has the document.
+func (m *Manager) Tick(now time.Time) {
 	cur := m.store.Current()
 	if cur == nil {
 		return
@@ -84,16 +86,30 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	for name, p := range m.peers {
-		s := p.Status()
-		unused := s.Streams == 0 && (s.Cancels == 0 || !s.Connected)
-		told := s.Load.Draining || !s.Connected
-		if unused && told && cur.Document.Endpoint(name) == nil {
+		declared := cur.Document.Endpoint(name) != nil
+		if p.over(now, declared, m.store.Version()) {
 			p.stop()
 			delete(m.peers, name)
 		}
 	}
 }
 
+// over reports whether the connection has served its purpose.
+func (p *Peer) over(now time.Time, declared bool, current config.Version) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if declared {
+		p.removed = time.Time{}
+		return false
+	}
+	if p.removed.IsZero() {
+		p.removed = now
+	}
+	told := !current.Newer(p.theirs) || now.Sub(p.removed) > removedKeep
+	unused := len(p.streams) == 0 && (len(p.cancels) == 0 || p.conn == nil)
+	return told && unused
+}
+
 // Peer returns the peer of an endpoint, or nil.
 func (m *Manager) Peer(endpoint string) *Peer {
 	m.mu.Lock()
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -3,12 +3,12 @@
 import (
 	"context"
 	"math/rand/v2"
-	"net"
 	"sync"
 	"time"
 
 	"go.uber.org/zap"
 
+	"ebonypulley"
 	"ebonypulley/config"
 	"ebonypulley/event"
 	"ebonypulley/membership"
@@ -39,9 +39,6 @@
 	Incarnation wire.Incarnation
 }
 
-// Dialer opens connections; tests replace it.
-type Dialer func(ctx context.Context, addr string) (net.Conn, error)
-
 // Peer is one agent as seen from here.
 type Peer struct {
 	endpoint config.Endpoint
@@ -49,7 +46,7 @@
 	store    *config.Store
 	view     *membership.View
 	log      *event.Log
-	dial     Dialer
+	dial     ebonypulley.Dialer
 	stop     context.CancelFunc
 
 	mu      sync.Mutex
@@ -61,6 +58,8 @@
 	streams map[wire.ID]*Stream
 	cancels map[wire.ID]time.Time
 	pushed  config.Version // document last sent on this connection
+	theirs  config.Version // document that the agent last said to have
+	removed time.Time      // since when no document declares the endpoint
 }
 
 func newPeer(e config.Endpoint, m *Manager) *Peer {
@@ -173,7 +172,7 @@
 // connect dials, greets and serves one connection to its end.
 func (p *Peer) connect(ctx context.Context) error {
 	dialCtx, cancel := context.WithTimeout(ctx, DialTimeout)
-	nc, err := p.dial(dialCtx, p.endpoint.Agent)
+	nc, err := p.dial(dialCtx, "tcp", p.endpoint.Agent)
 	cancel()
 	if err != nil {
 		return err
@@ -355,6 +354,7 @@
 	}
 	mine := p.store.Version()
 	p.mu.Lock()
+	p.theirs = theirs
 	send := mine.Newer(theirs) && p.pushed != mine
 	if send {
 		p.pushed = mine
--- a/standin/engine.go
+++ b/standin/engine.go
@@ -115,21 +115,24 @@
 	exports  map[string]*exported
 	cache    *blockCache
 	prefills []*prefillJob
-	work     chan struct{}
+	work     chan struct{} // signals a new prefill
+	decodes  chan struct{} // signals a new decode
 	load     engine.Load
 	loadAt   time.Time
 	stats    EngineStats
 }
 
-// NewEngine returns an engine; Run must be started before it is used.
-func NewEngine(set EngineSettings) *Engine {
+// NewEngine returns an engine; Run must be started before it is used. Dial
+// reaches other engines and the weight store; nil means TCP.
+func NewEngine(set EngineSettings, dial ebonypulley.Dialer) *Engine {
 	set.setDefaults()
 	e := &Engine{
-		set:    set,
-		faults: newFaults(),
-		router: mux.NewRouter(),
-		client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: set.Requests}},
-		work:   make(chan struct{}, 1),
+		set:     set,
+		faults:  newFaults(),
+		router:  mux.NewRouter(),
+		client:  dial.HTTPClient(false),
+		work:    make(chan struct{}, 1),
+		decodes: make(chan struct{}, 1),
 	}
 	e.reset()
 	e.faults.hooks[FaultCrash] = e.Crash
@@ -218,6 +221,14 @@
 		e.mu.Lock()
 		batch := e.batch()
 		e.mu.Unlock()
+		if len(batch) == 0 {
+			select {
+			case <-ctx.Done():
+				return nil
+			case <-e.decodes:
+			}
+			continue
+		}
 		step := e.set.StepBase.D() + time.Duration(len(batch))*e.set.StepPerRequest.D()
 		if !sleep(ctx, scale(step, e.faults.factor())) {
 			return nil
@@ -307,6 +318,14 @@
 	return l
 }
 
+// signal wakes a loop; signals that were not received yet are merged.
+func signal(c chan struct{}) {
+	select {
+	case c <- struct{}{}:
+	default:
+	}
+}
+
 func sleep(ctx context.Context, d time.Duration) bool {
 	t := time.NewTimer(d)
 	defer t.Stop()
--- a/standin/enginehttp.go
+++ b/standin/enginehttp.go
@@ -63,6 +63,7 @@
 	run.max = req.MaxTokens
 	run.decodes = true
 	e.mu.Unlock()
+	signal(e.decodes)
 	e.stream(w, r, run, 0)
 }
 
@@ -180,7 +181,7 @@
 	if !e.faults.wait(ctx, FaultStall) || !e.faults.wait(ctx, FaultTransfer) {
 		return http.StatusGatewayTimeout, ctx.Err()
 	}
-	x, err := engine.NewClientWith(req.URL, e.client).Claim(ctx, req.Handle)
+	x, err := engine.NewClient(req.URL, e.client).Claim(ctx, req.Handle)
 	if err != nil {
 		return http.StatusGone, err
 	}
--- a/standin/prefill.go
+++ b/standin/prefill.go
@@ -96,10 +96,7 @@
 		return e.prefills[i].req.Priority > e.prefills[j].req.Priority
 	})
 	e.mu.Unlock()
-	select {
-	case e.work <- struct{}{}:
-	default:
-	}
+	signal(e.work)
 	select {
 	case <-ctx.Done():
 		abortConnection()
--- a/standin/server.go
+++ b/standin/server.go
@@ -26,6 +26,11 @@
 	if err != nil {
 		return errorx.ExternalError.Wrap(err, "listen")
 	}
+	return s.Serve(ctx, ln)
+}
+
+// Serve is Run on a listener, which it closes.
+func (s *Server) Serve(ctx context.Context, ln net.Listener) error {
 	s.server = &http.Server{Handler: s.Handler, ReadHeaderTimeout: headerTimeout}
 	g := ebonypulley.NewGroup(ctx)
 	if r, ok := s.Handler.(Runner); ok {
--- a/standin/settings.go
+++ b/standin/settings.go
@@ -7,6 +7,7 @@
 
 	"github.com/joomcode/errorx"
 
+	"ebonypulley"
 	"ebonypulley/jsonc"
 )
 
@@ -62,10 +63,10 @@
 }
 
 // New returns the stand-in that the settings describe.
-func New(set Settings) (Handler, error) {
+func New(set Settings, dial ebonypulley.Dialer) (Handler, error) {
 	switch set.Kind {
 	case KindEngine:
-		return NewEngine(set.Engine), nil
+		return NewEngine(set.Engine, dial), nil
 	case KindPlain:
 		return NewPlainService(set.Plain), nil
 	case KindVMs:
