Callers reach entries through a balancer that honours health pages

Change: the callers' stand-in of the platform's balancer asks the health pages every 500 ms; the entry's notice of 2 s is longer. Conclusion: the notice is the contract with the balancer; a caller that sends to an entry after 2 s of failing health checks can meet its closing.

--- a/cmd/ebonypulley/demo.go
+++ b/cmd/ebonypulley/demo.go
@@ -98,7 +98,7 @@
 
 func printHints(f *fleet.Fleet) {
 	c := f.Caller(nil)
-	urls := c.URLs
+	urls := fleet.URLs(f.Plan.Document)
 	fmt.Printf("\ntry:\n")
 	fmt.Printf("  curl -s %s/v1/models -H 'Authorization: Bearer %s'\n", urls[0], paidKey)
 	fmt.Printf("  curl -sN %s/v1/chat/completions -H 'Authorization: Bearer %s' -d '{\"model\":%q,\"stream\":true,\"max_tokens\":32,\"messages\":[{\"role\":\"user\",\"content\":\"Write a placement letter.\"}]}'\n", urls[0], paidKey, c.Model)
--- a/fleet/callers.go
+++ b/fleet/callers.go
@@ -30,10 +30,7 @@
 // CallerOf returns a caller of a document's entries, its first model service
 // and its first route.
 func CallerOf(doc *config.Document, client *http.Client) load.Caller {
-	c := load.Caller{HTTP: client}
-	for _, e := range doc.Entries {
-		c.URLs = append(c.URLs, "http://"+e.HTTP)
-	}
+	c := load.Caller{HTTP: client, Balancer: load.NewBalancer(client, URLs(doc))}
 	for _, s := range doc.Services {
 		if s.Kind == config.ModelService {
 			c.Model = s.Model
@@ -54,6 +51,15 @@
 	return c
 }
 
+// URLs returns the callers' addresses of all entries, in declared order.
+func URLs(doc *config.Document) []string {
+	var urls []string
+	for _, e := range doc.Entries {
+		urls = append(urls, "http://"+e.HTTP)
+	}
+	return urls
+}
+
 // concrete makes a path that a declared one matches.
 func concrete(path string) string {
 	if n := len(path) - 1; n > 0 && path[n] == '*' {
--- a/fleet/sim_test.go
+++ b/fleet/sim_test.go
@@ -83,7 +83,10 @@
 		time.Sleep(3 * time.Second) // keys minted from now on are new to the agents
 		client := n.Dialer("caller").HTTPClient(false)
 		s := &sim{Fleet: f, t: t, net: n, client: client, caller: f.Caller(client)}
+		balancing, stop := context.WithCancel(t.Context())
+		go s.caller.Balancer.Run(balancing)
 		fn(s)
+		stop()
 		client.CloseIdleConnections()
 		f.Stop()
 		n.Close()
@@ -139,7 +142,9 @@
 func (s *sim) entry(i int) string { return s.Plan.Entries[i].Name }
 
 // only makes all requests go to one entry.
-func (s *sim) only(i int) { s.caller.URLs = s.caller.URLs[i : i+1] }
+func (s *sim) only(i int) {
+	s.caller.Balancer = load.NewBalancer(s.client, fleet.URLs(s.Plan.Document)[i:i+1])
+}
 
 // crash ends a process as a signal does: its connections are closed.
 func (s *sim) crash(name string) {
--- a/load/caller.go
+++ b/load/caller.go
@@ -26,8 +26,8 @@
 // Caller sends requests as the clients of the two deployments do.
 type Caller struct {
 	HTTP *http.Client
-	// URLs are the entries; each request goes to one at random.
-	URLs []string
+	// Balancer chooses the entry of each request.
+	Balancer *Balancer
 	// Model is the model service's model.
 	Model string
 	// Route is the plain service's route; Book and Look are its paths.
@@ -121,7 +121,7 @@
 		Stream:    d.Stream,
 	})
 	began := time.Now()
-	resp, err := c.balance(rnd, func(base string) (*http.Response, error) {
+	resp, err := c.Balancer.send(rnd, func(base string) (*http.Response, error) {
 		return c.post(ctx, base+"/v1/chat/completions", d.Key, body)
 	})
 	if err != nil {
@@ -226,7 +226,7 @@
 		method, path, body = http.MethodPost, c.Book, []byte("{\"call\":\""+s.ID+"\"}")
 	}
 	began := time.Now()
-	resp, err := c.balance(rnd, func(base string) (*http.Response, error) {
+	resp, err := c.Balancer.send(rnd, func(base string) (*http.Response, error) {
 		return c.call(ctx, method, base+"/app/"+c.Route+path, s, body)
 	})
 	if err != nil {
@@ -315,17 +315,5 @@
 	return c.HTTP.Do(req)
 }
 
-// balance sends to an entry at random; like the platform's balancer it goes
-// on to the next one when an entry takes no connections.
-func (c *Caller) balance(rnd *rand.Rand, send func(base string) (*http.Response, error)) (*http.Response, error) {
-	first := rnd.IntN(len(c.URLs))
-	for i := 0; ; i++ {
-		resp, err := send(c.URLs[(first+i)%len(c.URLs)])
-		if err == nil || !isDial(err) || i+1 == len(c.URLs) {
-			return resp, err
-		}
-	}
-}
-
 // errNoURLs is returned for a caller without entries.
 var errNoURLs = errors.New("load: no entries to call")
--- a/load/mix.go
+++ b/load/mix.go
@@ -70,9 +70,9 @@
 
 // Run sends the mix and returns when every request has ended.
 func (m *Mix) Run(ctx context.Context, t Targets) (Summary, []Result, error) {
-	if len(m.Caller.URLs) == 0 {
-		return Summary{}, nil, errNoURLs
-	}
+	balanceCtx, stop := context.WithCancel(ctx)
+	defer stop()
+	go m.Caller.Balancer.Run(balanceCtx)
 	c := &collector{ttft: t.TTFT, tbt: t.TBT, sum: Summary{Reasons: make(map[string]int)}}
 	var wg sync.WaitGroup
 	rnd := rand.New(rand.NewPCG(m.Seed, 1))
