--- a/entry/routes.go
+++ b/entry/routes.go
@@ -46,14 +46,18 @@
 
 // readBody reads the body within the limits of size and time.
 //
-// The read deadline is lifted afterwards, because net/http takes a deadline
-// that passes during the answer for a caller who has gone.
+// After a whole body the read deadline is lifted, because net/http takes a
+// deadline that passes during the answer for a caller who has gone. After a
+// broken one it stays: net/http reads on for the rest of the body before it
+// answers, and a caller who sends half a body would hold it for ever.
 func (q *request) readBody() ([]byte, *failure) {
 	limit := q.snapshot.Document.Limits.BodyBytes
 	ctl := http.NewResponseController(q.w)
 	_ = ctl.SetReadDeadline(time.Now().Add(bodyTimeout))
 	body, err := io.ReadAll(http.MaxBytesReader(q.w, q.r.Body, limit))
-	_ = ctl.SetReadDeadline(time.Time{})
+	if err == nil {
+		_ = ctl.SetReadDeadline(time.Time{})
+	}
 	var large *http.MaxBytesError
 	switch {
 	case errors.As(err, &large):
--- /dev/null
+++ b/fleet/badinput_test.go
@@ -0,0 +1,144 @@
+package fleet_test
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"ebonypulley/entry"
+	"ebonypulley/fleet"
+	"ebonypulley/load"
+)
+
+// reply is what a caller sees of a refusal.
+type reply struct {
+	status  int
+	header  http.Header
+	message string
+	code    string
+}
+
+func (s *sim) send(method, path, key, deadline, body string) reply {
+	s.t.Helper()
+	req, err := http.NewRequestWithContext(s.t.Context(), method, fleet.URLs(s.Plan.Document)[0]+path, strings.NewReader(body))
+	require.NoError(s.t, err)
+	req.Header.Set("Authorization", "Bearer "+key)
+	if deadline != "" {
+		req.Header.Set(entry.HeaderDeadline, deadline)
+	}
+	resp, err := s.client.Do(req)
+	require.NoError(s.t, err)
+	defer resp.Body.Close()
+	var e struct {
+		Error struct{ Message, Type, Code string }
+	}
+	text, _ := io.ReadAll(resp.Body)
+	require.NoError(s.t, json.Unmarshal(text, &e), "%s", text)
+	return reply{resp.StatusCode, resp.Header, e.Error.Message, e.Error.Code}
+}
+
+// TestBadInput: each gets a clear error at once, with a request ID and the
+// true word that nothing ran; and the entry serves on.
+func TestBadInput(t *testing.T) {
+	simulate(t, func(s *sim) {
+		rows := []struct {
+			name, method, path, key, deadline, body string
+			status                                  int
+			code                                    string
+		}{
+			{"broken JSON", "POST", "/v1/completions", paidKey, "", `{"model":`, 400, "invalid_value"},
+			{"unknown model", "POST", "/v1/completions", paidKey, "", `{"model":"x","prompt":"a"}`, 404, "model_not_found"},
+			{"no prompt", "POST", "/v1/chat/completions", paidKey, "", `{"model":"drafting","messages":[]}`, 400, "invalid_value"},
+			{"wrong prompt", "POST", "/v1/completions", paidKey, "", `{"model":"drafting","prompt":[1,2]}`, 400, "invalid_value"},
+			{"negative length", "POST", "/v1/completions", paidKey, "", `{"model":"drafting","prompt":"a","max_tokens":-1}`, 400, "invalid_value"},
+			{"prompt too long", "POST", "/v1/completions", paidKey, "", `{"model":"drafting","prompt":"` + strings.Repeat("a", 70_000) + `"}`, 400, "invalid_value"},
+			{"oversized body", "POST", "/v1/completions", paidKey, "", strings.Repeat("a", 1<<20+1), 413, "body_too_large"},
+			{"wrong key", "POST", "/v1/completions", "guess", "", `{}`, 401, "invalid_api_key"},
+			{"absurd deadline", "POST", "/v1/completions", paidKey, "900h", `{}`, 400, "invalid_value"},
+			{"negative deadline", "POST", "/v1/completions", paidKey, "-1s", `{}`, 400, "invalid_value"},
+			{"unknown path", "GET", "/v2/models", paidKey, "", "", 404, "unknown_path"},
+			{"wrong method", "GET", "/v1/completions", paidKey, "", "", 405, "wrong_method"},
+			{"unknown route", "GET", "/app/none/x", paidKey, "", "", 404, "unknown_route"},
+			{"undeclared call", "PUT", "/app/enrolment/bookings", paidKey, "", "", 404, "unknown_call"},
+		}
+		for _, row := range rows {
+			r := s.send(row.method, row.path, row.key, row.deadline, row.body)
+			assert.Equal(t, row.status, r.status, row.name)
+			assert.Equal(t, row.code, r.code, row.name)
+			assert.NotEmpty(t, r.message, row.name)
+			assert.NotEmpty(t, r.header.Get(entry.HeaderRequestID), row.name)
+			assert.Equal(t, string(entry.NotRun), r.header.Get(entry.HeaderOutcome), row.name)
+		}
+		whole(t, s.draft(load.DraftSpec{}))
+	})
+}
+
+// Story: a caller sends half of a request and stops. It is given up on after
+// the time for bodies; the connection and its memory are free again.
+func TestHalfSentRequest(t *testing.T) {
+	simulate(t, func(s *sim) {
+		addr := s.Plan.Entries[0].Listen
+		conn, err := s.net.Dialer("caller")(context.Background(), "tcp", addr)
+		require.NoError(t, err)
+		defer conn.Close()
+		_, err = io.WriteString(conn, "POST /v1/completions HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer "+paidKey+"\r\nContent-Length: 1000\r\n\r\n{\"mod")
+		require.NoError(t, err)
+		began := time.Now()
+		resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+		require.NoError(t, err)
+		assert.Equal(t, http.StatusRequestTimeout, resp.StatusCode)
+		assert.Less(t, time.Since(began), 16*time.Second)
+	})
+}
+
+// Story: a caller reads a long draft very slowly. The engine finishes at its
+// own pace and its memory is free long before; the tokens wait at the agent,
+// and the caller gets all of them.
+func TestSlowReaderHoldsNoMemory(t *testing.T) {
+	simulate(t, func(s *sim) {
+		body := `{"model":"drafting","stream":true,"max_tokens":500,"prompt":"Slow reader"}`
+		req, err := http.NewRequestWithContext(s.t.Context(), "POST", fleet.URLs(s.Plan.Document)[0]+"/v1/completions", strings.NewReader(body))
+		require.NoError(t, err)
+		req.Header.Set("Authorization", "Bearer "+paidKey)
+		resp, err := s.client.Do(req)
+		require.NoError(t, err)
+		defer resp.Body.Close()
+		scan := bufio.NewScanner(resp.Body)
+		events, done := 0, false
+		for scan.Scan() {
+			if strings.HasPrefix(scan.Text(), "data: [DONE]") {
+				done = true
+			}
+			events++
+			if events == 200 {
+				time.Sleep(10 * time.Second)
+				assert.Zero(t, s.Held(), "the engine still holds the slow reader's request")
+			}
+		}
+		assert.True(t, done)
+	})
+}
+
+// Story: an entry waits for nothing it has given up on: when no endpoint can
+// take a request, the refusal comes at once and says when to come back.
+func TestRefusalComesAtOnce(t *testing.T) {
+	simulate(t, func(s *sim) {
+		for _, name := range []string{"alm-a-app-1", "alm-b-app-1"} {
+			s.crash(name + "-engine")
+		}
+		time.Sleep(2 * time.Second) // both agents know by now
+		began := time.Now()
+		r := s.send("POST", "/app/enrolment/bookings", paidKey, "60s", "{}")
+		assert.Equal(t, http.StatusServiceUnavailable, r.status)
+		assert.NotEmpty(t, r.header.Get("Retry-After"))
+		assert.Less(t, time.Since(began), 3*time.Second)
+	})
+}
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -55,6 +55,11 @@
 
 // StartTCP runs a fleet from a document, in a loopback network that is free.
 func StartTCP(ctx context.Context, doc *config.Document, log *event.Log) (*Fleet, error) {
+	return StartTCPWith(ctx, doc, log, func(*standin.Settings) {})
+}
+
+// StartTCPWith is StartTCP with the settings of each stand-in adjusted.
+func StartTCPWith(ctx context.Context, doc *config.Document, log *event.Log, adjust func(*standin.Settings)) (*Fleet, error) {
 	network, err := freeNetwork(doc)
 	if err != nil {
 		return nil, err
@@ -63,7 +68,14 @@
 	if err != nil {
 		return nil, err
 	}
-	return Start(ctx, TCP{}, doc, text, log)
+	plan, err := NewPlan(doc, text)
+	if err != nil {
+		return nil, err
+	}
+	for i := range plan.Standins {
+		adjust(&plan.Standins[i].Settings)
+	}
+	return start(ctx, TCP{}, plan, log)
 }
 
 // Start runs a fleet over a network.
@@ -72,6 +84,10 @@
 	if err != nil {
 		return nil, err
 	}
+	return start(ctx, network, plan, log)
+}
+
+func start(ctx context.Context, network Network, plan *Plan, log *event.Log) (*Fleet, error) {
 	f := &Fleet{
 		Plan:     plan,
 		Engines:  make(map[string]*standin.Engine),
--- a/fleet/sim_test.go
+++ b/fleet/sim_test.go
@@ -46,7 +46,7 @@
 	"alm-a-app-1": true, "alm-b-app-1": true,
 }
 
-func smallDocument(t *testing.T) *config.Document {
+func smallDocument(t testing.TB) *config.Document {
 	doc, findings := config.Parse("almaty.jsonc", examples.Almaty)
 	require.NoError(t, findings.Err())
 	endpoints := doc.Endpoints[:0]
