Both sides of a plain call as state machines, and a soak of them

Cause: the entry's and the agent's part in a call were spread over goroutines and could only be tested with whole daemons. Change: attempt.Client and attempt.Server decide without I/O; entry and agent connect them. soak drives them, with the real lease and attempt tables, through random histories: cuts, silence, partitions, crashes, pauses, drains, lost answers, late messages beside the next connection. Answers kept for replay are bounded in bytes. Leases expire in the order of their IDs, so that one seed gives one history.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -85,6 +85,8 @@
 	pool     config.Pool
 	model    string
 	sessions map[*session]struct{}
+	// holders has the latest session of each entry's incarnation.
+	holders  map[wire.Incarnation]*session
 	health   health
 	removed  bool
 	draining bool
@@ -106,6 +108,7 @@
 		inc:      wire.NewID(),
 		store:    new(config.Store),
 		sessions: make(map[*session]struct{}),
+		holders:  make(map[wire.Incarnation]*session),
 		dial:     dial,
 		health:   newHealth(dial.HTTPClient(false)),
 		idle:     make(chan struct{}),
--- a/agent/plain.go
+++ b/agent/plain.go
@@ -9,90 +9,64 @@
 	"ebonypulley/attempt"
 	"ebonypulley/config"
 	"ebonypulley/event"
-	"ebonypulley/lease"
 	"ebonypulley/wire"
 )
 
-// plainWorker gates a plain service: a call is offered, admitted, and only
-// then started, once.
+// plainWorker connects the state machine of plain calls to the service and
+// to the entries.
 type plainWorker struct {
 	a       *Agent
 	service service
-	table   *attempt.Table
+	server  *attempt.Server
 	members uint64
-	jobs    map[wire.ID]*callJob
+	running map[wire.ID]context.CancelFunc
 }
 
-// callJob is an admitted or waiting call.
-type callJob struct {
-	id       wire.ID
-	offer    *wire.Offer
-	sess     *session
-	holder   wire.Incarnation
-	deadline time.Time
-	cancel   context.CancelFunc // nil before the start
-	ended    bool
-}
+var _ attempt.Effects = (*plainWorker)(nil)
 
 func newPlainWorker(a *Agent, url string, doc *config.Document) *plainWorker {
-	return &plainWorker{
+	w := &plainWorker{
 		a:       a,
 		service: newService(url, a.dial),
-		table:   attempt.NewTable(time.Now(), keyLimits(doc)),
 		members: doc.MembersHash(a.pool.Service),
-		jobs:    make(map[wire.ID]*callJob),
+		running: make(map[wire.ID]context.CancelFunc),
 	}
+	w.server = attempt.NewServer(time.Now(), a.inc, a.gate, keyLimits(doc), w)
+	return w
 }
 
 // configure notes a change of the declared owners of Idempotency-Keys.
 func (w *plainWorker) configure(doc *config.Document) {
-	w.table.Configure(keyLimits(doc))
+	w.server.Table().Configure(keyLimits(doc))
 	members := doc.MembersHash(w.a.pool.Service)
 	if members != w.members {
 		w.members = members
-		w.table.MembersChanged(time.Now())
+		w.server.Table().MembersChanged(time.Now())
 	}
 }
 
 func (w *plainWorker) handle(s *session, m wire.Attempted) {
+	now := time.Now()
 	switch m := m.(type) {
 	case *wire.Offer:
-		w.offer(s, m)
+		w.offer(now, s, m)
 	case *wire.Start:
-		w.start(s, m)
+		w.server.Start(now, s.holder, m)
 	case *wire.Withdraw:
-		w.withdraw(s, m.ID)
+		w.server.Withdraw(now, s.holder, m.ID)
 	case *wire.Cancel:
-		w.cancel(s, m.ID)
+		w.server.Cancel(now, s.holder, m.ID)
 	default:
 		w.a.refuse(s, m.Attempt(), wire.WrongRole, 0)
 	}
 }
 
-func (w *plainWorker) offer(s *session, m *wire.Offer) {
-	if job, ok := w.jobs[m.ID]; ok {
-		job.sess = s
-		if w.a.gate.Holds(m.ID) {
-			s.send(&wire.Granted{ID: m.ID, Load: w.a.load()})
-		}
-		return
-	}
-	if reason := w.refusal(m); reason != "" {
+func (w *plainWorker) offer(now time.Time, s *session, m *wire.Offer) {
+	if reason := w.refusal(m); reason != "" && !w.server.Known(m.ID) {
 		w.a.refuse(s, m.ID, reason, 0)
 		return
 	}
-	now := time.Now()
-	deadline := now.Add(m.Deadline)
-	v := w.table.Offer(now, m.ID, deadline, keyOf(m))
-	if v.Replay != nil {
-		w.replay(s, m.ID, v.Replay)
-		return
-	}
-	if !v.Admit {
-		w.a.refuse(s, m.ID, v.Reason, 0)
-		return
-	}
-	w.admit(s, m, now, deadline)
+	w.server.Offer(now, s.holder, m)
 }
 
 // refusal tells why an offer can't be taken. A route that this agent's newer
@@ -120,172 +94,60 @@
 	return ""
 }
 
-func keyOf(m *wire.Offer) *attempt.Key {
-	if m.Key == "" {
-		return nil
-	}
-	return &attempt.Key{Workspace: m.Workspace, Value: m.Key, Fingerprint: m.Fingerprint}
+func (w *plainWorker) granted(id wire.ID) { w.server.Granted(id) }
+func (w *plainWorker) dropped(id wire.ID, reason wire.Reason) {
+	w.server.Dropped(time.Now(), id, reason)
 }
+func (w *plainWorker) expired(id wire.ID) { w.server.Expired(time.Now(), id) }
+func (w *plainWorker) tick(now time.Time) { w.server.Tick(now) }
+func (w *plainWorker) backlog() int       { return 0 }
+func (w *plainWorker) idle() bool         { return w.server.Idle() }
 
-func (w *plainWorker) admit(s *session, m *wire.Offer, now, deadline time.Time) {
-	d := w.a.gate.Reserve(now, lease.Request{
-		ID:        m.ID,
-		Holder:    s.holder,
-		Priority:  m.Priority,
-		Spare:     m.Spare,
-		WaitUntil: now.Add(m.Wait),
-		Deadline:  deadline,
-	})
-	if !d.Granted && !d.Queued {
-		w.table.Withdraw(now, m.ID)
-		w.a.refuse(s, m.ID, d.Reason, d.RetryAfter)
+// Reply implements attempt.Effects.
+func (w *plainWorker) Reply(holder wire.Incarnation, m wire.Message) {
+	s := w.a.holders[holder]
+	if s == nil {
 		return
 	}
-	w.jobs[m.ID] = &callJob{id: m.ID, offer: m, sess: s, holder: s.holder, deadline: deadline}
-	if d.Granted {
-		w.granted(m.ID)
-	}
-}
-
-func (w *plainWorker) granted(id wire.ID) {
-	if job, ok := w.jobs[id]; ok {
-		job.sess.send(&wire.Granted{ID: id, Load: w.a.load()})
-	}
-}
-
-func (w *plainWorker) dropped(id wire.ID, reason wire.Reason) {
-	job, ok := w.jobs[id]
-	if !ok {
-		return
+	load := w.a.load()
+	switch m := m.(type) {
+	case *wire.Granted:
+		m.Load = load
+	case *wire.Refused:
+		m.Load = load
+	case *wire.Outcome:
+		m.Load = load
 	}
-	w.table.Withdraw(time.Now(), id)
-	delete(w.jobs, id)
-	w.a.refuse(job.sess, id, reason, 0)
+	s.send(m)
 }
 
-// start runs an admitted call; a repeated Start only asks for its outcome.
-// A Start for another incarnation is refused: what that one did with an
-// earlier copy is not known here, and the entry must not take this word for
-// more than it is.
-func (w *plainWorker) start(s *session, m *wire.Start) {
-	now := time.Now()
-	job, ok := w.jobs[m.ID]
-	if ok {
-		job.sess = s
-	}
-	if m.Incarnation != w.a.inc || !ok || !job.ended && !w.a.gate.Holds(m.ID) {
-		w.withdraw(s, m.ID)
-		return
-	}
-	run, _ := w.table.Start(now, m.ID)
-	if !run {
-		w.report(s, m.ID)
-		return
-	}
-	ctx, cancel := context.WithDeadline(w.a.group.Context(), job.deadline)
-	job.cancel = cancel
-	w.a.spawn(func() { w.run(ctx, job, m) })
+// Run implements attempt.Effects.
+func (w *plainWorker) Run(offer *wire.Offer, start *wire.Start, deadline time.Time) {
+	ctx, cancel := context.WithDeadline(w.a.group.Context(), deadline)
+	w.running[offer.ID] = cancel
+	w.a.spawn(func() { w.call(ctx, offer, start) })
 }
 
-func (w *plainWorker) run(ctx context.Context, job *callJob, m *wire.Start) {
-	answer, sent, err := w.service.call(ctx, job.offer, m)
-	job.cancel()
+func (w *plainWorker) call(ctx context.Context, offer *wire.Offer, start *wire.Start) {
+	answer, sent, err := w.service.call(ctx, offer, start)
 	w.a.mu.Lock()
 	defer w.a.mu.Unlock()
-	job.ended = true
+	w.running[offer.ID]()
+	delete(w.running, offer.ID)
 	if err != nil {
-		w.a.log.Emit(event.AttemptLost, zap.Stringer("attempt", job.id), zap.Error(err))
-		w.table.Fail(job.id, !sent)
-	} else {
-		w.table.Finish(job.id, answer)
-	}
-	w.a.release(job.id)
-	w.report(job.sess, job.id)
-}
-
-// report sends the state of an attempt; Running is sent as well, so that the
-// entry knows it was heard.
-func (w *plainWorker) report(s *session, id wire.ID) {
-	state, answer, _ := w.table.State(id)
-	s.send(w.outcome(id, state, answer))
-}
-
-func (w *plainWorker) outcome(id wire.ID, state wire.State, answer *attempt.Answer) *wire.Outcome {
-	out := &wire.Outcome{ID: id, State: state, Load: w.a.load()}
-	if answer != nil {
-		out.Status = answer.Status
-		out.Headers = answer.Headers
-		out.Body = answer.Body
-	}
-	return out
-}
-
-func (w *plainWorker) replay(s *session, id wire.ID, answer *attempt.Answer) {
-	out := w.outcome(id, wire.Done, answer)
-	out.Replayed = true
-	s.send(out)
-}
-
-// withdraw gives the final word; a call that did not start never will.
-func (w *plainWorker) withdraw(s *session, id wire.ID) {
-	now := time.Now()
-	state, answer := w.table.Withdraw(now, id)
-	if job, ok := w.jobs[id]; ok {
-		job.sess = s
-	}
-	if state == wire.NotRun {
-		w.drop(now, id)
-	}
-	s.send(w.outcome(id, state, answer))
-}
-
-func (w *plainWorker) drop(now time.Time, id wire.ID) {
-	w.a.gate.Withdraw(now, id)
-	delete(w.jobs, id)
-	w.a.release(id)
-}
-
-// cancel tells that the caller is gone. A call that did not start never
-// will; an idempotent one is cut off; a non-idempotent one runs to its end,
-// because half a booking helps nobody.
-func (w *plainWorker) cancel(s *session, id wire.ID) {
-	now := time.Now()
-	state, _ := w.table.Withdraw(now, id)
-	job, ok := w.jobs[id]
-	switch {
-	case ok && state == wire.Running:
-		if job.offer.Idempotent {
-			job.cancel()
-		}
-		return // the entry repeats; the answer comes when the call ended
-	case state == wire.NotRun:
-		w.drop(now, id)
-	default:
-		delete(w.jobs, id)
-		w.table.Forget(id)
-	}
-	s.send(&wire.Cancelled{ID: id})
-}
-
-// expired: the entry is gone. A started call ends by itself and releases.
-func (w *plainWorker) expired(id wire.ID) {
-	now := time.Now()
-	state, _ := w.table.Withdraw(now, id)
-	if state == wire.NotRun {
-		w.drop(now, id)
+		w.a.log.Emit(event.AttemptLost, zap.Stringer("attempt", offer.ID), zap.Error(err))
+		w.server.Ended(offer.ID, nil, sent)
+		return
 	}
+	w.server.Ended(offer.ID, &answer, true)
 }
 
-func (w *plainWorker) tick(now time.Time) {
-	w.table.Tick(now)
-	for id, job := range w.jobs {
-		if job.ended && (now.After(job.deadline) || !w.a.gate.Heard(now, job.holder)) {
-			delete(w.jobs, id)
-		}
+// Abort implements attempt.Effects.
+func (w *plainWorker) Abort(id wire.ID) {
+	if cancel, ok := w.running[id]; ok {
+		cancel()
 	}
 }
 
-func (w *plainWorker) backlog() int { return 0 }
-
-// idle reports whether all answers have been delivered.
-func (w *plainWorker) idle() bool { return len(w.jobs) == 0 }
+// Release implements attempt.Effects.
+func (w *plainWorker) Release(id wire.ID) { w.a.release(id) }
--- a/agent/session.go
+++ b/agent/session.go
@@ -45,6 +45,9 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	delete(a.sessions, s)
+	if a.holders[s.holder] == s {
+		delete(a.holders, s.holder)
+	}
 }
 
 // greet admits an entry; anything but a fitting Hello ends the connection.
@@ -60,6 +63,7 @@
 	s.name = h.Name
 	s.holder = h.Incarnation
 	a.sessions[s] = struct{}{}
+	a.holders[s.holder] = s
 	v := a.store.Version()
 	s.send(&wire.Hello{
 		Version:     wire.Version,
--- a/attempt/key.go
+++ b/attempt/key.go
@@ -56,6 +56,10 @@
 	since  time.Time
 	limits KeyLimits
 	keys   map[scopedKey]*keyRecord
+	// kept are the records with an answer, oldest first, and bytes the size
+	// of those answers.
+	kept  []*keyRecord
+	bytes int
 }
 
 func newKeyTable(now time.Time, limits KeyLimits) *keyTable {
@@ -83,6 +87,8 @@
 		return Verdict{Reason: wire.KeyReused}
 	case r.phase == done && r.answer != nil:
 		return Verdict{Replay: r.answer}
+	case r.phase == done:
+		return Verdict{Reason: wire.KeyDone}
 	case r.phase == unknown:
 		return Verdict{Reason: wire.KeyUnknown}
 	default:
@@ -127,9 +133,28 @@
 	if rec := t.own(id, k); rec != nil {
 		rec.phase = done
 		rec.answer = a
+		t.keep(rec)
 	}
 }
 
+// maxAnswerBytes bounds the answers kept for replay; beyond it the oldest are
+// dropped, but never the memory that their calls ran.
+const maxAnswerBytes = 4 << 20
+
+func (t *keyTable) keep(rec *keyRecord) {
+	t.kept = append(t.kept, rec)
+	t.bytes += len(rec.answer.Body)
+	for t.bytes > maxAnswerBytes {
+		t.dropOldest()
+	}
+}
+
+func (t *keyTable) dropOldest() {
+	t.bytes -= len(t.kept[0].answer.Body)
+	t.kept[0].answer = nil
+	t.kept = t.kept[1:]
+}
+
 func (t *keyTable) fail(id wire.ID, k *Key) {
 	if rec := t.own(id, k); rec != nil {
 		rec.phase = unknown
@@ -144,6 +169,9 @@
 }
 
 func (t *keyTable) tick(now time.Time) {
+	for len(t.kept) > 0 && now.Sub(t.kept[0].at) > t.limits.Window {
+		t.dropOldest()
+	}
 	for name, rec := range t.keys {
 		if rec.phase != started && rec.phase != offered && now.Sub(rec.at) > t.limits.Window {
 			delete(t.keys, name)
--- a/cmd/ebonypulley/main.go
+++ b/cmd/ebonypulley/main.go
@@ -54,6 +54,7 @@
 			planCommand(),
 			demoCommand(),
 			loadCommand(),
+			soakCommand(),
 		},
 		Flags: []cli.Flag{
 			&cli.StringFlag{Name: "log-level", Value: "info", Usage: "least level logged: debug, info, warn or error"},
--- /dev/null
+++ b/cmd/ebonypulley/soak.go
@@ -0,0 +1,77 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/joomcode/errorx"
+	"github.com/urfave/cli/v3"
+
+	"ebonypulley/soak"
+)
+
+func soakCommand() *cli.Command {
+	return &cli.Command{
+		Name:        "soak",
+		Usage:       "drive the decision machines through long random histories in virtual time",
+		Description: "One seed gives one history; its hash is printed. On a violation the history before it is printed and the exit code is 1.\n\nExamples:\n  ebonypulley soak --seed 7 --steps 1000000\n  ebonypulley soak --seeds 200 --steps 50000",
+		Flags: []cli.Flag{
+			&cli.Uint64Flag{Name: "seed", Value: 1, Usage: "first seed"},
+			&cli.IntFlag{Name: "seeds", Value: 1, Usage: "number of seeds, one run each"},
+			&cli.IntFlag{Name: "steps", Value: 100_000, Usage: "steps of each run"},
+			&cli.StringFlag{Name: "faults", Value: "all", Usage: "all or none"},
+		},
+		Action: runSoak,
+	}
+}
+
+func runSoak(ctx context.Context, cmd *cli.Command) error {
+	faults := cmd.String("faults")
+	if faults != "all" && faults != "none" {
+		return errorx.IllegalArgument.New("--faults is all or none, not %q", faults)
+	}
+	total := soak.Report{Seed: cmd.Uint64("seed"), Matrix: make(map[soak.Cell]int), Outcomes: make(map[string]int)}
+	began := time.Now()
+	for i := range cmd.Int("seeds") {
+		if ctx.Err() != nil {
+			break
+		}
+		r := soak.Run(soak.Settings{Seed: total.Seed + uint64(i), Steps: cmd.Int("steps"), Faults: faults == "all"})
+		total.Add(r)
+		if len(r.Violations) > 0 {
+			printHistory(r)
+			break
+		}
+	}
+	printSoak(total, time.Since(began))
+	if len(total.Violations) > 0 {
+		return errReported
+	}
+	return nil
+}
+
+func printHistory(r soak.Report) {
+	fmt.Printf("seed %d after %d steps:\n", r.Seed, r.Steps)
+	for _, line := range r.History {
+		fmt.Println(" ", line)
+	}
+}
+
+func printSoak(r soak.Report, took time.Duration) {
+	fmt.Printf("%-14s", "fault \\ phase")
+	for _, p := range soak.Phases[:len(soak.Phases)-1] {
+		fmt.Printf("%10s", p)
+	}
+	fmt.Println()
+	for _, f := range soak.Faults {
+		fmt.Printf("%-14s", f)
+		for _, p := range soak.Phases[:len(soak.Phases)-1] {
+			fmt.Printf("%10d", r.Matrix[soak.Cell{Fault: f, Phase: p}])
+		}
+		fmt.Println()
+	}
+	fmt.Printf("outcomes: %v; longest lease for a caller gone: %s\n", r.Outcomes, r.Freed.Round(time.Millisecond))
+	fmt.Printf("history %016x, %.0f steps/s\n", r.Hash, float64(r.Steps)/took.Seconds())
+	fmt.Printf("soak: seed=%d steps=%d requests=%d faults=%d violations=%d\n", r.Seed, r.Steps, r.Requests, r.Faults, len(r.Violations))
+}
--- a/entry/exchange.go
+++ b/entry/exchange.go
@@ -84,18 +84,13 @@
 // request makes it go on where the entry stands.
 func (x *exchange) next(ctx context.Context) (wire.Message, error) {
 	for {
-		e, err := x.recv(ctx)
+		e, err := x.event(ctx)
 		if err != nil {
 			return nil, err
 		}
 		if e.Link == nil {
 			return e.Message, nil
 		}
-		if !e.Link.Up {
-			x.downSince = time.Now()
-			continue
-		}
-		x.downSince = time.Time{}
 		if e.Link.Incarnation != x.inc {
 			return nil, errLost.New("%s was restarted", x.endpoint())
 		}
@@ -106,6 +101,21 @@
 	}
 }
 
+// event returns the next message, or the news that a connection stands again.
+func (x *exchange) event(ctx context.Context) (peer.Event, error) {
+	for {
+		e, err := x.recv(ctx)
+		if err != nil || e.Link == nil {
+			return e, err
+		}
+		if e.Link.Up {
+			x.downSince = time.Time{}
+			return e, nil
+		}
+		x.downSince = time.Now()
+	}
+}
+
 func (x *exchange) recv(ctx context.Context) (peer.Event, error) {
 	if x.downSince.IsZero() {
 		return x.stream.Recv(ctx)
--- a/entry/plain.go
+++ b/entry/plain.go
@@ -12,6 +12,7 @@
 	"github.com/joomcode/errorx"
 	"go.uber.org/zap"
 
+	"ebonypulley/attempt"
 	"ebonypulley/config"
 	"ebonypulley/event"
 	"ebonypulley/invariant"
@@ -127,7 +128,7 @@
 	}
 }
 
-// attempt makes one try: offer, then start.
+// attempt makes one try at one endpoint; attempt.Client decides.
 func (c *call) attempt(ctx context.Context) ending {
 	p, err := c.choose(ctx)
 	if err != nil {
@@ -140,21 +141,58 @@
 	}
 	defer x.close()
 	c.tried[x.endpoint()] = true
-	x.request(c.offer(id))
-	m, err := x.next(ctx)
-	if err != nil {
-		// Nothing ran: Start was never sent.
-		return c.notRun("the call could not be admitted in time", minRetry)
+	machine := attempt.NewClient(x.inc, c.offer(id), &wire.Start{
+		Query:   c.q.r.URL.RawQuery,
+		Headers: forwarded(c.q.r.Header),
+		Body:    c.body,
+	})
+	return c.ended(c.drive(ctx, x, machine))
+}
+
+// settleTime is how long a call at its deadline waits for the agent's last
+// word.
+const settleTime = 200 * time.Millisecond
+
+// drive carries messages between the machine and the agent.
+func (c *call) drive(ctx context.Context, x *exchange, machine *attempt.Client) attempt.End {
+	step := machine.Begin()
+	settling := false
+	for step.End == nil {
+		if step.Send != nil {
+			_ = x.stream.Send(step.Send)
+		}
+		e, err := x.event(ctx)
+		switch {
+		case err == nil && e.Link != nil:
+			step = machine.Connected(e.Link.Incarnation)
+		case err == nil:
+			step = machine.Receive(e.Message)
+		case errorx.IsOfType(err, errLost):
+			step = machine.Lost()
+		case settling || c.q.gone():
+			step = machine.Settled()
+		default:
+			settling = true
+			step = machine.Expire()
+			var cancel context.CancelFunc
+			ctx, cancel = context.WithTimeout(context.WithoutCancel(ctx), settleTime)
+			defer cancel()
+		}
 	}
-	switch m := m.(type) {
-	case *wire.Granted:
-		return c.start(ctx, x, id)
-	case *wire.Outcome: // the answer to an earlier call with this key
-		return ending{outcome: m}
-	case *wire.Refused:
-		return c.refused(m)
+	return *step.End
+}
+
+// ended turns the machine's end into that of the attempt.
+func (c *call) ended(end attempt.End) ending {
+	switch end.Fate {
+	case attempt.Answered:
+		return ending{outcome: end.Outcome}
+	case attempt.Refused:
+		return c.refused(end.Refusal)
+	case attempt.NotRun:
+		return c.notRun("the endpoint did not run the call", minRetry)
 	default:
-		return c.notRun("the endpoint ended the call before its start", minRetry)
+		return ending{failure: unknownOutcome("the call was started; its outcome is not known"), ran: true}
 	}
 }
 
@@ -171,6 +209,8 @@
 		f := conflict(m.Reason, "the first call with this Idempotency-Key is still running")
 		f.retryAfter = minRetry
 		return ending{failure: f, final: true}
+	case wire.KeyDone:
+		return ending{failure: conflict(m.Reason, "a call with this Idempotency-Key ran; its answer is not kept any more"), final: true}
 	case wire.KeyUnknown:
 		return ending{failure: conflict(m.Reason, "whether a call with this Idempotency-Key ran is not known; check before booking again with a new key"), final: true}
 	case wire.WaitedOut:
@@ -237,74 +277,6 @@
 	}
 }
 
-// start runs the admitted call and waits for its outcome. From here on only
-// the word of the same incarnation makes it "not run".
-func (c *call) start(ctx context.Context, x *exchange, id wire.ID) ending {
-	x.request(&wire.Start{
-		ID:          id,
-		Incarnation: x.inc,
-		Query:       c.q.r.URL.RawQuery,
-		Headers:     forwarded(c.q.r.Header),
-		Body:        c.body,
-	})
-	for {
-		m, err := x.next(ctx)
-		if err != nil {
-			return c.settle(x, id, err)
-		}
-		out, ok := m.(*wire.Outcome)
-		if !ok {
-			continue
-		}
-		if end, over := c.ended(out); over {
-			return end
-		}
-	}
-}
-
-// ended tells whether an outcome is the last word.
-func (c *call) ended(out *wire.Outcome) (ending, bool) {
-	switch out.State {
-	case wire.Running:
-		return ending{}, false
-	case wire.Done:
-		return ending{outcome: out}, true
-	case wire.NotRun:
-		return c.notRun("the endpoint did not run the call", minRetry), true
-	default:
-		return ending{failure: unknownOutcome("the call was started; its answer was lost"), ran: true}, true
-	}
-}
-
-// settleTime is how long a call at its deadline waits for the agent's last
-// word.
-const settleTime = 200 * time.Millisecond
-
-// settle ends a started call whose outcome did not come: it asks the agent
-// once more, unless another incarnation is there, whose word proves nothing.
-func (c *call) settle(x *exchange, id wire.ID, cause error) ending {
-	unknown := ending{failure: unknownOutcome("the call was started; its outcome is not known"), ran: true}
-	if errorx.IsOfType(cause, errLost) || c.q.gone() {
-		return unknown
-	}
-	ctx, cancel := context.WithTimeout(context.WithoutCancel(c.q.r.Context()), settleTime)
-	defer cancel()
-	x.request(&wire.Withdraw{ID: id})
-	for {
-		m, err := x.next(ctx)
-		if err != nil {
-			return unknown
-		}
-		out, ok := m.(*wire.Outcome)
-		if !ok {
-			continue
-		}
-		if end, over := c.ended(out); over {
-			return end
-		}
-	}
-}
-
 // forwarded returns the headers that the service gets: all but those of the
 // connection and the workspace's key.
 func forwarded(h http.Header) []wire.Header {
--- a/fleet/answer_test.go
+++ b/fleet/answer_test.go
@@ -49,6 +49,21 @@
 	})
 }
 
+// Story: the VM of agent and engine loses power: no connection is closed, all
+// just go silent. Heartbeats notice, dialling gets no answer, and the draft is
+// continued elsewhere.
+func TestDecodeVMLosesPower(t *testing.T) {
+	simulate(t, func(s *sim) {
+		res := during(midAnswer, func() {
+			name := s.busy()
+			s.powerCut(name)
+			s.powerCut(name + "-engine")
+		}, func() load.Result { return s.draft(load.DraftSpec{Stream: true}) })
+		whole(t, res)
+		assert.EqualValues(t, 1, s.count("continued"))
+	})
+}
+
 // Story: a draft stops in the middle, although engine and agent are well:
 // something forgot the connection between entry and agent, which stays open
 // and silent. Heartbeats notice, a fresh connection resumes at the next token.
--- a/lease/table.go
+++ b/lease/table.go
@@ -5,6 +5,8 @@
 package lease
 
 import (
+	"bytes"
+	"slices"
 	"sort"
 	"time"
 
@@ -314,6 +316,8 @@
 		h.expiring = true
 		changes = append(changes, Change{ID: id, Kind: Expired, Reason: wire.LeaseLost})
 	}
+	// In the order of their IDs, so that equal histories have equal effects.
+	slices.SortFunc(changes, func(a, b Change) int { return bytes.Compare(a.ID[:], b.ID[:]) })
 	return changes
 }
 
--- a/peer/manager.go
+++ b/peer/manager.go
@@ -32,21 +32,24 @@
 // Run follows the document until ctx ends.
 func (m *Manager) Run(ctx context.Context) error {
 	changed := m.store.Watch()
-	defer m.wg.Wait()
+	defer m.Wait()
 	for {
 		select {
 		case <-ctx.Done():
 			return nil
 		case <-changed:
-			m.reconcile(ctx, m.store.Current().Document)
+			m.Use(ctx, m.store.Current().Document)
 		}
 	}
 }
 
-// reconcile starts peers for new endpoints. The connection to a removed one
+// Wait blocks until the connections of an ended Run are closed.
+func (m *Manager) Wait() { m.wg.Wait() }
+
+// Use starts peers for new endpoints. The connection to a removed one
 // stays while attempts use it, so that work in progress ends whole; its agent
 // learns of the removal on this very connection.
-func (m *Manager) reconcile(ctx context.Context, doc *config.Document) {
+func (m *Manager) Use(ctx context.Context, doc *config.Document) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	for _, e := range doc.Endpoints {
--- a/wire/message.go
+++ b/wire/message.go
@@ -175,6 +175,8 @@
 	KeyReused Reason = "key_reused"
 	// KeyRunning: the first call with this key is still running.
 	KeyRunning Reason = "key_running"
+	// KeyDone: the first call with this key ran; its answer is gone.
+	KeyDone Reason = "key_done"
 	// KeyMemory: no memory is left for another key.
 	KeyMemory Reason = "key_memory"
 	// DeadlinePassed: the request's deadline passed before its start.
