--- a/soak/agent.go
+++ b/soak/agent.go
@@ -39,6 +39,8 @@
 	seen    map[wire.ID]bool // attempts that were offered here
 	leaving bool
 	ticked  time.Time
+	pauses  int
+	overdue map[wire.ID]*overdue
 }
 
 var _ attempt.Effects = (*agent)(nil)
@@ -57,6 +59,7 @@
 	a.ticked = a.w.now
 	a.held = make(map[wire.ID]bool)
 	a.seen = make(map[wire.ID]bool)
+	a.overdue = make(map[wire.ID]*overdue)
 	a.gate = lease.NewTable(capacity, leaseTTL)
 	a.server = attempt.NewServer(a.w.now, a.inc, a.gate, attempt.KeyLimits{Window: keyWindow, Count: keyCount}, a)
 	a.w.note("agent %d starts as %s", a.index, a.inc)
@@ -142,6 +145,7 @@
 			a.held[id] = true
 		} else {
 			delete(a.held, id)
+			delete(a.overdue, id)
 		}
 	}
 }
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -52,6 +52,7 @@
 			w.after(w.between(0, maxDown), e.start)
 		}
 	case Pause:
+		a.pauses++
 		a.nap = w.now.Add(w.between(0, maxNap))
 		w.after(a.nap.Sub(w.now), a.wake)
 	case EntryNap:
