--- a/entry/prefix.go
+++ b/entry/prefix.go
@@ -53,8 +53,8 @@
 		set = newBlockSet(epoch)
 		x.endpoints[endpoint] = set
 	}
-	if hitTokens < set.leading(blocks)*engine.BlockTokens {
-		set.drop(blocks[hitTokens/engine.BlockTokens:])
+	if hit := hitTokens / engine.BlockTokens; hit < set.leading(blocks) {
+		set.evicted(blocks[hit])
 	}
 	set.add(blocks)
 }
@@ -83,11 +83,16 @@
 	}
 }
 
-func (s *blockSet) drop(blocks []uint64) {
-	for _, b := range blocks {
-		if el, ok := s.blocks[b]; ok {
-			delete(s.blocks, b)
-			s.order.Remove(el)
+// evicted forgets a block that the engine turned out not to have, and all that
+// were used less recently: engines evict in that order, so they are gone too.
+func (s *blockSet) evicted(block uint64) {
+	for {
+		el := s.order.Back()
+		b := el.Value.(uint64)
+		delete(s.blocks, b)
+		s.order.Remove(el)
+		if b == block {
+			return
 		}
 	}
 }
--- a/entry/prefix_test.go
+++ b/entry/prefix_test.go
@@ -20,10 +20,15 @@
 	x.learn("e", 1, blocks, 0)
 	assert.Equal(t, n, x.cached("e", 1, blocks))
 	assert.Zero(t, x.cached("e", 2, blocks), "another epoch")
-	other := append([]uint64{blocks[0]}, 77, 78)
-	x.learn("e", 1, other, 0) // even the shared block was not there
-	assert.Equal(t, engine.BlockTokens*3, x.cached("e", 1, other))
-	assert.Equal(t, engine.BlockTokens, x.cached("e", 1, blocks[:1]))
+	older, newer := []uint64{71, 72}, []uint64{81, 82}
+	x = newPrefixIndex()
+	x.learn("e", 1, older, 0)
+	x.learn("e", 1, blocks, 0)
+	x.learn("e", 1, newer, 0)
+	x.learn("e", 1, blocks, 0) // the engine had evicted it
+	assert.Equal(t, n, x.cached("e", 1, blocks), "it is there again")
+	assert.Zero(t, x.cached("e", 1, older), "what is older was evicted before")
+	assert.Equal(t, 2*engine.BlockTokens, x.cached("e", 1, newer), "what is newer may stay")
 	for i := range uint64(2 * blocksPerEndpoint) {
 		x.learn("e", 1, []uint64{1000 + i}, 0)
 	}
--- a/fleet/answer_test.go
+++ b/fleet/answer_test.go
@@ -1,6 +1,7 @@
 package fleet_test
 
 import (
+	"context"
 	"testing"
 	"time"
 
@@ -161,12 +162,13 @@
 func TestCancelLostInPartition(t *testing.T) {
 	simulate(t, func(s *sim) {
 		s.only(0)
-		res := during(midAnswer, func() { s.net.Partition(s.entry(0), "caller") },
-			func() load.Result {
-				return s.draft(load.DraftSpec{Stream: true, MaxTokens: 500, CancelAfter: 8})
-			})
-		assert.True(t, res.Cancelled)
-		s.freedWithin(4 * time.Second)
+		ctx, leave := context.WithTimeout(s.t.Context(), 2*midAnswer)
+		defer leave()
+		during(midAnswer, func() { s.net.Partition(s.entry(0), "caller") }, func() load.Result {
+			return s.caller.Draft(ctx, s.random(), load.DraftSpec{Key: paidKey, Prompt: "A long letter", Stream: true, MaxTokens: 512})
+		})
+		assert.Positive(t, s.Held(), "the cancel was not lost")
+		s.freedWithin(3500 * time.Millisecond)
 	})
 }
 
--- a/fleet/call_test.go
+++ b/fleet/call_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/binary"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -124,7 +125,8 @@
 
 // Story: a parent's page sends one booking four times, with one key, through
 // different entries at once, and once more later. One seat is booked; whoever
-// is told an answer is told that one.
+// is told an answer is told that one. When the key's owner is lost, the other
+// worker must not book it again.
 func TestOneKeyManyEntries(t *testing.T) {
 	simulate(t, func(s *sim) {
 		spec := load.CallSpec{ID: "one-call", IdempotencyKey: newKey()}
@@ -135,6 +137,13 @@
 		wg.Wait()
 		whole(t, s.book(spec))
 		assert.Equal(t, 1, s.runsOf("one-call"))
+		for name, p := range s.Services {
+			if p.Runs()["one-call"] > 0 {
+				s.crash(strings.TrimSuffix(name, "-engine"))
+			}
+		}
+		assert.NotEqual(t, entry.Answered, s.book(spec).Outcome)
+		assert.Equal(t, 1, s.runsOf("one-call"))
 	})
 }
 
@@ -193,6 +202,7 @@
 			runs += n
 		}
 		t.Logf("amplification %.3f", float64(runs)/calls)
-		assert.LessOrEqual(t, float64(runs)/calls, 1.1+0.04) // the burst of two entries
+		const entries = 2 // each begins with one retry
+		assert.LessOrEqual(t, float64(runs), 1.1*calls+entries)
 	})
 }
--- a/lease/table_test.go
+++ b/lease/table_test.go
@@ -182,6 +182,16 @@
 	assert.Equal(t, []lease.Change{{ID: id(11), Kind: lease.WasGranted}}, table.Tick(epoch))
 }
 
+// Story: two tiers wait for a full engine; the later and higher one goes first.
+func TestHigherPriorityFirst(t *testing.T) {
+	table := lease.NewTable(lease.Capacity{Requests: 1, Queue: 10}, ttl)
+	table.Reserve(epoch, request(1, 1, false))
+	table.Reserve(epoch, request(2, 1, false))
+	table.Reserve(epoch, request(3, 10, false))
+	table.Release(epoch, id(1))
+	assert.Equal(t, []lease.Change{{ID: id(3), Kind: lease.WasGranted}}, table.Tick(epoch))
+}
+
 // Story: an agent wakes from a long pause. The heartbeats that came meanwhile
 // are still in its socket buffers; a holder that lives must not lose its
 // draft for that, and one that is gone must lose it a second later.
--- a/limit/budget.go
+++ b/limit/budget.go
@@ -21,13 +21,19 @@
 	retries float64
 }
 
-// budgetBurst is the number of retries that may be saved up: the requests
-// that one entry loses with one engine.
-const budgetBurst = 20
+const (
+	// budgetBurst is the number of retries that may be saved up: the
+	// requests that one entry loses with one engine.
+	budgetBurst = 20
+	// budgetStart is what a new budget holds. With the ratio it bounds all
+	// retries ever made, so that an outage never meets a full budget that
+	// was not earned.
+	budgetStart = 1
+)
 
 // NewRetryBudget allows ratio retries per first attempt in the long run.
 func NewRetryBudget(ratio float64) *RetryBudget {
-	return &RetryBudget{ratio: ratio, balance: budgetBurst}
+	return &RetryBudget{ratio: ratio, balance: budgetStart}
 }
 
 // SetRatio changes the ratio.
@@ -52,9 +58,10 @@
 	if b.balance < 1 {
 		return false
 	}
+	const rounding = 1e-6
 	b.balance--
 	b.retries++
-	invariant.Check(b.retries <= b.firsts+budgetBurst, invariant.RetryBudget,
+	invariant.Check(b.retries <= b.firsts+budgetStart+rounding, invariant.RetryBudget,
 		"%v retries, %v earned", b.retries, b.firsts)
 	return true
 }
--- a/limit/limit_test.go
+++ b/limit/limit_test.go
@@ -26,7 +26,7 @@
 			retries++
 		}
 	}
-	assert.InDelta(t, 0.1*requests+20, retries, 2)
+	assert.InDelta(t, 0.1*requests, retries, 2)
 }
 
 // TestWorkspaceShares: whatever the order of arrivals at the entries, all
