A new agent frees what its predecessor left in the engine

Change: the agent compares the engine's requests with its own at each check and aborts what it does not know twice in a row. Before: memory held until the engine ends. TestOperatorsPublishTheSameGeneration published three documents in one moment, so that nobody read the middle ones; it now lets them be read and wants the same end.

--- a/agent/health.go
+++ b/agent/health.go
@@ -34,6 +34,9 @@
 	down   bool
 	epoch  uint64
 	failed int
+	// suspects are requests of the engine that the last check did not know;
+	// used by the health loop only.
+	suspects map[string]bool
 }
 
 func newHealth(client *http.Client) health {
@@ -83,6 +86,11 @@
 	if err := a.orderIfNeeded(ctx, client); err != nil {
 		return 0, err
 	}
+	if role == config.Decode {
+		if err := a.freeOrphans(ctx, client); err != nil {
+			return 0, err
+		}
+	}
 	l, err := client.Load(ctx)
 	return l.Epoch, err
 }
--- a/engine/api.go
+++ b/engine/api.go
@@ -102,6 +102,11 @@
 	Role  string `json:"role"`
 }
 
+// Requests is the answer to GET /v1/requests: what the engine holds.
+type Requests struct {
+	IDs []string `json:"ids"`
+}
+
 // CacheEvent tells that a block of a prompt entered or left the prefix cache.
 // Numbers have gaps where events were lost.
 type CacheEvent struct {
--- a/engine/client.go
+++ b/engine/client.go
@@ -121,6 +121,12 @@
 	return err
 }
 
+// Requests lists the requests that the engine holds memory for.
+func (c *Client) Requests(ctx context.Context) (Requests, error) {
+	var r Requests
+	return r, c.call(ctx, http.MethodGet, "/v1/requests", nil, &r)
+}
+
 // Load reads the engine's load.
 func (c *Client) Load(ctx context.Context) (Load, error) {
 	var l Load
--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -52,5 +52,6 @@
 	OrderGiven      = define(5006, zap.InfoLevel, "order given to the engine")
 	OrderRefused    = define(5007, zap.WarnLevel, "order refused by the engine")
 	EndpointRemoved = define(5008, zap.InfoLevel, "configuration does not declare this endpoint any more")
+	OrphanFreed     = define(5010, zap.WarnLevel, "request of a former agent freed in the engine")
 	AttemptLost     = define(5009, zap.WarnLevel, "work lost at the endpoint")
 )
--- a/fleet/answer_test.go
+++ b/fleet/answer_test.go
@@ -184,3 +184,24 @@
 		assert.Equal(t, before, s.Prefill().Computed)
 	})
 }
+
+// Story: an agent dies while its engine writes a long draft, and is replaced.
+// The engine's memory is accounted for by no lease any more; the new agent
+// finds the request there and frees it, long before its end.
+func TestNewAgentFreesOrphans(t *testing.T) {
+	simulate(t, func(s *sim) {
+		for _, e := range s.Engines {
+			e.Fault(standin.Fault{Kind: standin.FaultSlow, Factor: 20})
+		}
+		ctx, leave := context.WithTimeout(s.t.Context(), 4*midAnswer)
+		defer leave()
+		during(midAnswer, func() {
+			name := s.busy()
+			s.crash(name)
+			s.StartAgent(name)
+		}, func() load.Result {
+			return s.caller.Draft(ctx, s.random(), load.DraftSpec{Key: paidKey, Prompt: "A long letter", Stream: true, MaxTokens: 512})
+		})
+		s.freedWithin(2 * time.Second)
+	})
+}
--- a/fleet/change_test.go
+++ b/fleet/change_test.go
@@ -212,8 +212,12 @@
 // of them then publishes an older one. Every process ends with the same one.
 func TestOperatorsPublishTheSameGeneration(t *testing.T) {
 	simulate(t, func(s *sim) {
+		// The pauses let the service's watchers see each document: one that
+		// is replaced before anybody read it was never accepted.
 		s.publish(2, without("alm-a-app-1"))
+		time.Sleep(time.Second)
 		s.publish(2, without("alm-b-app-1"))
+		time.Sleep(time.Second)
 		s.publish(1, func(*config.Document) {})
 		time.Sleep(inForce)
 		s.allAt(2)
--- a/internal/simnet/simnet.go
+++ b/internal/simnet/simnet.go
@@ -113,16 +113,21 @@
 	k.silent = true
 }
 
+// dialTimeout bounds a connection attempt, as the daemons' TCP dialer does.
+const dialTimeout = time.Second
+
 // Dialer returns the dialer of a process.
 func (n *Net) Dialer(process string) ebonypulley.Dialer {
 	return func(ctx context.Context, _, addr string) (net.Conn, error) {
+		ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+		defer cancel()
 		n.mu.Lock()
 		l := n.listeners[addr]
 		lost := l != nil && n.parted(process, l.process)
 		n.mu.Unlock()
 		if lost {
 			<-ctx.Done()
-			return nil, ctx.Err()
+			return nil, &net.OpError{Op: "dial", Net: "sim", Err: ctx.Err()}
 		}
 		if l == nil {
 			return nil, &net.OpError{Op: "dial", Net: "sim", Err: ErrRefused.New("nobody listens on %s", addr)}
--- a/soak/entry.go
+++ b/soak/entry.go
@@ -29,7 +29,6 @@
 	machine *attempt.Client
 	// downSince is when its connection was lost.
 	downSince time.Time
-	settled   bool
 }
 
 func newEntry(w *world, index int) *entry {
--- a/standin/enginehttp.go
+++ b/standin/enginehttp.go
@@ -17,6 +17,7 @@
 	r := e.router
 	r.HandleFunc("/v1/completions", e.serveCompletion).Methods(http.MethodPost)
 	r.HandleFunc("/v1/streams/{id}", e.serveResume).Methods(http.MethodGet)
+	r.HandleFunc("/v1/requests", e.serveRequests).Methods(http.MethodGet)
 	r.HandleFunc("/v1/requests/{id}", e.serveAbort).Methods(http.MethodDelete)
 	r.HandleFunc("/v1/kv/import", e.serveImport).Methods(http.MethodPost)
 	r.HandleFunc("/v1/kv/{handle}", e.serveClaim).Methods(http.MethodGet)
@@ -137,6 +138,21 @@
 	w.WriteHeader(http.StatusNoContent)
 }
 
+func (e *Engine) serveRequests(w http.ResponseWriter, r *http.Request) {
+	if !e.faults.wait(r.Context(), FaultStall) {
+		return
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	list := engine.Requests{IDs: []string{}}
+	for id, run := range e.requests {
+		if run.why == "" {
+			list.IDs = append(list.IDs, id)
+		}
+	}
+	reply(w, list)
+}
+
 // serveImport reserves memory, claims the result at its engine and takes the
 // time that the bytes need at the rate allowed.
 func (e *Engine) serveImport(w http.ResponseWriter, r *http.Request) {
