Fencing numbers are those of the agent's start

Cause: an order carried the time at which it was given. An agent that slept while its endpoint went to a successor elsewhere would have ordered the old model back with the higher number, past every engine's check. Change: one fencing number an incarnation, the wall time of its start. The time from cancel to acknowledgement is a histogram (cancel_to_freed). After: the later order stands, the sleeper reports its endpoint down. Conclusion: with engines that ignore the number only the VM's port guards.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -71,9 +71,11 @@
 
 // Agent is the daemon. Create it with New.
 type Agent struct {
-	set   Settings
-	log   *event.Log
-	inc   wire.Incarnation
+	set Settings
+	log *event.Log
+	inc wire.Incarnation
+	// fence is the fencing number of all orders of this incarnation.
+	fence uint64
 	store *config.Store
 	dial  ebonypulley.Dialer
 	group *ebonypulley.Group
@@ -106,6 +108,7 @@
 		set:      set,
 		log:      log.With(zap.String("agent", set.Name)),
 		inc:      wire.NewID(),
+		fence:    uint64(time.Now().UnixNano()),
 		store:    new(config.Store),
 		sessions: make(map[*session]struct{}),
 		holders:  make(map[wire.Incarnation]*session),
--- a/agent/health.go
+++ b/agent/health.go
@@ -139,8 +139,13 @@
 
 // orderIfNeeded gives the engine the declared model and role if it has
 // others. Only this agent orders its engine. The fencing number is the wall
-// time of the order: it grows over restarts without a disk, because the VM's
-// port lets only one agent live at a time.
+// time of the agent's start: it grows over restarts without a disk.
+//
+// Failure guarded against: an agent sleeps, its endpoint is given to an agent
+// on another VM, and the first one wakes and orders the old model back. The
+// guard holds with engines that check the number, because the sleeper's stays
+// that of its start; with others the VM's port keeps out a second agent on
+// the same VM only.
 func (a *Agent) orderIfNeeded(ctx context.Context, client *engine.Client) error {
 	state, err := client.State(ctx)
 	if err != nil {
@@ -155,7 +160,7 @@
 		}
 		return nil
 	}
-	order := engine.Order{Fence: uint64(time.Now().UnixNano()), Model: want.Model, Role: want.Role}
+	order := engine.Order{Fence: a.fence, Model: want.Model, Role: want.Role}
 	if err := client.Order(ctx, order); err != nil {
 		a.log.Emit(event.OrderRefused, zap.Error(err))
 		return err
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -112,6 +112,7 @@
 	e.self = peer.Self{Name: set.Name, DataCentre: set.DataCentre, Incarnation: e.inc}
 	e.dial = dial
 	e.peers = peer.NewManager(e.self, e.store, e.view, e.log, dial)
+	e.peers.Freed = e.metrics.Histogram("cancel_to_freed").Record
 	e.server = &http.Server{
 		Handler:           e.routes(),
 		ReadHeaderTimeout: headerTimeout,
--- a/fleet/gate_test.go
+++ b/fleet/gate_test.go
@@ -10,6 +10,7 @@
 	"github.com/stretchr/testify/require"
 
 	"ebonypulley/config"
+	"ebonypulley/engine"
 	"ebonypulley/load"
 	"ebonypulley/wire"
 )
@@ -156,6 +157,37 @@
 	})
 }
 
+// Story: an agent sleeps; its endpoint is given to an agent elsewhere, which
+// orders another model; the first one wakes and sees the wrong model. An
+// engine that checks fencing numbers keeps the later order, and the sleeper
+// takes no more work for it.
+func TestLateAgentCannotOrderBack(t *testing.T) {
+	simulate(t, func(s *sim) {
+		client := engine.NewClient(s.Plan.Document.Endpoint(decode).URL, s.client)
+		require.True(t, s.Plan.Document.Endpoint(decode).ChecksFence)
+		order := engine.Order{Fence: uint64(time.Now().UnixNano()), Model: "another", Role: "decode"}
+		require.NoError(t, client.Order(s.t.Context(), order))
+		time.Sleep(3 * time.Second)
+		state, err := client.State(s.t.Context())
+		require.NoError(t, err)
+		assert.Equal(t, "another", state.Model)
+		assert.True(t, s.Agents[decode].Stats().Down)
+		whole(t, s.draft(load.DraftSpec{}))
+	})
+}
+
+// Story: an engine restarts and has forgotten its model. Its agent orders it
+// again, and it serves.
+func TestRestartedEngineIsOrdered(t *testing.T) {
+	simulate(t, func(s *sim) {
+		for _, e := range s.Engines {
+			e.Crash()
+		}
+		time.Sleep(3 * time.Second)
+		whole(t, s.draft(load.DraftSpec{}))
+	})
+}
+
 // Story: garbage, and a peer that is not one, reach an agent's port. They are
 // shown the door; the agent serves on.
 func TestAgentPortTakesGarbage(t *testing.T) {
--- a/peer/manager.go
+++ b/peer/manager.go
@@ -18,6 +18,9 @@
 	view  *membership.View
 	log   *event.Log
 	dial  ebonypulley.Dialer
+	// Freed, if set, is told the time from each Cancel to its
+	// acknowledgement: until then the endpoint may hold memory.
+	Freed func(time.Duration)
 
 	mu    sync.Mutex
 	wg    sync.WaitGroup
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -48,6 +48,7 @@
 	log      *event.Log
 	dial     ebonypulley.Dialer
 	stop     context.CancelFunc
+	freed    func(time.Duration)
 
 	mu      sync.Mutex
 	conn    *wire.Conn
@@ -70,6 +71,7 @@
 		view:     m.view,
 		log:      m.log.With(zap.String("endpoint", e.Name)),
 		dial:     m.dial,
+		freed:    m.Freed,
 		streams:  make(map[wire.ID]*Stream),
 		cancels:  make(map[wire.ID]time.Time),
 	}
@@ -224,6 +226,17 @@
 	}
 }
 
+// cancelled records how long the agent took to free an attempt.
+func (p *Peer) cancelled(id wire.ID) {
+	p.mu.Lock()
+	since, ok := p.cancels[id]
+	delete(p.cancels, id)
+	p.mu.Unlock()
+	if ok && p.freed != nil {
+		p.freed(time.Since(since))
+	}
+}
+
 func (p *Peer) repeatCancels(now time.Time, conn *wire.Conn) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -246,9 +259,7 @@
 	case *wire.Config:
 		p.offer(m.Text)
 	case *wire.Cancelled:
-		p.mu.Lock()
-		delete(p.cancels, m.ID)
-		p.mu.Unlock()
+		p.cancelled(m.ID)
 	case wire.Attempted:
 		p.deliver(conn, m)
 	}
--- a/standin/engine.go
+++ b/standin/engine.go
@@ -146,6 +146,7 @@
 func (e *Engine) reset() {
 	e.epoch = uint64(time.Now().UnixNano())
 	e.life, e.endLife = context.WithCancel(context.Background())
+	e.state = engine.State{}
 	e.requests = make(map[string]*request)
 	e.exports = make(map[string]*exported)
 	e.prefills = nil
