--- a/agent/answer.go
+++ b/agent/answer.go
@@ -87,10 +87,10 @@
 // token; only an engine that is silent on fresh ones as well is given up.
 func (w *decodeWorker) generate(job *decodeJob, m *wire.Decode) error {
 	failures := 0
-	first := true
+	opened := false
 	for {
 		before := w.length(job)
-		err := w.follow(job, m, first, before)
+		err := w.follow(job, m, &opened, before)
 		if err == nil {
 			return nil
 		}
@@ -100,7 +100,6 @@
 		if isGone(err) || errorx.IsOfType(err, engine.ErrRefused) {
 			return err
 		}
-		first = false
 		failures++
 		if w.length(job) > before {
 			failures = 1
@@ -122,15 +121,16 @@
 
 // follow reads one stream until the answer is whole (nil) or the stream ends
 // or falls silent.
-func (w *decodeWorker) follow(job *decodeJob, m *wire.Decode, first bool, from int) error {
+func (w *decodeWorker) follow(job *decodeJob, m *wire.Decode, opened *bool, from int) error {
 	ctx, cancel := context.WithCancel(job.ctx)
 	defer cancel()
 	watchdog := time.AfterFunc(streamSilence, cancel)
 	defer watchdog.Stop()
-	stream, err := w.open(ctx, job, m, first, from)
+	stream, err := w.open(ctx, job, m, *opened, from)
 	if err != nil {
 		return err
 	}
+	*opened = true
 	defer stream.Close()
 	for {
 		e, err := stream.Next()
@@ -147,8 +147,10 @@
 	}
 }
 
-func (w *decodeWorker) open(ctx context.Context, job *decodeJob, m *wire.Decode, first bool, from int) (*engine.Stream, error) {
-	if !first {
+// open asks for the answer until a stream was opened once, and resumes it from
+// then on. Asking again is harmless: the engine knows the request by its ID.
+func (w *decodeWorker) open(ctx context.Context, job *decodeJob, m *wire.Decode, opened bool, from int) (*engine.Stream, error) {
+	if opened {
 		return w.engine.Resume(ctx, job.id.String(), from)
 	}
 	return w.engine.Decode(ctx, engine.CompletionRequest{
--- a/agent/prefill.go
+++ b/agent/prefill.go
@@ -20,6 +20,7 @@
 	url    string
 	jobs   map[wire.ID]*prefillJob
 	tokens int // of all jobs that are not done
+	pace   *pace
 }
 
 type prefillJob struct {
@@ -42,7 +43,7 @@
 const keepPrefill = 5 * time.Second
 
 func newPrefillWorker(a *Agent, url string) *prefillWorker {
-	return &prefillWorker{a: a, engine: engine.NewClient(url, a.dial.HTTPClient(false)), url: url, jobs: make(map[wire.ID]*prefillJob)}
+	return &prefillWorker{a: a, engine: engine.NewClient(url, a.dial.HTTPClient(false)), url: url, jobs: make(map[wire.ID]*prefillJob), pace: newPace()}
 }
 
 func (w *prefillWorker) handle(s *session, m wire.Attempted) {
@@ -110,14 +111,7 @@
 
 func (w *prefillWorker) run(job *prefillJob) {
 	defer close(job.ran)
-	ctx, cancel := context.WithTimeout(job.ctx, prefillTimeout)
-	defer cancel()
-	out, err := w.engine.Prefill(ctx, engine.CompletionRequest{
-		RequestID: job.id.String(),
-		Model:     job.req.Model,
-		Prompt:    job.req.Prompt,
-		Priority:  job.req.Priority,
-	})
+	out, err := w.compute(job)
 	w.a.mu.Lock()
 	defer w.a.mu.Unlock()
 	now := time.Now()
@@ -137,6 +131,40 @@
 	job.sess.send(job.fresh(now))
 }
 
+// compute runs the prefill, on a second connection if the first brings
+// nothing for much longer than prefills take here.
+//
+// Failure guarded against: the connection to the engine goes silent. It shows
+// as a draft that waits for its first token until its deadline. The guard
+// holds because the time that a token takes is learned from the prefills that
+// did end, and the engine's prefix cache makes the repetition cheap.
+func (w *prefillWorker) compute(job *prefillJob) (engine.Completion, error) {
+	var out engine.Completion
+	var err error
+	for range prefillTries {
+		began := time.Now()
+		ctx, cancel := context.WithTimeout(job.ctx, w.pace.patience(job.tokens))
+		out, err = w.engine.Prefill(ctx, engine.CompletionRequest{
+			RequestID: job.id.String(),
+			Model:     job.req.Model,
+			Prompt:    job.req.Prompt,
+			Priority:  job.req.Priority,
+		})
+		late := ctx.Err() != nil && job.ctx.Err() == nil
+		cancel()
+		if err == nil {
+			w.pace.learn(time.Since(began), job.tokens-out.Usage.CachedTokens)
+		}
+		if !late {
+			break
+		}
+		w.a.log.Emit(event.StreamReplaced, zap.Stringer("attempt", job.id), zap.Error(err))
+		w.pace.slower()
+		w.engine.Close()
+	}
+	return out, err
+}
+
 func (w *prefillWorker) prefilled(job *prefillJob, out engine.Completion) *wire.Prefilled {
 	return &wire.Prefilled{
 		ID: job.id,
--- a/agent/service.go
+++ b/agent/service.go
@@ -18,30 +18,26 @@
 
 // service calls the plain service beside the agent.
 type service struct {
-	base       string
-	idempotent *http.Client
-	once       *http.Client
+	base string
+	http *http.Client
 }
 
 // maxAnswer bounds an answer of the service; it travels in one frame.
 const maxAnswer = 2 << 20
 
-// newService returns two clients.
+// newService returns a client that uses a connection for one call only.
 //
-// Failure guarded against: net/http repeats a request by itself when a kept
-// connection breaks before the answer, if it counts the request as
-// repeatable; a POST with an Idempotency-Key header counts. It shows as a
-// booking that ran twice although it was started once. The guard holds
-// because the client for non-idempotent calls keeps no connections: a
-// request on a fresh connection is never repeated.
+// Failures guarded against: a kept connection that went silent swallows the
+// next call, which shows as a lookup that never ends; and net/http by itself
+// repeats a request whose kept connection breaks before the answer, if it
+// counts as repeatable, as a POST with an Idempotency-Key does, which shows as
+// a booking that ran twice although it was started once. The guard holds
+// because a connection is used once: a request on a fresh one is not repeated.
 func newService(base string, dial ebonypulley.Dialer) service {
-	client := func(fresh bool) *http.Client {
-		c := dial.HTTPClient(fresh)
-		// A redirect is the caller's to follow.
-		c.CheckRedirect = func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
-		return c
-	}
-	return service{base: strings.TrimSuffix(base, "/"), idempotent: client(false), once: client(true)}
+	client := dial.HTTPClient(true)
+	// A redirect is the caller's to follow.
+	client.CheckRedirect = func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
+	return service{base: strings.TrimSuffix(base, "/"), http: client}
 }
 
 // call runs one call. Without an answer, sent tells whether the service may
@@ -59,11 +55,7 @@
 	for _, h := range m.Headers {
 		req.Header.Add(h.Name, h.Value)
 	}
-	client := s.once
-	if o.Idempotent {
-		client = s.idempotent
-	}
-	resp, err := client.Do(req)
+	resp, err := s.http.Do(req)
 	if err != nil {
 		return answer, sent, engine.ErrUnreachable.Wrap(err, "call")
 	}
--- a/fleet/answer_test.go
+++ b/fleet/answer_test.go
@@ -205,3 +205,21 @@
 		s.freedWithin(2 * time.Second)
 	})
 }
+
+// Story: the kept connections between a prefill engine and its agent went
+// silent. The next draft waits for nothing; the agent notices that the prefill
+// takes far longer than prefills do here and asks on a fresh connection.
+func TestSilentConnectionToPrefillEngine(t *testing.T) {
+	simulate(t, func(s *sim) {
+		for range 10 {
+			whole(t, s.draft(load.DraftSpec{}))
+		}
+		for _, name := range []string{"alm-a-prefill-1", "alm-b-prefill-1"} {
+			s.net.Silence(name, name+"-engine")
+		}
+		began := time.Now()
+		whole(t, s.draft(load.DraftSpec{}))
+		assert.Less(t, time.Since(began), 4*time.Second)
+		assert.Zero(t, s.count("continued"), "no retry is spent on a connection")
+	})
+}
--- a/fleet/change_test.go
+++ b/fleet/change_test.go
@@ -267,6 +267,20 @@
 	})
 }
 
+// Story: the entries' connections to the configuration service have gone
+// silent. A published document must not wait for the end of a long watch.
+func TestSilentWatch(t *testing.T) {
+	simulate(t, func(s *sim) {
+		time.Sleep(40 * time.Second) // the agents' first reads have ended
+		for i := range s.Plan.Entries {
+			s.net.Silence(s.entry(i), "config")
+		}
+		s.publish(2, func(*config.Document) {})
+		time.Sleep(inForce)
+		s.allAt(2)
+	})
+}
+
 // Story: a workspace's key is taken out of the document. Within seconds no
 // entry accepts it.
 func TestRevokedKey(t *testing.T) {
--- a/fleet/random_test.go
+++ b/fleet/random_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/stretchr/testify/assert"
 
+	"ebonypulley/config"
 	"ebonypulley/jsonc"
 	"ebonypulley/load"
 	"ebonypulley/standin"
@@ -24,6 +25,8 @@
 	rnd  *rand.Rand
 	log  []string
 	down map[string]bool
+	// generation is the last one published.
+	generation uint64
 }
 
 func (c *chaos) note(format string, args ...any) {
@@ -44,7 +47,7 @@
 
 // fault brings one failure about; what it took down comes back later.
 func (c *chaos) fault() {
-	switch c.rnd.IntN(9) {
+	switch c.rnd.IntN(13) {
 	case 0:
 		e, a := c.entry(c.rnd.IntN(2)), c.agent()
 		c.note("cut %s %s", e, a)
@@ -81,6 +84,46 @@
 		assert.NoError(c.t, c.Drain(c.t.Context(), a))
 		c.StartAgent(a)
 		c.down[a] = false
+	case 9:
+		e := c.entry(c.rnd.IntN(2))
+		if c.down[e] {
+			return
+		}
+		c.down[e] = true
+		c.note("entry %s dies", e)
+		c.crash(e)
+		time.Sleep(c.span(3 * time.Second))
+		c.StartEntry(e)
+		c.down[e] = false
+	case 10:
+		e := c.entry(c.rnd.IntN(2))
+		if c.down[e] {
+			return
+		}
+		c.down[e] = true
+		c.note("entry %s drains", e)
+		assert.NoError(c.t, c.Drain(c.t.Context(), e))
+		c.StartEntry(e)
+		c.down[e] = false
+	case 11:
+		a := c.agent()
+		if c.down[a] {
+			return
+		}
+		c.down[a] = true
+		c.note("VM of %s loses power", a)
+		c.powerCut(a)
+		time.Sleep(c.span(3 * time.Second))
+		c.StartAgent(a)
+		c.down[a] = false
+	case 12:
+		c.generation++
+		a := c.agent()
+		c.note("generation %d has no %s", c.generation, a)
+		c.publish(c.generation, without(a))
+		time.Sleep(c.span(3 * time.Second))
+		c.generation++
+		c.publish(c.generation, func(*config.Document) {})
 	case 8:
 		if p, ok := c.Services[c.engine()]; ok {
 			c.note("a service cuts its answers")
@@ -119,7 +162,7 @@
 	for seed := range *chaosSeeds {
 		t.Run(fmt.Sprintf("seed=%d", seed), func(t *testing.T) {
 			simulate(t, func(s *sim) {
-				c := &chaos{sim: s, rnd: rand.New(rand.NewPCG(seed, 3)), down: make(map[string]bool)}
+				c := &chaos{sim: s, rnd: rand.New(rand.NewPCG(seed, 3)), down: make(map[string]bool), generation: 1}
 				mix := load.Mix{Caller: s.caller, PaidKey: paidKey, TrialKey: trialKey, Rate: 15, For: 12 * time.Second, Seed: seed}
 				done := make(chan struct{})
 				var sum load.Summary
@@ -146,6 +189,9 @@
 				assert.Zero(t, sum.Duplicates)
 				assert.Zero(t, sum.FalseNotRun)
 				assert.Zero(t, s.Held(), "memory is still held")
+				c.publish(c.generation+1, func(*config.Document) {})
+				time.Sleep(inForce)
+				s.allAt(c.generation + 1)
 				whole(t, s.draft(load.DraftSpec{}))
 				whole(t, s.book(load.CallSpec{}))
 				if t.Failed() {
