--- /dev/null
+++ b/wire/leak_test.go
@@ -0,0 +1,9 @@
+package wire_test
+
+import (
+	"testing"
+
+	"go.uber.org/goleak"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
