Orders wait for answers in progress

Cause: a changed model was ordered at once; the engine dropped the answers it was writing. Ruled out: the entries, which continued them, but with a model that no endpoint served any more. Change: from the moment an agent knows of another model it takes nothing new, and orders the engine when what it serves has ended whole. Before: the draft under way breaks off. Conclusion: role and model changes of many engines at once are not spread out yet; the weight store serves them one by one.

--- a/agent/config.go
+++ b/agent/config.go
@@ -60,7 +60,7 @@
 	pool := doc.Pool(e.Pool)
 	a.endpoint = *e
 	a.pool = *pool
-	a.model = doc.Service(pool.Service).Model
+	a.setModel(doc.Service(pool.Service).Model)
 	if a.gate == nil {
 		a.gate = lease.NewTable(capacityOf(pool), doc.Limits.LeaseTTL.D())
 		a.startWorker()
@@ -72,6 +72,19 @@
 	a.health.wake()
 }
 
+// setModel changes the declared model. Until the engine serves it, nothing new
+// is taken; answers of the old model end whole first.
+func (a *Agent) setModel(model string) {
+	if a.model == model {
+		return
+	}
+	a.model = model
+	if a.worker != nil {
+		a.health.down = true
+		a.tellAll()
+	}
+}
+
 func capacityOf(p *config.Pool) lease.Capacity {
 	return lease.Capacity{Requests: p.Requests, Tokens: p.Tokens, Headroom: p.Headroom, Queue: p.Queue}
 }
--- a/agent/health.go
+++ b/agent/health.go
@@ -137,6 +137,23 @@
 // errLoading says that the engine still carries out an order.
 var errLoading = engine.ErrRefused.New("the engine is loading its model")
 
+// errBusy says that an order waits for work in progress.
+var errBusy = engine.ErrRefused.New("answers of the old model are still in progress")
+
+// mayOrder reports whether an engine that serves may be given another model or
+// role: only when what it serves has ended whole.
+//
+// Failure guarded against: an operator declares another model while drafts are
+// being written. It shows as drafts that break off everywhere at once. The
+// guard holds because the agent takes nothing new from the moment it knows,
+// and orders only when nothing is left.
+func (a *Agent) mayOrder() bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.health.down = true
+	return a.quiet()
+}
+
 // orderIfNeeded gives the engine the declared model and role if it has
 // others. Only this agent orders its engine. The fencing number is the wall
 // time of the agent's start: it grows over restarts without a disk.
@@ -160,6 +177,9 @@
 		}
 		return nil
 	}
+	if state.Model != "" && !a.mayOrder() {
+		return errBusy
+	}
 	order := engine.Order{Fence: a.fence, Model: want.Model, Role: want.Role}
 	if err := client.Order(ctx, order); err != nil {
 		a.log.Emit(event.OrderRefused, zap.Error(err))
--- a/fleet/change_test.go
+++ b/fleet/change_test.go
@@ -281,6 +281,28 @@
 	})
 }
 
+// Story: an operator declares another model while a long draft is written. The
+// draft ends whole, with the old one; then the engines are ordered over, and
+// drafts of the new model are served.
+func TestModelChangeWaitsForAnswers(t *testing.T) {
+	simulate(t, func(s *sim) {
+		res := during(midAnswer, func() {
+			s.publish(2, func(doc *config.Document) {
+				for i := range doc.Services {
+					if doc.Services[i].Model != "" {
+						doc.Services[i].Model = "drafting-2"
+					}
+				}
+			})
+		}, func() load.Result { return s.draft(load.DraftSpec{Stream: true, MaxTokens: 400}) })
+		whole(t, res)
+		assert.Zero(t, s.count("continued"))
+		time.Sleep(inForce)
+		s.caller.Model = "drafting-2"
+		whole(t, s.draft(load.DraftSpec{}))
+	})
+}
+
 // Story: a workspace's key is taken out of the document. Within seconds no
 // entry accepts it.
 func TestRevokedKey(t *testing.T) {
--- a/standin/enginehttp.go
+++ b/standin/enginehttp.go
@@ -279,6 +279,9 @@
 		return
 	}
 	load := o.Model != e.state.Model
+	if load {
+		e.loseRequests()
+	}
 	e.state = engine.State{Model: o.Model, Role: o.Role, Fence: max(o.Fence, e.state.Fence), Loading: load}
 	e.mu.Unlock()
 	if load {
@@ -287,6 +290,14 @@
 	w.WriteHeader(http.StatusAccepted)
 }
 
+// loseRequests drops what the engine holds, as loading another model does.
+func (e *Engine) loseRequests() {
+	for id, run := range e.requests {
+		run.cancel()
+		delete(e.requests, id)
+	}
+}
+
 // loadModel fetches the weights and then serves the model of the order,
 // unless a later one came.
 func (e *Engine) loadModel(o engine.Order) {
