--- a/agent/agent.go
+++ b/agent/agent.go
@@ -313,6 +313,17 @@
 	}
 }
 
+// engineRefusal is refusal for work of a model.
+func (a *Agent) engineRefusal(model string) wire.Reason {
+	if reason := a.refusal(); reason != "" {
+		return reason
+	}
+	if model != a.model {
+		return wire.WrongRole
+	}
+	return ""
+}
+
 // Stats is a snapshot for expvar and tests.
 type Stats struct {
 	Active     int    `json:"active"`
--- a/agent/answer.go
+++ b/agent/answer.go
@@ -9,6 +9,7 @@
 	"github.com/joomcode/errorx"
 	"go.uber.org/zap"
 
+	"ebonypulley"
 	"ebonypulley/engine"
 	"ebonypulley/event"
 	"ebonypulley/peer"
@@ -109,7 +110,7 @@
 		}
 		w.a.log.Emit(event.StreamReplaced, zap.Stringer("attempt", job.id), zap.Error(err))
 		w.engine.Close()
-		wait(job.ctx, streamPause)
+		ebonypulley.Sleep(job.ctx, streamPause)
 	}
 }
 
--- a/agent/decode.go
+++ b/agent/decode.go
@@ -6,6 +6,7 @@
 
 	"go.uber.org/zap"
 
+	"ebonypulley"
 	"ebonypulley/engine"
 	"ebonypulley/event"
 	"ebonypulley/lease"
@@ -72,14 +73,10 @@
 		}
 		return
 	}
-	if reason := w.a.refusal(); reason != "" {
+	if reason := w.a.engineRefusal(m.Model); reason != "" {
 		w.a.refuse(s, m.ID, reason, 0)
 		return
 	}
-	if m.Model != w.a.model {
-		w.a.refuse(s, m.ID, wire.WrongRole, 0)
-		return
-	}
 	now := time.Now()
 	deadline := now.Add(m.Deadline)
 	d := w.a.gate.Reserve(now, lease.Request{
@@ -216,7 +213,7 @@
 // importKV brings the result into the engine. On failure it says why and
 // whether the result can still be used elsewhere.
 func (w *decodeWorker) importKV(job *decodeJob, m *wire.Decode, plan transfer) (wire.Reason, bool) {
-	if !wait(job.ctx, plan.Wait) {
+	if !ebonypulley.Sleep(job.ctx, plan.Wait) {
 		return wire.LeaseLost, true
 	}
 	ctx, cancel := context.WithTimeout(job.ctx, plan.cutAfter(time.Now()))
--- a/agent/health.go
+++ b/agent/health.go
@@ -11,6 +11,7 @@
 	"github.com/joomcode/errorx"
 	"go.uber.org/zap"
 
+	"ebonypulley"
 	"ebonypulley/config"
 	"ebonypulley/engine"
 	"ebonypulley/event"
@@ -201,7 +202,7 @@
 		if err == nil {
 			return
 		}
-		wait(ctx, freePause)
+		ebonypulley.Sleep(ctx, freePause)
 	}
 }
 
@@ -213,18 +214,6 @@
 	})
 }
 
-// wait returns false when ctx ended first.
-func wait(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-t.C:
-		return true
-	}
-}
-
 func isGone(err error) bool { return errorx.IsOfType(err, engine.ErrGone) }
 
 // wireFault reports whether a connection ended by a breach of the protocol
--- a/agent/prefill.go
+++ b/agent/prefill.go
@@ -65,14 +65,10 @@
 		}
 		return
 	}
-	if reason := w.a.refusal(); reason != "" {
+	if reason := w.a.engineRefusal(m.Model); reason != "" {
 		w.a.refuse(s, m.ID, reason, 0)
 		return
 	}
-	if m.Model != w.a.model {
-		w.a.refuse(s, m.ID, wire.WrongRole, 0)
-		return
-	}
 	now := time.Now()
 	until := now.Add(m.Wait)
 	d := w.a.gate.Reserve(now, lease.Request{
--- a/config/defaults.go
+++ b/config/defaults.go
@@ -1,6 +1,9 @@
 package config
 
-import "time"
+import (
+	"cmp"
+	"time"
+)
 
 // Defaults of the limits that a document leaves out.
 const (
@@ -20,25 +23,18 @@
 
 func (d *Document) setDefaults() {
 	l := &d.Limits
-	orDefault(&l.BodyBytes, defaultBodyBytes)
-	orDefault(&l.PromptTokens, defaultPromptTokens)
-	orDefault(&l.OutputTokens, defaultOutputTokens)
-	orDefault(&l.Deadline, Duration(defaultDeadline))
-	orDefault(&l.MaxDeadline, Duration(defaultMaxDeadline))
-	orDefault(&l.LeaseTTL, Duration(defaultLeaseTTL))
-	orDefault(&l.IdempotencyWindow, Duration(defaultIdempotency))
-	orDefault(&l.IdempotencyKeys, defaultIdempotencyKeys)
-	orDefault(&l.RetryRatio, defaultRetryRatio)
-	orDefault(&d.Targets.TTFT, Duration(defaultTTFT))
-	orDefault(&d.Targets.TBT, Duration(defaultTBT))
+	l.BodyBytes = cmp.Or(l.BodyBytes, defaultBodyBytes)
+	l.PromptTokens = cmp.Or(l.PromptTokens, defaultPromptTokens)
+	l.OutputTokens = cmp.Or(l.OutputTokens, defaultOutputTokens)
+	l.Deadline = cmp.Or(l.Deadline, Duration(defaultDeadline))
+	l.MaxDeadline = cmp.Or(l.MaxDeadline, Duration(defaultMaxDeadline))
+	l.LeaseTTL = cmp.Or(l.LeaseTTL, Duration(defaultLeaseTTL))
+	l.IdempotencyWindow = cmp.Or(l.IdempotencyWindow, Duration(defaultIdempotency))
+	l.IdempotencyKeys = cmp.Or(l.IdempotencyKeys, defaultIdempotencyKeys)
+	l.RetryRatio = cmp.Or(l.RetryRatio, defaultRetryRatio)
+	d.Targets.TTFT = cmp.Or(d.Targets.TTFT, Duration(defaultTTFT))
+	d.Targets.TBT = cmp.Or(d.Targets.TBT, Duration(defaultTBT))
 	for i := range d.Pools {
-		orDefault(&d.Pools[i].Queue, defaultQueue)
-	}
-}
-
-func orDefault[T comparable](field *T, value T) {
-	var zero T
-	if *field == zero {
-		*field = value
+		d.Pools[i].Queue = cmp.Or(d.Pools[i].Queue, defaultQueue)
 	}
 }
--- a/entry/choose.go
+++ b/entry/choose.go
@@ -7,6 +7,7 @@
 
 	"github.com/joomcode/errorx"
 
+	"ebonypulley"
 	"ebonypulley/config"
 	"ebonypulley/peer"
 	"ebonypulley/schedule"
@@ -58,7 +59,7 @@
 		if !errorx.IsOfType(err, schedule.ErrNone) || time.Now().After(until) {
 			return p, err
 		}
-		if !pause(ctx, choosePause) {
+		if !ebonypulley.Sleep(ctx, choosePause) {
 			return nil, err
 		}
 	}
@@ -66,18 +67,6 @@
 
 const choosePause = 25 * time.Millisecond
 
-// pause returns false when ctx ended first.
-func pause(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-t.C:
-		return true
-	}
-}
-
 // choose picks an endpoint by the policy of the first pool that has any. The
 // document is the one in force now, not that of the request's arrival, so
 // that a leaving endpoint gets nothing more.
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -166,7 +166,7 @@
 func (e *Entry) awaitDocument(ctx context.Context) {
 	until := time.Now().Add(startWait)
 	for e.ReadyEndpoints() == 0 && time.Now().Before(until) {
-		if !pause(ctx, choosePause) {
+		if !ebonypulley.Sleep(ctx, choosePause) {
 			return
 		}
 	}
--- a/entry/plain.go
+++ b/entry/plain.go
@@ -12,6 +12,7 @@
 	"github.com/joomcode/errorx"
 	"go.uber.org/zap"
 
+	"ebonypulley"
 	"ebonypulley/attempt"
 	"ebonypulley/config"
 	"ebonypulley/event"
@@ -122,7 +123,7 @@
 	case c.key != "":
 		// There is one owner only: nobody else may run the call.
 		soon := time.Since(c.q.began) < min(ownerWait, c.q.tier.MaxWait.D())
-		return soon && pause(ctx, ownerPause)
+		return soon && ebonypulley.Sleep(ctx, ownerPause)
 	default:
 		return refusals < maxRefusals
 	}
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -157,20 +157,11 @@
 			backoff = minBackoff
 		}
 		p.log.Emit(event.LinkLost, zap.Error(err))
-		sleep(ctx, backoff/2+rand.N(backoff))
+		ebonypulley.Sleep(ctx, backoff/2+rand.N(backoff))
 		backoff = min(2*backoff, maxBackoff)
 	}
 }
 
-func sleep(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
-
 // connect dials, greets and serves one connection to its end.
 func (p *Peer) connect(ctx context.Context) error {
 	dialCtx, cancel := context.WithTimeout(ctx, DialTimeout)
--- a/standin/engine.go
+++ b/standin/engine.go
@@ -1,6 +1,7 @@
 package standin
 
 import (
+	"cmp"
 	"context"
 	"net/http"
 	"sync"
@@ -41,22 +42,15 @@
 }
 
 func (s *EngineSettings) setDefaults() {
-	orDefault(&s.Requests, 20)
-	orDefault(&s.StepBase, jsonc.Duration(8*time.Millisecond))
-	orDefault(&s.StepPerRequest, jsonc.Duration(500*time.Microsecond))
-	orDefault(&s.PrefillPerToken, jsonc.Duration(60*time.Microsecond))
-	orDefault(&s.KeepResult, jsonc.Duration(800*time.Millisecond))
-	orDefault(&s.CacheBlocks, 4096)
-	orDefault(&s.EventLag, jsonc.Duration(300*time.Millisecond))
-	orDefault(&s.EventGap, 10)
-	orDefault(&s.LoadLag, jsonc.Duration(200*time.Millisecond))
-}
-
-func orDefault[T comparable](field *T, value T) {
-	var zero T
-	if *field == zero {
-		*field = value
-	}
+	s.Requests = cmp.Or(s.Requests, 20)
+	s.StepBase = cmp.Or(s.StepBase, jsonc.Duration(8*time.Millisecond))
+	s.StepPerRequest = cmp.Or(s.StepPerRequest, jsonc.Duration(500*time.Microsecond))
+	s.PrefillPerToken = cmp.Or(s.PrefillPerToken, jsonc.Duration(60*time.Microsecond))
+	s.KeepResult = cmp.Or(s.KeepResult, jsonc.Duration(800*time.Millisecond))
+	s.CacheBlocks = cmp.Or(s.CacheBlocks, 4096)
+	s.EventLag = cmp.Or(s.EventLag, jsonc.Duration(300*time.Millisecond))
+	s.EventGap = cmp.Or(s.EventGap, 10)
+	s.LoadLag = cmp.Or(s.LoadLag, jsonc.Duration(200*time.Millisecond))
 }
 
 // request is one answer in the making, or just finished.
@@ -231,7 +225,7 @@
 			continue
 		}
 		step := e.set.StepBase.D() + time.Duration(len(batch))*e.set.StepPerRequest.D()
-		if !sleep(ctx, scale(step, e.faults.factor())) {
+		if !ebonypulley.Sleep(ctx, scale(step, e.faults.factor())) {
 			return nil
 		}
 		if e.faults.is(FaultStall) {
@@ -287,7 +281,7 @@
 const housekeepingInterval = 20 * time.Millisecond
 
 func (e *Engine) housekeeping(ctx context.Context) error {
-	for sleep(ctx, housekeepingInterval) {
+	for ebonypulley.Sleep(ctx, housekeepingInterval) {
 		now := time.Now()
 		e.mu.Lock()
 		for id, r := range e.requests {
@@ -327,17 +321,6 @@
 	}
 }
 
-func sleep(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-t.C:
-		return true
-	}
-}
-
 func scale(d time.Duration, factor float64) time.Duration {
 	return time.Duration(float64(d) * factor)
 }
--- a/standin/enginehttp.go
+++ b/standin/enginehttp.go
@@ -10,6 +10,7 @@
 
 	"github.com/gorilla/mux"
 
+	"ebonypulley"
 	"ebonypulley/engine"
 )
 
@@ -202,7 +203,7 @@
 		return http.StatusGone, err
 	}
 	take := time.Duration(float64(x.Bytes) / req.BytesPerSecond * float64(time.Second))
-	if !sleep(ctx, scale(take, e.faults.factor())) {
+	if !ebonypulley.Sleep(ctx, scale(take, e.faults.factor())) {
 		return http.StatusGatewayTimeout, ctx.Err()
 	}
 	gen, err := generatorFrom(x.State)
--- a/standin/plain.go
+++ b/standin/plain.go
@@ -1,6 +1,7 @@
 package standin
 
 import (
+	"cmp"
 	"io"
 	"net/http"
 	"strconv"
@@ -9,6 +10,7 @@
 
 	"github.com/gorilla/mux"
 
+	"ebonypulley"
 	"ebonypulley/jsonc"
 )
 
@@ -34,7 +36,7 @@
 
 // NewPlainService returns a plain service.
 func NewPlainService(set PlainSettings) *PlainService {
-	orDefault(&set.Time, jsonc.Duration(5*time.Millisecond))
+	set.Time = cmp.Or(set.Time, jsonc.Duration(5*time.Millisecond))
 	p := &PlainService{set: set, faults: newFaults(), router: mux.NewRouter(), runs: make(map[string]int)}
 	p.faults.hooks[FaultCrash] = func() {}
 	p.router.Handle("/admin/fault", p.faults).Methods(http.MethodPost)
@@ -89,7 +91,7 @@
 	if err != nil {
 		return
 	}
-	if !p.faults.wait(r.Context(), FaultStall) || !sleep(r.Context(), scale(p.set.Time.D(), p.faults.factor())) {
+	if !p.faults.wait(r.Context(), FaultStall) || !ebonypulley.Sleep(r.Context(), scale(p.set.Time.D(), p.faults.factor())) {
 		return
 	}
 	call := r.Header.Get(CallHeader)
--- a/standin/platform.go
+++ b/standin/platform.go
@@ -10,6 +10,7 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/gorilla/mux"
 
+	"ebonypulley"
 	"ebonypulley/jsonc"
 	"ebonypulley/platform"
 )
@@ -224,7 +225,7 @@
 	s.busy = s.busy.Add(s.take)
 	wait := s.busy.Sub(now)
 	s.mu.Unlock()
-	if sleep(r.Context(), wait) {
+	if ebonypulley.Sleep(r.Context(), wait) {
 		w.WriteHeader(http.StatusNoContent)
 	}
 }
--- a/standin/prefill.go
+++ b/standin/prefill.go
@@ -7,6 +7,7 @@
 	"strconv"
 	"time"
 
+	"ebonypulley"
 	"ebonypulley/engine"
 )
 
@@ -61,7 +62,7 @@
 	e.stats.PrefillTokens += int64(job.tokens - cached)
 	e.stats.CachedTokens += int64(cached)
 	e.mu.Unlock()
-	if !sleep(ctx, scale(work, e.faults.factor())) || life.Err() != nil || job.ctx.Err() != nil {
+	if !ebonypulley.Sleep(ctx, scale(work, e.faults.factor())) || life.Err() != nil || job.ctx.Err() != nil {
 		return
 	}
 	state, err := NewGenerator(job.req.Prompt).state()
