--- a/agent/agent.go
+++ b/agent/agent.go
@@ -65,6 +65,8 @@
 	backlog() int
 	// idle reports whether nothing is left to deliver.
 	idle() bool
+	// pending describes what is left, for the log.
+	pending() string
 }
 
 var _ ebonypulley.Daemon = (*Agent)(nil)
@@ -92,8 +94,10 @@
 	health   health
 	removed  bool
 	draining bool
-	idle     chan struct{}
-	peerSeen time.Time
+	// drainSaid is when DrainWaits was last logged.
+	drainSaid time.Time
+	idle      chan struct{}
+	peerSeen  time.Time
 }
 
 var agentErrors = errorx.NewNamespace("agent")
@@ -175,6 +179,7 @@
 	a.mu.Lock()
 	if !a.draining {
 		a.draining = true
+		a.drainSaid = time.Now()
 		a.log.Emit(event.DrainBegan)
 		a.closeGate()
 		a.tellAll()
@@ -245,12 +250,27 @@
 		a.worker.tick(now)
 	}
 	a.switchRole()
-	if a.draining && a.quiet() {
-		select {
-		case <-a.idle:
-		default:
-			close(a.idle)
+	if a.draining {
+		a.drained(now)
+	}
+}
+
+// drainReport is the pause between two events about a drain that waits.
+const drainReport = 5 * time.Second
+
+// drained ends the drain when nothing is left, and says what is left if not.
+func (a *Agent) drained(now time.Time) {
+	if !a.quiet() {
+		if now.Sub(a.drainSaid) >= drainReport {
+			a.drainSaid = now
+			a.log.Emit(event.DrainWaits, zap.Int("active", a.gate.Active()), zap.Int("waiting", a.gate.Waiting()), zap.String("work", a.worker.pending()))
 		}
+		return
+	}
+	select {
+	case <-a.idle:
+	default:
+		close(a.idle)
 	}
 }
 
--- a/agent/decode.go
+++ b/agent/decode.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"time"
 
 	"go.uber.org/zap"
@@ -326,3 +327,18 @@
 
 // idle reports whether all answers have been delivered.
 func (w *decodeWorker) idle() bool { return len(w.jobs) == 0 }
+
+func (w *decodeWorker) pending() string {
+	running, whole, failed := 0, 0, 0
+	for _, job := range w.jobs {
+		switch {
+		case job.failed != nil:
+			failed++
+		case job.answer.whole():
+			whole++
+		default:
+			running++
+		}
+	}
+	return fmt.Sprintf("answers running %d, whole %d, failed %d", running, whole, failed)
+}
--- a/agent/plain.go
+++ b/agent/plain.go
@@ -101,6 +101,7 @@
 func (w *plainWorker) expired(id wire.ID) { w.server.Expired(time.Now(), id) }
 func (w *plainWorker) tick(now time.Time) { w.server.Tick(now) }
 func (w *plainWorker) backlog() int       { return 0 }
+func (w *plainWorker) pending() string    { return w.server.Pending() }
 func (w *plainWorker) idle() bool         { return w.server.Idle() }
 
 // Reply implements attempt.Effects.
--- a/agent/prefill.go
+++ b/agent/prefill.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"time"
 
 	"go.uber.org/zap"
@@ -266,3 +267,5 @@
 	}
 	return true
 }
+
+func (w *prefillWorker) pending() string { return fmt.Sprintf("prefills and results %d", len(w.jobs)) }
--- a/attempt/server.go
+++ b/attempt/server.go
@@ -1,6 +1,7 @@
 package attempt
 
 import (
+	"fmt"
 	"time"
 
 	"ebonypulley/lease"
@@ -223,3 +224,14 @@
 
 // Idle reports whether all answers have been delivered.
 func (s *Server) Idle() bool { return len(s.calls) == 0 }
+
+// Pending describes the calls that are not delivered yet, for the log.
+func (s *Server) Pending() string {
+	counts := make(map[wire.State]int)
+	for id := range s.calls {
+		state, _, _ := s.table.State(id)
+		counts[state]++
+	}
+	return fmt.Sprintf("calls not started %d, running %d, answered %d, unknown %d",
+		counts[wire.NotRun], counts[wire.Running], counts[wire.Done], counts[wire.Unknown])
+}
--- a/attempt/table_test.go
+++ b/attempt/table_test.go
@@ -56,7 +56,8 @@
 }
 
 // TestTableAgainstHistory drives an agent's attempts through random orders of
-// messages, repeats, restarts of the agent and changes of the owners. A call
+// messages, repeats, restarts of the agent, changes of the owners and callers
+// whose clocks are up to 1.9 s off. A call
 // runs at most once, a key's call at most once over all its attempts and
 // owners' restarts, and what was told "not run" never ran and never will.
 func TestTableAgainstHistory(t *testing.T) {
@@ -82,7 +83,8 @@
 				var key *attempt.Key
 				switch rapid.IntRange(0, 3).Draw(t, "key") {
 				case 0: // a caller mints a new key
-					keys = append(keys, uuid.UUID(mint(now, uint64(1000+len(keys)))).String())
+					skew := time.Duration(rapid.IntRange(-1900, 1900).Draw(t, "skew")) * time.Millisecond
+					keys = append(keys, uuid.UUID(mint(now.Add(skew), uint64(1000+len(keys)))).String())
 					key = &attempt.Key{Workspace: "w", Value: keys[len(keys)-1]}
 				case 1: // a caller repeats an earlier one
 					if len(keys) > 0 {
--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -10,6 +10,7 @@
 	DrainEnded    = define(1004, zap.InfoLevel, "drain ended: nothing is in progress")
 	Paused        = define(1005, zap.WarnLevel, "process was paused")
 	Violation     = define(1006, zap.ErrorLevel, "invariant violated")
+	DrainWaits    = define(1008, zap.InfoLevel, "drain waits for work in progress")
 	PlainTextOpen = define(1007, zap.WarnLevel, "listening without TLS on an address other than loopback")
 )
 
--- a/soak/entry.go
+++ b/soak/entry.go
@@ -95,6 +95,8 @@
 	maxDeadline  = 12 * time.Second
 	spareShare   = 0.3
 	maxQueueWait = 3 * time.Second
+	// maxSkew is how far callers' clocks are off.
+	maxSkew = 1900 * time.Millisecond
 )
 
 // arrive is a caller with a booking.
@@ -125,7 +127,7 @@
 	if len(w.keys) > 0 && w.chance(repeatShare) {
 		return w.keys[w.rnd.IntN(len(w.keys))]
 	}
-	key := uuid.UUID(w.newID()).String()
+	key := uuid.UUID(w.mint(w.now.Add(w.between(-maxSkew, maxSkew)))).String()
 	w.keys = append(w.keys, key)
 	if len(w.keys) > keysKept {
 		w.keys = w.keys[1:]
--- a/soak/world.go
+++ b/soak/world.go
@@ -232,11 +232,14 @@
 
 // newID mints a UUIDv7 of the world's time, so that one seed gives one
 // history.
-func (w *world) newID() wire.ID {
+func (w *world) newID() wire.ID { return w.mint(w.now) }
+
+// mint is newID by a clock that may be off.
+func (w *world) mint(at time.Time) wire.ID {
 	w.minted++
 	var x wire.ID
 	var ms [8]byte
-	binary.BigEndian.PutUint64(ms[:], uint64(w.now.UnixMilli()))
+	binary.BigEndian.PutUint64(ms[:], uint64(at.UnixMilli()))
 	copy(x[:6], ms[2:])
 	binary.BigEndian.PutUint64(x[8:], w.minted)
 	x[6] = 0x70
