Replies go to the entry's latest connection

The new event said: 9 calls granted, not started. The agent had been frozen for 3 s; on waking it found several connections of one entry in its queue, all but the last given up, and greeted them in any order. When the last was not greeted last, replies went to a dead connection: grants were lost, heartbeats on the living connection kept the leases, and calls waited for their deadline. Ruled out: calls hanging at the service; the drain. Change: an entry numbers its connections; an agent replies on the highest. An answer's tokens wait until the entry says on the new connection where it stands. Asking a seed for the document uses an incarnation of its own. Conclusion: whatever has a newest one needs a number from its maker; the order of arrival is none.

--- a/agent/answer.go
+++ b/agent/answer.go
@@ -48,18 +48,22 @@
 // maxChunk is the number of tokens in one chunk.
 const maxChunk = 64
 
-// pump sends what the window allows.
+// pump sends what the window allows. After a change of the connection it waits
+// for the entry to say where it stands, or tokens would be skipped.
 func (w *decodeWorker) pump(job *decodeJob) {
+	if job.stream == nil || w.a.holders[job.holder] != job.stream {
+		return
+	}
 	x := &job.answer
 	limit := min(len(x.tokens), x.acked+peer.Window)
 	for x.sent < limit {
 		to := min(x.sent+maxChunk, limit)
-		job.sess.send(&wire.Chunk{ID: job.id, From: x.sent, Tokens: x.tokens[x.sent:to]})
+		w.a.reply(job.holder, &wire.Chunk{ID: job.id, From: x.sent, Tokens: x.tokens[x.sent:to]})
 		x.sent = to
 	}
 	if x.whole() && x.sent == len(x.tokens) && !x.finished {
 		x.finished = true
-		job.sess.send(&wire.Finish{ID: job.id, Tokens: len(x.tokens), Why: x.why, Load: w.a.load()})
+		w.a.reply(job.holder, &wire.Finish{ID: job.id, Tokens: len(x.tokens), Why: x.why, Load: w.a.load()})
 	}
 }
 
--- a/agent/decode.go
+++ b/agent/decode.go
@@ -27,7 +27,6 @@
 // decodeJob is one attempt on the engine's memory.
 type decodeJob struct {
 	id       wire.ID
-	sess     *session
 	holder   wire.Incarnation
 	model    string
 	deadline time.Time
@@ -36,6 +35,8 @@
 	// ran is closed when the goroutine that speaks to the engine has ended;
 	// nil before Decode.
 	ran chan struct{}
+	// stream is the connection that the entry asked for the answer on.
+	stream *session
 	// leaving: its memory is being freed.
 	leaving bool
 	answer  answer
@@ -67,10 +68,9 @@
 }
 
 func (w *decodeWorker) reserve(s *session, m *wire.Reserve) {
-	if job, ok := w.jobs[m.ID]; ok {
-		job.sess = s
+	if _, ok := w.jobs[m.ID]; ok {
 		if w.a.gate.Holds(m.ID) {
-			s.send(&wire.Granted{ID: m.ID, Load: w.a.load()})
+			w.granted(m.ID)
 		}
 		return
 	}
@@ -93,7 +93,7 @@
 		w.a.refuse(s, m.ID, d.Reason, d.RetryAfter)
 		return
 	}
-	job := &decodeJob{id: m.ID, sess: s, holder: s.holder, model: m.Model, deadline: deadline}
+	job := &decodeJob{id: m.ID, holder: s.holder, model: m.Model, deadline: deadline}
 	job.ctx, job.cancel = context.WithDeadline(w.a.group.Context(), deadline)
 	w.jobs[m.ID] = job
 	if d.Granted {
@@ -103,7 +103,7 @@
 
 func (w *decodeWorker) granted(id wire.ID) {
 	if job, ok := w.jobs[id]; ok {
-		job.sess.send(&wire.Granted{ID: id, Load: w.a.load()})
+		w.a.reply(job.holder, &wire.Granted{ID: id, Load: w.a.load()})
 	}
 }
 
@@ -112,7 +112,7 @@
 	if !ok {
 		return
 	}
-	w.a.refuse(job.sess, id, reason, 0)
+	w.a.reply(job.holder, &wire.Refused{ID: id, Reason: reason, Load: w.a.load()})
 	w.forget(job)
 }
 
@@ -128,11 +128,11 @@
 		s.send(&wire.Failed{ID: m.ID, Reason: wire.LeaseLost, KVAlive: m.KV.Lives > 0, Load: w.a.load()})
 		return
 	}
-	job.sess = s
 	if job.failed != nil {
-		s.send(job.failed)
+		w.a.reply(job.holder, job.failed)
 		return
 	}
+	job.stream = s
 	if job.ran != nil {
 		job.answer.resume(m.Next)
 		w.pump(job)
@@ -253,7 +253,7 @@
 		return
 	}
 	job.failed = &wire.Failed{ID: job.id, Reason: reason, KVAlive: kvAlive, Load: w.a.load()}
-	job.sess.send(job.failed)
+	w.a.reply(job.holder, job.failed)
 	w.free(job, nil)
 }
 
@@ -263,7 +263,7 @@
 		w.a.release(id)
 		return
 	}
-	job.sess.send(&wire.Failed{ID: id, Reason: wire.LeaseLost, Load: w.a.load()})
+	w.a.reply(job.holder, &wire.Failed{ID: id, Reason: wire.LeaseLost, Load: w.a.load()})
 	w.free(job, nil)
 }
 
--- a/agent/plain.go
+++ b/agent/plain.go
@@ -106,10 +106,6 @@
 
 // Reply implements attempt.Effects.
 func (w *plainWorker) Reply(holder wire.Incarnation, m wire.Message) {
-	s := w.a.holders[holder]
-	if s == nil {
-		return
-	}
 	load := w.a.load()
 	switch m := m.(type) {
 	case *wire.Granted:
@@ -119,7 +115,7 @@
 	case *wire.Outcome:
 		m.Load = load
 	}
-	s.send(m)
+	w.a.reply(holder, m)
 }
 
 // Run implements attempt.Effects.
--- a/agent/prefill.go
+++ b/agent/prefill.go
@@ -27,7 +27,7 @@
 type prefillJob struct {
 	id     wire.ID
 	req    *wire.Prefill
-	sess   *session
+	holder wire.Incarnation
 	tokens int
 	ctx    context.Context
 	cancel context.CancelFunc
@@ -60,9 +60,8 @@
 
 func (w *prefillWorker) prefill(s *session, m *wire.Prefill) {
 	if job, ok := w.jobs[m.ID]; ok {
-		job.sess = s
 		if job.reply != nil {
-			s.send(job.fresh(time.Now()))
+			w.a.reply(job.holder, job.fresh(time.Now()))
 		}
 		return
 	}
@@ -84,7 +83,7 @@
 		w.a.refuse(s, m.ID, d.Reason, d.RetryAfter)
 		return
 	}
-	job := &prefillJob{id: m.ID, req: m, sess: s, tokens: engine.CountTokens(m.Prompt)}
+	job := &prefillJob{id: m.ID, req: m, holder: s.holder, tokens: engine.CountTokens(m.Prompt)}
 	job.ctx, job.cancel = context.WithCancel(w.a.group.Context())
 	w.jobs[m.ID] = job
 	w.tokens += job.tokens
@@ -125,7 +124,7 @@
 		job.handle = out.KV.RemoteHandle
 		job.reply = w.prefilled(job, out)
 	}
-	job.sess.send(job.fresh(now))
+	w.a.reply(job.holder, job.fresh(now))
 }
 
 // compute runs the prefill, on a second connection if the first brings
@@ -193,7 +192,7 @@
 	if !ok {
 		return
 	}
-	w.a.refuse(job.sess, id, reason, 0)
+	w.a.reply(job.holder, &wire.Refused{ID: id, Reason: reason, Load: w.a.load()})
 	w.tokens -= job.tokens
 	job.cancel()
 	delete(w.jobs, id)
--- a/agent/session.go
+++ b/agent/session.go
@@ -16,6 +16,7 @@
 type session struct {
 	conn   *wire.Conn
 	holder wire.Incarnation
+	number uint64 // among the holder's connections
 	name   string
 	pushed config.Version
 }
@@ -62,8 +63,9 @@
 	}
 	s.name = h.Name
 	s.holder = h.Incarnation
+	s.number = h.Connection
 	a.sessions[s] = struct{}{}
-	a.holders[s.holder] = s
+	a.register(s)
 	v := a.store.Version()
 	s.send(&wire.Hello{
 		Version:     wire.Version,
@@ -80,6 +82,29 @@
 	return true
 }
 
+// register makes s the connection that its holder's replies go to, unless a
+// later one is.
+//
+// Failure guarded against: an agent that was paused finds several connections
+// of one entry in its queue, all but the last given up by then, and greets
+// them in any order. It shows as replies that go to a dead connection: calls
+// granted but never started, until their deadline. The guard holds because
+// the entry numbers its connections.
+func (a *Agent) register(s *session) {
+	old := a.holders[s.holder]
+	if old == nil || s.number > old.number {
+		a.holders[s.holder] = s
+	}
+}
+
+// reply sends to an entry on its latest connection. Without one the message
+// is lost, and the entry repeats its request when it has connected.
+func (a *Agent) reply(holder wire.Incarnation, m wire.Message) {
+	if s := a.holders[holder]; s != nil {
+		s.send(m)
+	}
+}
+
 func (a *Agent) renew(s *session) {
 	a.peerSeen = time.Now()
 	if a.gate != nil {
--- a/fleet/gate_test.go
+++ b/fleet/gate_test.go
@@ -22,7 +22,10 @@
 	in   chan wire.Message
 }
 
-func (s *sim) stale(agent string) *staleEntry {
+func (s *sim) stale(agent string) *staleEntry { return s.connect(agent, wire.NewID(), 1) }
+
+// connect opens a numbered connection of an entry's incarnation.
+func (s *sim) connect(agent string, inc wire.Incarnation, number uint64) *staleEntry {
 	addr := ""
 	for _, a := range s.Plan.Agents {
 		if a.Name == agent {
@@ -33,7 +36,7 @@
 	require.NoError(s.t, err)
 	e := &staleEntry{s: s, conn: wire.NewConn(nc), in: make(chan wire.Message, 100)}
 	go func() { _ = e.conn.Serve(context.Background(), func(m wire.Message) { e.in <- m }) }()
-	e.send(&wire.Hello{Version: wire.Version, Role: "entry", Name: "stale-entry", Incarnation: wire.NewID(), Generation: 99})
+	e.send(&wire.Hello{Version: wire.Version, Role: "entry", Name: "stale-entry", Incarnation: inc, Connection: number, Generation: 99})
 	return e
 }
 
@@ -188,6 +191,32 @@
 	})
 }
 
+// Story: an agent wakes from a pause and finds two connections of one entry,
+// the first given up long ago. It happens to greet the later one first. The
+// replies must go to the later one all the same, or the entry waits for its
+// grants until the deadline, and a drain of the agent waits with it.
+func TestRepliesGoToTheLatestConnection(t *testing.T) {
+	simulate(t, func(s *sim) {
+		for _, name := range []string{app, decode} {
+			inc := wire.NewID()
+			later := s.connect(name, inc, 2)
+			time.Sleep(100 * time.Millisecond)
+			earlier := s.connect(name, inc, 1)
+			time.Sleep(100 * time.Millisecond)
+			earlier.conn.Close()
+			time.Sleep(100 * time.Millisecond)
+			if name == app {
+				later.send(s.offer(app))
+			} else {
+				later.send(&wire.Reserve{ID: wire.NewID(), Tokens: 10, Deadline: time.Minute, Model: "drafting"})
+			}
+			_, ok := later.answer().(*wire.Granted)
+			assert.True(t, ok, name)
+			later.conn.Close()
+		}
+	})
+}
+
 // Story: garbage, and a peer that is not one, reach an agent's port. They are
 // shown the door; the agent serves on.
 func TestAgentPortTakesGarbage(t *testing.T) {
--- a/peer/fetch.go
+++ b/peer/fetch.go
@@ -24,11 +24,13 @@
 	}
 	conn := wire.NewConn(nc)
 	_ = conn.Send(&wire.Hello{
-		Version:     wire.Version,
-		Role:        "entry",
-		Name:        self.Name,
-		DataCentre:  self.DataCentre,
-		Incarnation: self.Incarnation,
+		Version:    wire.Version,
+		Role:       "entry",
+		Name:       self.Name,
+		DataCentre: self.DataCentre,
+		// An incarnation of its own: this connection is not one of those
+		// that carry the entry's attempts.
+		Incarnation: wire.NewID(),
 	})
 	var text []byte
 	err = conn.Serve(ctx, func(m wire.Message) {
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -49,6 +49,8 @@
 	dial     ebonypulley.Dialer
 	stop     context.CancelFunc
 	freed    func(time.Duration)
+	// connections counts those made; used by run only.
+	connections uint64
 
 	mu      sync.Mutex
 	conn    *wire.Conn
@@ -174,6 +176,7 @@
 	ctx, stop := context.WithCancel(ctx)
 	defer stop()
 	go p.beat(ctx, conn)
+	p.connections++
 	v := p.store.Version()
 	_ = conn.Send(&wire.Hello{
 		Version:     wire.Version,
@@ -181,6 +184,7 @@
 		Name:        p.self.Name,
 		DataCentre:  p.self.DataCentre,
 		Incarnation: p.self.Incarnation,
+		Connection:  p.connections,
 		Generation:  v.Generation,
 		Digest:      v.Digest,
 	})
--- a/wire/message.go
+++ b/wire/message.go
@@ -76,8 +76,10 @@
 	Name        string
 	DataCentre  string
 	Incarnation Incarnation
-	Generation  uint64
-	Digest      uint64
+	// Connection counts the dialling side's connections to this peer.
+	Connection uint64
+	Generation uint64
+	Digest     uint64
 }
 
 // Load is an agent's word about its endpoint; it rides on every reply.
