Leases lost to a pause of the entry are not counted as retries

Cause: after a freeze of 5 s an entry's drafts had all lost their leases; its retry budget covered some of them, and one paid draft of 3,694 requests was given up although every endpoint was well. Change: two lost leases a request are free; other lost attempts still draw on the budget. Conclusion: the budget is against outages of endpoints, which a lost lease is no sign of.

--- a/entry/completion.go
+++ b/entry/completion.go
@@ -58,9 +58,11 @@
 	triedDecode map[string]bool
 	triedPre    map[string]bool
 	// kept is a result whose transfer was cut in time.
-	kept      *result
-	attempts  int
-	lastToken time.Time
+	kept *result
+	// leasesLost counts the leases that ended under this request.
+	leasesLost int
+	attempts   int
+	lastToken  time.Time
 }
 
 func (q *request) newGeneration(c *completionRequest, chat bool) (*generation, *failure) {
@@ -127,7 +129,7 @@
 			g.giveUp(err)
 			return
 		default:
-			if !g.mayContinue(before) {
+			if !g.mayContinue(before, err) {
 				g.giveUp(err)
 				return
 			}
@@ -150,10 +152,23 @@
 // brought tokens is continued freely, because each continuation then makes
 // progress, and so is one whose prefill result still lives, because it costs
 // no prefill; others draw on the retry budget.
-func (g *generation) mayContinue(before int) bool {
-	return len(g.delivered) > before || g.kept != nil || g.q.e.retries.Retry()
+//
+// A lease that ended because this entry was paused or cut off is no sign of an
+// outage, and all requests in progress lose theirs at once; a few such losses
+// are free, or drafts would be lost for want of budget.
+func (g *generation) mayContinue(before int, err error) bool {
+	if len(g.delivered) > before || g.kept != nil {
+		return true
+	}
+	if reason, _ := refusal(err); reason == wire.LeaseLost && g.leasesLost < freeLeaseLosses {
+		g.leasesLost++
+		return true
+	}
+	return g.q.e.retries.Retry()
 }
 
+const freeLeaseLosses = 2
+
 var errCaller = entryErrors.NewType("caller")
 
 func isCallerError(err error) bool { return errorx.IsOfType(err, errCaller) }
@@ -378,7 +393,7 @@
 			if !kv.alive {
 				g.wastedSince(base, kv)
 			}
-			return errLost.New("%s: %s", x.endpoint(), m.Reason)
+			return errLost.New("%s: %s", x.endpoint(), m.Reason).WithProperty(reasonProperty, m.Reason)
 		case *wire.Refused:
 			g.wastedSince(base, kv)
 			return refusedError(x.endpoint(), m)
--- a/entry/deliver_test.go
+++ b/entry/deliver_test.go
@@ -23,6 +23,25 @@
 func (s *listSink) begun() bool                      { return len(s.seen) > 0 }
 func (s *listSink) breakOff(*failure)                {}
 
+// Story: an entry sleeps for five seconds with many drafts under way, all of
+// whose leases end. Its retry budget is far too small for them; the drafts are
+// begun again all the same, a few times each, while attempts that an endpoint
+// lost still draw on the budget.
+func TestLostLeasesAreNotRetries(t *testing.T) {
+	e := New(Settings{Name: "e"}, event.Nop(), nil)
+	for e.retries.Retry() {
+		continue
+	}
+	g := &generation{q: &request{e: e}}
+	lease := errLost.New("lease").WithProperty(reasonProperty, wire.LeaseLost)
+	engine := errLost.New("engine").WithProperty(reasonProperty, wire.EngineLost)
+	assert.False(t, g.mayContinue(0, engine))
+	for range freeLeaseLosses {
+		assert.True(t, g.mayContinue(0, lease))
+	}
+	assert.False(t, g.mayContinue(0, lease))
+}
+
 // Story: connections are replaced in the middle of an answer; chunks of the
 // old and the new one arrive late, again and with overlaps. The caller sees
 // each token once and in order.
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -106,8 +106,8 @@
 	return agent.Settings{
 		Name:          "alm-a-decode-1",
 		DataCentre:    "alm-a",
-		Listen:        "127.10.1.30:7100",
-		Debug:         "127.10.1.30:7101",
+		Listen:        "127.10.1.31:7100",
+		Debug:         "127.10.1.31:7101",
 		ConfigService: "http://127.10.0.1:7001",
 	}
 }
@@ -127,7 +127,7 @@
 
 // DefaultStandin returns the settings of a stand-in with their defaults.
 func DefaultStandin() standin.Settings {
-	return standin.Settings{Kind: standin.KindEngine, Listen: "127.10.1.30:8000"}
+	return standin.Settings{Kind: standin.KindEngine, Listen: "127.10.1.31:8000"}
 }
 
 // Standin reads the settings of a stand-in.
