--- a/fleet/answer_test.go
+++ b/fleet/answer_test.go
@@ -214,12 +214,16 @@
 		for range 10 {
 			whole(t, s.draft(load.DraftSpec{}))
 		}
+		time.Sleep(time.Second) // what the drafts held is freed on those connections
 		for _, name := range []string{"alm-a-prefill-1", "alm-b-prefill-1"} {
 			s.net.Silence(name, name+"-engine")
 		}
-		began := time.Now()
-		whole(t, s.draft(load.DraftSpec{}))
-		assert.Less(t, time.Since(began), 4*time.Second)
+		for range 6 { // both engines get some
+			began := time.Now()
+			whole(t, s.draft(load.DraftSpec{}))
+			assert.Less(t, time.Since(began), 4*time.Second)
+			time.Sleep(time.Second)
+		}
 		assert.Zero(t, s.count("continued"), "no retry is spent on a connection")
 	})
 }
