Random failures: one way to replace a process; what overlaps is said

Cause: four cases took a process down and started its successor in the same way, each written out; the page claimed pairs of all failures.

--- a/fleet/random_test.go
+++ b/fleet/random_test.go
@@ -61,7 +61,8 @@
 		c.note("silence %s and its endpoint", a)
 		c.net.Silence(a, a+"-engine")
 	case 3:
-		c.replaceAgent(c.agent())
+		a := c.agent()
+		c.replace("crash", a, func() { c.crash(a); c.rest() }, c.StartAgent)
 	case 4:
 		c.engineFault()
 	case 5:
@@ -76,46 +77,21 @@
 		c.Config.Fault(standin.Fault{Kind: kind, For: jsonc.Duration(c.span(5 * time.Second))})
 	case 7:
 		a := c.agent()
-		if c.down[a] {
-			return
+		c.replace("drain", a, func() { assert.NoError(c.t, c.Drain(c.t.Context(), a)) }, c.StartAgent)
+	case 8:
+		if p, ok := c.Services[c.engine()]; ok {
+			c.note("a service cuts its answers")
+			p.Fault(standin.Fault{Kind: standin.FaultNoAnswer, For: jsonc.Duration(c.span(time.Second))})
 		}
-		c.down[a] = true
-		c.note("drain %s", a)
-		assert.NoError(c.t, c.Drain(c.t.Context(), a))
-		c.StartAgent(a)
-		c.down[a] = false
 	case 9:
 		e := c.entry(c.rnd.IntN(2))
-		if c.down[e] {
-			return
-		}
-		c.down[e] = true
-		c.note("entry %s dies", e)
-		c.crash(e)
-		time.Sleep(c.span(3 * time.Second))
-		c.StartEntry(e)
-		c.down[e] = false
+		c.replace("crash", e, func() { c.crash(e); c.rest() }, c.StartEntry)
 	case 10:
 		e := c.entry(c.rnd.IntN(2))
-		if c.down[e] {
-			return
-		}
-		c.down[e] = true
-		c.note("entry %s drains", e)
-		assert.NoError(c.t, c.Drain(c.t.Context(), e))
-		c.StartEntry(e)
-		c.down[e] = false
+		c.replace("drain", e, func() { assert.NoError(c.t, c.Drain(c.t.Context(), e)) }, c.StartEntry)
 	case 11:
 		a := c.agent()
-		if c.down[a] {
-			return
-		}
-		c.down[a] = true
-		c.note("VM of %s loses power", a)
-		c.powerCut(a)
-		time.Sleep(c.span(3 * time.Second))
-		c.StartAgent(a)
-		c.down[a] = false
+		c.replace("power cut", a, func() { c.powerCut(a); c.rest() }, c.StartAgent)
 	case 12:
 		c.generation++
 		a := c.agent()
@@ -124,26 +100,23 @@
 		time.Sleep(c.span(3 * time.Second))
 		c.generation++
 		c.publish(c.generation, func(*config.Document) {})
-	case 8:
-		if p, ok := c.Services[c.engine()]; ok {
-			c.note("a service cuts its answers")
-			p.Fault(standin.Fault{Kind: standin.FaultNoAnswer, For: jsonc.Duration(c.span(time.Second))})
-		}
 	}
 }
 
-func (c *chaos) replaceAgent(a string) {
-	if c.down[a] {
+// replace takes a process down and starts its successor, unless it is down.
+func (c *chaos) replace(how, name string, down func(), start func(string)) {
+	if c.down[name] {
 		return
 	}
-	c.down[a] = true
-	c.note("crash %s", a)
-	c.crash(a)
-	time.Sleep(c.span(3 * time.Second))
-	c.StartAgent(a)
-	c.down[a] = false
+	c.down[name] = true
+	c.note("%s %s", how, name)
+	down()
+	start(name)
+	c.down[name] = false
 }
 
+func (c *chaos) rest() { time.Sleep(c.span(3 * time.Second)) }
+
 func (c *chaos) engineFault() {
 	name := c.engine()
 	kinds := []standin.FaultKind{standin.FaultCrash, standin.FaultSilent, standin.FaultStall, standin.FaultSlow, standin.FaultTransfer}
@@ -154,8 +127,8 @@
 	}
 }
 
-// TestRandomFailures runs the real daemons under random failures, alone, in
-// pairs and again, with mixed load. Whatever happens: no call runs twice,
+// TestRandomFailures runs the real daemons under random failures with mixed
+// load; those that last overlap with the others. Whatever happens: no call runs twice,
 // "not run" is true, whole answers are right, no invariant is violated, and
 // when all is well again the engines' memory is free and requests are served.
 func TestRandomFailures(t *testing.T) {
