Random failures at the same time

Cause: the two failures of a pair came one after the other when one of them took a process down or parted the network. Change: they run side by side; a fleet's processes can be started, killed and drained from several goroutines.

--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"os"
+	"sync"
 	"time"
 
 	"github.com/joomcode/errorx"
@@ -33,7 +34,9 @@
 // Dialer implements Network.
 func (TCP) Dialer(string) ebonypulley.Dialer { return nil }
 
-// Fleet is a whole deployment in one process.
+// Fleet is a whole deployment in one process. Processes may be started,
+// killed and drained from several goroutines; the maps may be read while none
+// is started.
 type Fleet struct {
 	Plan     *Plan
 	Config   *standin.ConfigService
@@ -44,6 +47,7 @@
 	net      Network
 	group    *ebonypulley.Group
 	log      *event.Log
+	mu       sync.Mutex // guards Agents, Entries and running
 	running  map[string]*process
 }
 
@@ -133,7 +137,9 @@
 func (f *Fleet) run(name, addr string, serve func(ctx context.Context, ln net.Listener) error) {
 	ctx, stop := context.WithCancel(f.group.Context())
 	p := &process{stop: stop, ended: make(chan struct{})}
+	f.mu.Lock()
 	f.running[name] = p
+	f.mu.Unlock()
 	f.group.Go(func(context.Context) error {
 		defer close(p.ended)
 		ln, err := f.net.Listen(name, addr)
@@ -151,20 +157,33 @@
 // Kill ends a process at once, without a drain. Its connections end as its
 // network ends them.
 func (f *Fleet) Kill(name string) {
-	f.running[name].stop()
-	<-f.running[name].ended
+	p := f.process(name)
+	p.stop()
+	<-p.ended
 }
 
-// Drain lets an agent or entry finish and waits for the end of its process.
-func (f *Fleet) Drain(ctx context.Context, name string) error {
-	var d ebonypulley.Daemon = f.Entries[name]
+func (f *Fleet) process(name string) *process {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.running[name]
+}
+
+func (f *Fleet) daemon(name string) ebonypulley.Daemon {
+	f.mu.Lock()
+	defer f.mu.Unlock()
 	if a, ok := f.Agents[name]; ok {
-		d = a
+		return a
 	}
-	if err := d.Drain(ctx); err != nil {
+	return f.Entries[name]
+}
+
+// Drain lets an agent or entry finish and waits for the end of its process.
+func (f *Fleet) Drain(ctx context.Context, name string) error {
+	p := f.process(name)
+	if err := f.daemon(name).Drain(ctx); err != nil {
 		return err
 	}
-	<-f.running[name].ended
+	<-p.ended
 	return nil
 }
 
@@ -193,7 +212,9 @@
 	for _, s := range f.Plan.Agents {
 		if s.Name == name {
 			a := agent.New(s, f.log, f.net.Dialer(name))
+			f.mu.Lock()
 			f.Agents[name] = a
+			f.mu.Unlock()
 			f.run(name, s.Listen, a.Serve)
 		}
 	}
@@ -204,7 +225,9 @@
 	for _, s := range f.Plan.Entries {
 		if s.Name == name {
 			e := entry.New(s, f.log, f.net.Dialer(name))
+			f.mu.Lock()
 			f.Entries[name] = e
+			f.mu.Unlock()
 			f.run(name, s.Listen, e.Serve)
 		}
 	}
--- a/fleet/random_test.go
+++ b/fleet/random_test.go
@@ -5,6 +5,7 @@
 	"flag"
 	"fmt"
 	"math/rand/v2"
+	"sync"
 	"testing"
 	"time"
 
@@ -22,14 +23,55 @@
 // chaos brings random failures about in a fleet.
 type chaos struct {
 	*sim
-	rnd  *rand.Rand
+	rnd *rand.Rand
+	*chaosState
+}
+
+// chaosState is what failures that happen together share.
+type chaosState struct {
+	mu   sync.Mutex
 	log  []string
 	down map[string]bool
 	// generation is the last one published.
 	generation uint64
 }
 
+// take marks a process as down, unless it is.
+func (c *chaosState) take(name string) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	taken := !c.down[name]
+	c.down[name] = true
+	return taken
+}
+
+func (c *chaosState) back(name string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.down[name] = false
+}
+
+// next returns a generation that was not published yet.
+func (c *chaosState) next() uint64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.generation++
+	return c.generation
+}
+
+// together brings one failure about, or two at the same time.
+func (c *chaos) together() {
+	var wg sync.WaitGroup
+	for range 1 + c.rnd.IntN(2) {
+		one := &chaos{sim: c.sim, rnd: rand.New(rand.NewPCG(c.rnd.Uint64(), 4)), chaosState: c.chaosState}
+		wg.Go(one.fault)
+	}
+	wg.Wait()
+}
+
 func (c *chaos) note(format string, args ...any) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
 	c.log = append(c.log, fmt.Sprintf(format, args...))
 }
 
@@ -93,26 +135,23 @@
 		a := c.agent()
 		c.replace("power cut", a, func() { c.powerCut(a); c.rest() }, c.StartAgent)
 	case 12:
-		c.generation++
-		a := c.agent()
-		c.note("generation %d has no %s", c.generation, a)
-		c.publish(c.generation, without(a))
-		time.Sleep(c.span(3 * time.Second))
-		c.generation++
-		c.publish(c.generation, func(*config.Document) {})
+		a, generation := c.agent(), c.next()
+		c.note("generation %d has no %s", generation, a)
+		c.publish(generation, without(a))
+		c.rest()
+		c.publish(c.next(), func(*config.Document) {})
 	}
 }
 
 // replace takes a process down and starts its successor, unless it is down.
 func (c *chaos) replace(how, name string, down func(), start func(string)) {
-	if c.down[name] {
+	if !c.take(name) {
 		return
 	}
-	c.down[name] = true
+	defer c.back(name)
 	c.note("%s %s", how, name)
 	down()
 	start(name)
-	c.down[name] = false
 }
 
 func (c *chaos) rest() { time.Sleep(c.span(3 * time.Second)) }
@@ -127,15 +166,15 @@
 	}
 }
 
-// TestRandomFailures runs the real daemons under random failures with mixed
-// load; those that last overlap with the others. Whatever happens: no call runs twice,
+// TestRandomFailures runs the real daemons under random failures, alone and
+// two at the same time, with mixed load. Whatever happens: no call runs twice,
 // "not run" is true, whole answers are right, no invariant is violated, and
 // when all is well again the engines' memory is free and requests are served.
 func TestRandomFailures(t *testing.T) {
 	for seed := range *chaosSeeds {
 		t.Run(fmt.Sprintf("seed=%d", seed), func(t *testing.T) {
 			simulate(t, func(s *sim) {
-				c := &chaos{sim: s, rnd: rand.New(rand.NewPCG(seed, 3)), down: make(map[string]bool), generation: 1}
+				c := &chaos{sim: s, rnd: rand.New(rand.NewPCG(seed, 3)), chaosState: &chaosState{down: make(map[string]bool), generation: 1}}
 				mix := load.Mix{Caller: s.caller, PaidKey: paidKey, TrialKey: trialKey, Rate: 15, For: 12 * time.Second, Seed: seed}
 				done := make(chan struct{})
 				var sum load.Summary
@@ -147,10 +186,7 @@
 					sum, results, _ = mix.Run(ctx, load.Targets{TTFT: time.Second, TBT: 71 * time.Millisecond})
 				}()
 				for range 8 {
-					c.fault()
-					if c.rnd.IntN(2) == 0 {
-						c.fault()
-					}
+					c.together()
 					time.Sleep(c.span(2 * time.Second))
 				}
 				<-done
@@ -162,9 +198,10 @@
 				assert.Zero(t, sum.Duplicates)
 				assert.Zero(t, sum.FalseNotRun)
 				assert.Zero(t, s.Held(), "memory is still held")
-				c.publish(c.generation+1, func(*config.Document) {})
+				last := c.next()
+				c.publish(last, func(*config.Document) {})
 				time.Sleep(inForce)
-				s.allAt(c.generation + 1)
+				s.allAt(last)
 				whole(t, s.draft(load.DraftSpec{}))
 				whole(t, s.book(load.CallSpec{}))
 				if t.Failed() {
