Read once more: a first token that waited, guards without a failing test

Cause: on rereading, the decode agent told the prefill engine that it has the result before it began to generate, and waited for the answer; with a silent connection there the first token came 1.03 s late, over the target of 1 s.

--- a/agent/decode.go
+++ b/agent/decode.go
@@ -226,7 +226,8 @@
 		BytesPerSecond: plan.rate,
 	})
 	if err == nil {
-		w.dropSource(m.KV)
+		// Beside the answer: its first token must not wait for this.
+		w.a.spawn(func() { w.dropSource(m.KV) })
 		return "", false
 	}
 	alive := time.Now().Before(plan.expiry)
--- a/fleet/answer_test.go
+++ b/fleet/answer_test.go
@@ -227,3 +227,22 @@
 		assert.Zero(t, s.count("continued"), "no retry is spent on a connection")
 	})
 }
+
+// Story: the connection on which a decode agent tells a prefill engine that it
+// has the result went silent. Nobody needs that answer: the first token must
+// not wait for it.
+func TestFirstTokenDoesNotWaitForTheDrop(t *testing.T) {
+	simulate(t, func(s *sim) {
+		for range 6 {
+			whole(t, s.draft(load.DraftSpec{}))
+		}
+		time.Sleep(time.Second) // the connections are idle
+		for _, d := range []string{"alm-a-decode-1", "alm-b-decode-1"} {
+			s.net.Silence(d, "alm-a-prefill-1-engine")
+			s.net.Silence(d, "alm-b-prefill-1-engine")
+		}
+		res := s.draft(load.DraftSpec{Stream: true})
+		whole(t, res)
+		assert.Less(t, res.TTFT, 500*time.Millisecond)
+	})
+}
--- a/fleet/change_test.go
+++ b/fleet/change_test.go
@@ -13,6 +13,7 @@
 
 	"ebonypulley/config"
 	"ebonypulley/entry"
+	"ebonypulley/fleet"
 	"ebonypulley/load"
 	"ebonypulley/standin"
 )
@@ -317,3 +318,40 @@
 		assert.Equal(t, http.StatusUnauthorized, s.draft(load.DraftSpec{}).Status)
 	})
 }
+
+// Story: an entry has just lost all its connections, as after a pause, and
+// dials them again. Requests that come in these milliseconds are served.
+func TestNoEndpointForAMoment(t *testing.T) {
+	simulate(t, func(s *sim) {
+		s.only(0)
+		cutAll := func() {
+			for name := range kept {
+				s.net.Cut(s.entry(0), name)
+			}
+		}
+		cutAll()
+		whole(t, s.draft(load.DraftSpec{}))
+		cutAll()
+		whole(t, s.book(load.CallSpec{}))
+	})
+}
+
+// Story: an entry drains. Callers that still use their kept connections get
+// their answer, and are told to open another one next time: none is left for
+// the server to close under a request.
+func TestDrainingEntryClosesConnections(t *testing.T) {
+	simulate(t, func(s *sim) {
+		drained := make(chan error, 1)
+		go func() { drained <- s.Drain(s.t.Context(), s.entry(0)) }()
+		time.Sleep(time.Second)
+		req, err := http.NewRequestWithContext(s.t.Context(), http.MethodGet, fleet.URLs(s.Plan.Document)[0]+"/v1/models", nil)
+		require.NoError(t, err)
+		req.Header.Set("Authorization", "Bearer "+paidKey)
+		resp, err := s.client.Do(req)
+		require.NoError(t, err)
+		assert.Equal(t, http.StatusOK, resp.StatusCode)
+		assert.True(t, resp.Close)
+		require.NoError(t, resp.Body.Close())
+		require.NoError(t, <-drained)
+	})
+}
