--- a/agent/answer.go
+++ b/agent/answer.go
@@ -112,7 +112,7 @@
 		if failures > streamTries {
 			return err
 		}
-		w.a.log.Emit(event.StreamReplaced, zap.Stringer("attempt", job.id), zap.Error(err))
+		w.a.log.Emit(event.StreamReplaced, zap.Stringer("attempt", job.id), event.Err(err))
 		w.engine.Close()
 		ebonypulley.Sleep(job.ctx, streamPause)
 	}
--- a/agent/config.go
+++ b/agent/config.go
@@ -10,7 +10,7 @@
 	"ebonypulley/config"
 	"ebonypulley/event"
 	"ebonypulley/lease"
-	"ebonypulley/platform"
+	"ebonypulley/source"
 )
 
 // peerSilence is after how long without any entry the agent reads the
@@ -21,7 +21,7 @@
 // connected. Normally entries bring the document, so that the service does
 // not see thousands of agents.
 func (a *Agent) watchService(ctx context.Context) error {
-	w := platform.Watcher{
+	w := source.Watcher{
 		URL:   a.set.ConfigService,
 		Store: a.store,
 		Log:   a.log,
--- a/agent/decode.go
+++ b/agent/decode.go
@@ -202,7 +202,7 @@
 		return
 	}
 	if err != nil {
-		w.a.log.Emit(event.AttemptLost, zap.Stringer("attempt", job.id), zap.Error(err))
+		w.a.log.Emit(event.AttemptLost, zap.Stringer("attempt", job.id), event.Err(err))
 		w.fail(job, wire.EngineLost, false)
 		return
 	}
--- a/agent/health.go
+++ b/agent/health.go
@@ -121,7 +121,7 @@
 		h.failed++
 		if h.failed >= downAfter && !h.down {
 			h.down = true
-			a.log.Emit(event.EndpointDown, zap.Error(err))
+			a.log.Emit(event.EndpointDown, event.Err(err))
 			a.tellAll()
 		}
 		return
@@ -183,7 +183,7 @@
 	}
 	order := engine.Order{Fence: a.fence, Model: want.Model, Role: want.Role}
 	if err := client.Order(ctx, order); err != nil {
-		a.log.Emit(event.OrderRefused, zap.Error(err))
+		a.log.Emit(event.OrderRefused, event.Err(err))
 		return err
 	}
 	a.log.Emit(event.OrderGiven, zap.String("model", want.Model), zap.String("role", want.Role))
--- a/agent/plain.go
+++ b/agent/plain.go
@@ -132,7 +132,7 @@
 	w.running[offer.ID]()
 	delete(w.running, offer.ID)
 	if err != nil {
-		w.a.log.Emit(event.AttemptLost, zap.Stringer("attempt", offer.ID), zap.Error(err))
+		w.a.log.Emit(event.AttemptLost, zap.Stringer("attempt", offer.ID), event.Err(err))
 		w.server.Ended(offer.ID, nil, sent)
 		return
 	}
--- a/agent/prefill.go
+++ b/agent/prefill.go
@@ -116,7 +116,7 @@
 	w.a.release(job.id)
 	if err != nil {
 		if job.ctx.Err() == nil {
-			w.a.log.Emit(event.AttemptLost, zap.Stringer("attempt", job.id), zap.Error(err))
+			w.a.log.Emit(event.AttemptLost, zap.Stringer("attempt", job.id), event.Err(err))
 		}
 		job.reply = &wire.Failed{ID: job.id, Reason: wire.EngineLost, Load: w.a.load()}
 	} else {
@@ -154,7 +154,7 @@
 		if !late {
 			break
 		}
-		w.a.log.Emit(event.StreamReplaced, zap.Stringer("attempt", job.id), zap.Error(err))
+		w.a.log.Emit(event.StreamReplaced, zap.Stringer("attempt", job.id), event.Err(err))
 		w.pace.slower()
 		w.engine.Close()
 	}
--- a/agent/session.go
+++ b/agent/session.go
@@ -41,7 +41,7 @@
 		a.handle(s, m)
 	})
 	if wireFault(err) {
-		a.log.Emit(event.PeerRefused, zap.String("remote", s.conn.Remote()), zap.Error(err))
+		a.log.Emit(event.PeerRefused, zap.String("remote", s.conn.Remote()), event.Err(err))
 	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
--- a/cmd/ebonypulley/main.go
+++ b/cmd/ebonypulley/main.go
@@ -49,6 +49,7 @@
 		Commands: []*cli.Command{
 			entryCommand(),
 			agentCommand(),
+			platformCommand(),
 			standinCommand(),
 			checkCommand(),
 			planCommand(),
--- a/entry/completion.go
+++ b/entry/completion.go
@@ -134,7 +134,7 @@
 				return
 			}
 			g.q.e.metrics.Add("continued", 1)
-			g.q.e.log.Emit(event.RequestContinued, zap.Stringer("request", g.q.id), zap.Int("delivered", len(g.delivered)), zap.Error(err))
+			g.q.e.log.Emit(event.RequestContinued, zap.Stringer("request", g.q.id), zap.Int("delivered", len(g.delivered)), event.Err(err))
 			refusals = 0
 		}
 	}
@@ -182,7 +182,7 @@
 	}
 	if g.sink.begun() {
 		q.e.metrics.Add("broken_off", 1)
-		q.e.log.Emit(event.AnswerBroken, zap.Stringer("request", q.id), zap.Error(err))
+		q.e.log.Emit(event.AnswerBroken, zap.Stringer("request", q.id), event.Err(err))
 	}
 	g.sink.breakOff(g.failureOf(err))
 }
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -22,7 +22,7 @@
 	"ebonypulley/membership"
 	"ebonypulley/metrics"
 	"ebonypulley/peer"
-	"ebonypulley/platform"
+	"ebonypulley/source"
 	"ebonypulley/wire"
 )
 
@@ -194,7 +194,7 @@
 		addr := e.set.Seeds[i%len(e.set.Seeds)]
 		text, err := peer.Fetch(ctx, e.self, e.dial, addr)
 		if err != nil {
-			e.log.Emit(event.SeedSilent, zap.String("seed", addr), zap.Error(err))
+			e.log.Emit(event.SeedSilent, zap.String("seed", addr), event.Err(err))
 			continue
 		}
 		verdict, findings := e.store.Offer("seed "+addr, text)
@@ -205,11 +205,11 @@
 func (e *Entry) watchPlatform() {
 	client := e.dial.HTTPClient(false)
 	if e.set.ConfigService != "" {
-		w := platform.Watcher{URL: e.set.ConfigService, Store: e.store, Log: e.log, HTTP: client}
+		w := source.Watcher{URL: e.set.ConfigService, Store: e.store, Log: e.log, HTTP: client}
 		e.group.Go(w.Run)
 	}
 	if e.set.VMList != "" {
-		w := platform.VMWatcher{URL: e.set.VMList, View: e.view, Log: e.log, HTTP: client}
+		w := source.VMWatcher{URL: e.set.VMList, View: e.view, Log: e.log, HTTP: client}
 		e.group.Go(w.Run)
 	}
 	e.group.Go(func(ctx context.Context) error {
--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -56,3 +56,22 @@
 	OrphanFreed     = define(5010, zap.WarnLevel, "request of a former agent freed in the engine")
 	AttemptLost     = define(5009, zap.WarnLevel, "work lost at the endpoint")
 )
+
+// Events of the router: 6xxx.
+var (
+	AttemptEnded     = define(6001, zap.DebugLevel, "attempt ended")
+	RequestAnswered  = define(6002, zap.DebugLevel, "request answered")
+	RequestGivenUp   = define(6003, zap.InfoLevel, "request given up")
+	Placed           = define(6004, zap.DebugLevel, "generation placed")
+	ResultWasted     = define(6005, zap.InfoLevel, "prefill result wasted")
+	DirectoryChanged = define(6006, zap.InfoLevel, "published directory changed")
+)
+
+// Events of the platform's adapter: 7xxx.
+var (
+	StoreUnreachable = define(7001, zap.WarnLevel, "store does not answer")
+	StoreReachable   = define(7002, zap.InfoLevel, "store answers again")
+	EntryUnreadable  = define(7003, zap.ErrorLevel, "published entry is not readable")
+	SettingsReloaded = define(7004, zap.InfoLevel, "settings reloaded")
+	SettingsRefused  = define(7005, zap.ErrorLevel, "changed settings refused")
+)
--- a/event/event.go
+++ b/event/event.go
@@ -62,6 +62,15 @@
 	return &Log{z: l.z.With(fields...)}
 }
 
+// Err is the field of an error: its text, without the stack that an errorx
+// error would add to each line.
+func Err(err error) zap.Field {
+	if err == nil {
+		return zap.Skip()
+	}
+	return zap.String("error", err.Error())
+}
+
 // Emit writes the event and counts it in the expvar map "events".
 func (l *Log) Emit(e Event, fields ...zap.Field) {
 	counts.Add(strconv.Itoa(e.Number), 1)
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -8,7 +8,6 @@
 	"time"
 
 	"github.com/joomcode/errorx"
-	"go.uber.org/zap"
 
 	"ebonypulley"
 	"ebonypulley/agent"
@@ -284,6 +283,6 @@
 func (f *Fleet) Stop() {
 	f.group.Stop()
 	if err := f.group.Wait(); err != nil {
-		f.log.Emit(event.Stopped, zap.Error(err))
+		f.log.Emit(event.Stopped, event.Err(err))
 	}
 }
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -158,7 +158,7 @@
 		if time.Since(began) > maxBackoff {
 			backoff = minBackoff
 		}
-		p.log.Emit(event.LinkLost, zap.Error(err))
+		p.log.Emit(event.LinkLost, event.Err(err))
 		ebonypulley.Sleep(ctx, backoff/2+rand.N(backoff))
 		backoff = min(2*backoff, maxBackoff)
 	}
@@ -316,7 +316,7 @@
 		return
 	}
 	if err := s.push(Event{Message: m}); err != nil {
-		p.log.Emit(event.PeerRefused, zap.Error(err))
+		p.log.Emit(event.PeerRefused, event.Err(err))
 		conn.Close()
 	}
 }
--- /dev/null
+++ b/router/answer.go
@@ -0,0 +1,151 @@
+package router
+
+import (
+	"context"
+	"time"
+
+	"github.com/joomcode/errorx"
+)
+
+var (
+	routerErrors = errorx.NewNamespace("router")
+	// ErrNotRun is returned by an endpoint interface when the request
+	// provably did not run there and never will.
+	ErrNotRun = routerErrors.NewType("not-run")
+	// ErrUnreachable is an ErrNotRun whose endpoint took no connection: it
+	// was not even asked.
+	ErrUnreachable = ErrNotRun.NewSubtype("unreachable")
+	// ErrMoved is an ErrNotRun of another endpoint at the same address.
+	ErrMoved = ErrNotRun.NewSubtype("moved")
+	// ErrLost is returned when a request may have run and no whole answer
+	// came.
+	ErrLost = routerErrors.NewType("lost")
+	// ErrCaller is returned by a sink whose caller has gone.
+	ErrCaller = routerErrors.NewType("caller")
+)
+
+// Answer is a whole answer of an endpoint.
+type Answer struct {
+	// Failed says that the endpoint itself reports a failure, which is
+	// delivered like any answer but may be worth another attempt.
+	Failed bool
+	// Body is the answer itself, opaque to decisions.
+	Body any
+}
+
+// Why says why a request was given up.
+type Why uint8
+
+// Reasons for giving up.
+const (
+	// NotRun: nothing ran and nothing will; repeating is safe.
+	NotRun Why = iota + 1
+	// Unknown: it may have run.
+	Unknown
+	// TimedOut: the deadline passed; it may have run.
+	TimedOut
+	// CallerGone: nobody waits for the answer.
+	CallerGone
+)
+
+// String returns the reason as it stands in logs.
+func (w Why) String() string {
+	switch w {
+	case NotRun:
+		return "not-run"
+	case Unknown:
+		return "unknown"
+	case TimedOut:
+		return "timed-out"
+	case CallerGone:
+		return "caller-gone"
+	}
+	return "none"
+}
+
+// Failure is the final answer to a request that was given up.
+type Failure struct {
+	Why Why
+	// Retry is when the caller may come back; zero says nothing.
+	Retry time.Duration
+	// Cause is for the log.
+	Cause error
+}
+
+// Result is the KV cache of a prompt, kept by the engine that computed it.
+type Result struct {
+	Endpoint *Endpoint
+	// Handle is the engine's name for it.
+	Handle string
+	// Expiry is when the engine drops it.
+	Expiry time.Time
+}
+
+// Reservation is memory held at a decode endpoint for one request.
+type Reservation struct {
+	Endpoint *Endpoint
+	// Handle is the engine's name for it.
+	Handle string
+}
+
+// Start says from what a generation starts.
+type Start struct {
+	// Result is nil if the endpoint computes the prompt itself.
+	Result *Result
+	// Reservation is nil if nothing was reserved.
+	Reservation *Reservation
+	// After is the number of the last event that the caller has, or NoNumber.
+	After int64
+}
+
+// NoNumber stands for no event.
+const NoNumber int64 = -1
+
+// Event is one event of a generation.
+type Event struct {
+	// Number identifies the event for a resume; numbers grow. It may be
+	// NoNumber.
+	Number int64
+	// Bytes are delivered as they are.
+	Bytes []byte
+}
+
+// Stream is a generation in progress.
+type Stream interface {
+	// Head is the answer's head, opaque to decisions.
+	Head() any
+	// Failed returns the endpoint's whole answer if it reports a failure
+	// instead of generating, else nil.
+	Failed() *Answer
+	// Next returns the next whole event. It returns io.EOF at the whole end
+	// of the answer and ErrLost if it broke off.
+	Next() (Event, error)
+	// Close ends the exchange, and the work if it is still in progress.
+	Close()
+}
+
+// Endpoints speaks to endpoints. Methods return ErrNotRun, ErrLost or the
+// context's error.
+type Endpoints interface {
+	// Call runs a plain call.
+	Call(ctx context.Context, e *Endpoint, c *Call) (*Answer, error)
+	// Reserve holds memory for a number of tokens.
+	Reserve(ctx context.Context, e *Endpoint, tokens int, ttl time.Duration) (*Reservation, error)
+	// Release gives an unused reservation back. It does not wait.
+	Release(r *Reservation)
+	// Prefill computes the prompt and keeps the result.
+	Prefill(ctx context.Context, e *Endpoint, c *Call) (*Result, error)
+	// Drop frees a result that nobody will use. It does not wait.
+	Drop(r *Result)
+	// Generate starts a generation and returns with its head.
+	Generate(ctx context.Context, e *Endpoint, c *Call, s Start) (Stream, error)
+}
+
+// Sink takes a generation for the caller. Its methods return ErrCaller when
+// the caller has gone.
+type Sink interface {
+	// Begin delivers the head; it is called once.
+	Begin(head any) error
+	// Event delivers an event at once.
+	Event(e Event) error
+}
--- /dev/null
+++ b/router/generate.go
@@ -0,0 +1,270 @@
+package router
+
+import (
+	"context"
+	"errors"
+	"io"
+	"time"
+
+	"github.com/joomcode/errorx"
+	"go.uber.org/zap"
+
+	"ebonypulley"
+	"ebonypulley/event"
+)
+
+const (
+	// maxRefusals is how many endpoints may refuse one generation.
+	maxRefusals = 3
+	// roomWait is how long a generation waits for memory before it is
+	// refused: longer than that it would miss its target anyway.
+	roomWait = 500 * time.Millisecond
+	// roomPause is the pause before it looks again.
+	roomPause = 20 * time.Millisecond
+	// stagePatience is how much longer than estimated a prefill or a first
+	// event may take before the endpoint counts as silent.
+	stagePatience = 700 * time.Millisecond
+	// eventPatience is the longest pause between two events of a stream that
+	// is waited for; callers give up after about 3 s.
+	eventPatience = 1500 * time.Millisecond
+	// resultMargin is the life that a prefill result must have left.
+	resultMargin = 30 * time.Millisecond
+	// generationRetry and its spread are when a refused generation may come
+	// back: the time in which a good part of the running ones ends.
+	generationRetry       = 400 * time.Millisecond
+	generationRetrySpread = 800 * time.Millisecond
+)
+
+// generationRun is one generation, over as many attempts as are safe.
+type generationRun struct {
+	r     *Router
+	c     *Call
+	sink  Sink
+	tried map[string]bool
+	// after is the number of the last event delivered, or that the caller
+	// came with.
+	after int64
+	// begun: the caller has the head.
+	begun bool
+	// runs counts the attempts that may have run.
+	runs     int
+	refusals int
+	// failed is an endpoint's own failure, delivered if nothing better comes.
+	failed *Answer
+}
+
+// Generate serves a generation. It returns an answer only if an endpoint
+// reported a failure of its own, which is delivered in place of a stream; and
+// a failure if the generation was given up. Both nil: the sink has it whole.
+func (r *Router) Generate(ctx context.Context, c *Call, sink Sink) (*Answer, *Failure) {
+	g := &generationRun{r: r, c: c, sink: sink, tried: make(map[string]bool), after: c.Resume}
+	r.budget(c.Service.Name).First(c.Began)
+	for {
+		err := g.attempt(ctx)
+		if err == nil {
+			return nil, nil
+		}
+		if !g.again(ctx, err) {
+			return g.end(ctx, err)
+		}
+		r.metrics.Add("generation_attempts_again", 1)
+	}
+}
+
+// errFailed is returned by an attempt whose endpoint reported a failure.
+var errFailed = routerErrors.NewType("failed")
+
+func (g *generationRun) end(ctx context.Context, err error) (*Answer, *Failure) {
+	if g.failed != nil && !g.begun {
+		return g.failed, nil
+	}
+	f := &Failure{Cause: err, Why: Unknown}
+	switch {
+	case errors.Is(ctx.Err(), context.Canceled) || errorx.IsOfType(err, ErrCaller):
+		f.Why = CallerGone
+	case g.runs == 0:
+		f.Why = NotRun
+		f.Retry = g.r.jitter(generationRetry, generationRetrySpread)
+	case g.c.Left(time.Now()) <= 0:
+		f.Why = TimedOut
+	}
+	return nil, f
+}
+
+// again decides about another attempt after err.
+func (g *generationRun) again(ctx context.Context, err error) bool {
+	now := time.Now()
+	if ctx.Err() != nil || g.c.Left(now) <= 0 || errorx.IsOfType(err, ErrCaller) || errorx.IsOfType(err, errNoEndpoint) {
+		return false
+	}
+	if errorx.IsOfType(err, ErrNotRun) {
+		if g.refusals++; g.refusals >= maxRefusals {
+			return false
+		}
+	} else if !g.c.Route.Resumable || g.runs >= g.c.Route.MaxAttempts {
+		return false
+	}
+	if errorx.IsOfType(err, ErrUnreachable) {
+		return true
+	}
+	return g.r.budget(g.c.Service.Name).Retry(now)
+}
+
+// attempt makes one try: choose, prefill, decode.
+func (g *generationRun) attempt(ctx context.Context) error {
+	p, err := g.wait(ctx)
+	if err != nil {
+		return err
+	}
+	c := g.c
+	endDecode := g.r.loads.Begin(p.decode.ID, Load{Decodes: 1, KV: c.need()})
+	defer endDecode()
+	var start Start
+	if p.prefill != nil {
+		start.Result, err = g.prefill(ctx, p)
+		if err != nil {
+			return err
+		}
+	}
+	start.After = g.after
+	err = g.decode(ctx, p, start)
+	if start.Result != nil && errorx.IsOfType(err, ErrNotRun) {
+		g.r.metrics.Add("wasted_prefill_tokens", int64(c.Prompt))
+		g.r.log.Emit(event.ResultWasted, zap.String("request", c.ID), zap.String("endpoint", p.decode.ID), event.Err(err))
+		g.r.endpoints.Drop(start.Result)
+	}
+	return err
+}
+
+// wait returns a way as soon as one has room.
+func (g *generationRun) wait(ctx context.Context) (placement, error) {
+	began := time.Now()
+	for {
+		now := time.Now()
+		p, ok := g.r.place(now, g.c, g.tried)
+		if ok {
+			g.r.log.Emit(event.Placed, zap.String("request", g.c.ID), zap.String("decode", p.decode.ID), zap.Duration("first", p.first))
+			return p, nil
+		}
+		if now.Sub(began) >= roomWait {
+			return p, errNoEndpoint.New("no engine of %s has room", g.c.Service.Name)
+		}
+		if !ebonypulley.Sleep(ctx, roomPause) {
+			return p, ctx.Err()
+		}
+	}
+}
+
+func (g *generationRun) prefill(ctx context.Context, p placement) (*Result, error) {
+	r, c := g.r, g.c
+	began := time.Now()
+	ahead := r.loads.View(began, p.prefill.ID).Prefill
+	end := r.loads.Begin(p.prefill.ID, Load{Prefill: c.Prompt})
+	defer end()
+	stage, cancel := context.WithTimeout(ctx, 2*p.first+stagePatience)
+	defer cancel()
+	res, err := r.endpoints.Prefill(stage, p.prefill, c)
+	took := time.Since(began)
+	if err != nil {
+		g.tried[p.prefill.ID] = true
+		r.learn(stage, p.prefill, nil, err, took)
+		// A prefill is no run, whatever became of it.
+		return nil, ErrNotRun.Wrap(err, "prefill at %s", p.prefill.ID)
+	}
+	r.loads.Prefilled(time.Now(), p.prefill.ID, ahead+c.Prompt, took)
+	return res, nil
+}
+
+// decode streams the answer from the decode endpoint.
+func (g *generationRun) decode(ctx context.Context, p placement, start Start) error {
+	r, c := g.r, g.c
+	if !r.Directory().Has(p.decode) {
+		g.tried[p.decode.ID] = true
+		return ErrUnreachable.New("%s left during the prefill", p.decode.ID)
+	}
+	attempt, cancel := context.WithCancel(ctx)
+	defer cancel()
+	patience := stagePatience
+	if start.Result == nil {
+		patience += 2 * p.first
+	}
+	silence := time.AfterFunc(patience, cancel)
+	defer silence.Stop()
+	endPrompt := func() {}
+	if start.Result == nil {
+		endPrompt = r.loads.Begin(p.decode.ID, Load{Prefill: c.Prompt})
+	}
+	defer endPrompt()
+	began := time.Now()
+	s, err := r.endpoints.Generate(attempt, p.decode, c, start)
+	if err == nil {
+		defer s.Close()
+		err = g.stream(s, silence, endPrompt)
+	}
+	if !errorx.IsOfType(err, ErrNotRun) {
+		g.runs++
+	}
+	if err != nil {
+		g.tried[p.decode.ID] = true
+		if ctx.Err() == nil && attempt.Err() != nil {
+			err = ErrLost.Wrap(err, "%s was silent", p.decode.ID)
+			r.loads.Silent(time.Now(), p.decode.ID)
+		} else if ctx.Err() == nil && !errorx.IsOfType(err, ErrCaller) {
+			r.loads.Failed(time.Now(), p.decode.ID)
+		}
+		return err
+	}
+	r.loads.Succeeded(time.Now(), p.decode.ID, 0)
+	r.metrics.Histogram("whole." + c.Service.Name).Record(time.Since(began))
+	return nil
+}
+
+// stream delivers events until the whole end.
+func (g *generationRun) stream(s Stream, silence *time.Timer, first func()) error {
+	if a := s.Failed(); a != nil {
+		g.failed = a
+		return errFailed.New("the endpoint reports a failure")
+	}
+	for {
+		ev, err := s.Next()
+		if err == io.EOF {
+			return g.begin(s)
+		}
+		if err != nil {
+			return err
+		}
+		silence.Reset(eventPatience)
+		first()
+		if err := g.deliver(s, ev); err != nil {
+			return err
+		}
+	}
+}
+
+// begin delivers the head once; a resumed answer keeps its first one.
+func (g *generationRun) begin(s Stream) error {
+	if g.begun {
+		return nil
+	}
+	g.begun = true
+	g.r.metrics.Histogram("first." + g.c.Service.Name).Record(time.Since(g.c.Began))
+	return g.sink.Begin(s.Head())
+}
+
+// deliver hands on an event that the caller does not have: numbers decide,
+// never arrival, because an endpoint may repeat some after a resume.
+func (g *generationRun) deliver(s Stream, ev Event) error {
+	if ev.Number != NoNumber && ev.Number <= g.after {
+		return nil
+	}
+	if err := g.begin(s); err != nil {
+		return err
+	}
+	if err := g.sink.Event(ev); err != nil {
+		return err
+	}
+	if ev.Number != NoNumber {
+		g.after = ev.Number
+	}
+	return nil
+}
--- /dev/null
+++ b/router/load.go
@@ -0,0 +1,245 @@
+package router
+
+import (
+	"math"
+	"sync"
+	"time"
+)
+
+// Load is work under way at one endpoint.
+type Load struct {
+	// Calls are plain calls in progress.
+	Calls int
+	// Prefill is the number of prompt tokens waiting or being computed.
+	Prefill int
+	// Decodes are generations in progress or about to start.
+	Decodes int
+	// KV is the memory in tokens that they take.
+	KV int
+}
+
+func (l Load) add(o Load) Load {
+	return Load{Calls: l.Calls + o.Calls, Prefill: l.Prefill + o.Prefill, Decodes: l.Decodes + o.Decodes, KV: l.KV + o.KV}
+}
+
+func (l Load) zero() bool { return l == Load{} }
+
+// remoteLife is how long another entry's word about its work counts. Entries
+// repeat theirs several times in that time.
+const remoteLife = 2 * time.Second
+
+type remote struct {
+	loads map[string]Load
+	at    time.Time
+}
+
+// Loads is what this process knows of the work at all endpoints: its own
+// exactly, that of other entries as they last said.
+type Loads struct {
+	mu     sync.Mutex
+	own    map[string]Load
+	remote map[string]remote
+	health map[string]*health
+	dirty  bool
+}
+
+// NewLoads returns an empty Loads.
+func NewLoads() *Loads {
+	return &Loads{own: make(map[string]Load), remote: make(map[string]remote), health: make(map[string]*health)}
+}
+
+// Begin records work at an endpoint; the function returned ends it and may be
+// called again without effect.
+func (l *Loads) Begin(endpoint string, work Load) (end func()) {
+	l.change(endpoint, work)
+	var once sync.Once
+	return func() {
+		once.Do(func() {
+			l.change(endpoint, Load{Calls: -work.Calls, Prefill: -work.Prefill, Decodes: -work.Decodes, KV: -work.KV})
+		})
+	}
+}
+
+func (l *Loads) change(endpoint string, by Load) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	sum := l.own[endpoint].add(by)
+	l.dirty = true
+	if sum.zero() {
+		delete(l.own, endpoint)
+		return
+	}
+	l.own[endpoint] = sum
+}
+
+// Own returns this process's work, and whether it changed since the last call.
+func (l *Loads) Own() (loads map[string]Load, changed bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	loads = make(map[string]Load, len(l.own))
+	for id, w := range l.own {
+		loads[id] = w
+	}
+	changed = l.dirty
+	l.dirty = false
+	return loads, changed
+}
+
+// Hear records another process's work.
+func (l *Loads) Hear(now time.Time, process string, loads map[string]Load) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.remote[process] = remote{loads: loads, at: now}
+}
+
+// at returns all known work at an endpoint; l.mu is held.
+func (l *Loads) at(now time.Time, endpoint string) Load {
+	sum := l.own[endpoint]
+	for process, r := range l.remote {
+		if now.Sub(r.at) > remoteLife {
+			delete(l.remote, process)
+			continue
+		}
+		sum = sum.add(r.loads[endpoint])
+	}
+	return sum
+}
+
+// View is the state of one endpoint at a moment.
+type View struct {
+	Load
+	// FailShare is the recent share of attempts that failed, 0 to 1.
+	FailShare float64
+	// Latency is the recent mean of a plain call.
+	Latency time.Duration
+	// Rate is the recent speed of the prefill in tokens per millisecond.
+	Rate float64
+	// Avoid says that the endpoint gets work only if no other can take it.
+	Avoid bool
+}
+
+// View returns what is known of an endpoint.
+func (l *Loads) View(now time.Time, endpoint string) View {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	v := View{Load: l.at(now, endpoint), Latency: priorLatency, Rate: priorRate}
+	h := l.health[endpoint]
+	if h == nil {
+		return v
+	}
+	h.fade(now)
+	v.FailShare = h.fail
+	v.Latency = time.Duration(h.latency)
+	v.Rate = h.rate
+	v.Avoid = now.Before(h.avoidUntil)
+	return v
+}
+
+const (
+	// priorLatency and priorRate are assumed of an endpoint that nothing is
+	// known of: a plain call's usual time and an engine's nominal speed. Only
+	// their ratio to what is measured matters, and measurements replace them.
+	priorLatency = 60 * time.Millisecond
+	priorRate    = 50.0 // prompt tokens per millisecond
+	// sampleWeight is the part that a new measurement takes.
+	sampleWeight = 0.25
+	// failWeight is the part that one more success or failure takes: four
+	// failures in a row make 0.68.
+	failWeight = 0.25
+	// fadeTime is the time constant with which a bad record fades, so that an
+	// endpoint is tried again some seconds after its last failure.
+	fadeTime = 4 * time.Second
+	// avoidFirst and avoidMost bound how long an endpoint that did not answer
+	// is avoided; the time doubles with each silence in a row.
+	avoidFirst = 500 * time.Millisecond
+	avoidMost  = 4 * time.Second
+)
+
+// health is what recent attempts showed of one endpoint.
+type health struct {
+	fail       float64
+	latency    float64 // nanoseconds
+	rate       float64
+	silences   int
+	avoidUntil time.Time
+	at         time.Time
+}
+
+func (h *health) fade(now time.Time) {
+	keep := math.Exp(-float64(now.Sub(h.at)) / float64(fadeTime))
+	h.at = now
+	h.fail *= keep
+	h.latency = float64(priorLatency) + (h.latency-float64(priorLatency))*keep
+	h.rate = priorRate + (h.rate-priorRate)*keep
+}
+
+func (l *Loads) healthOf(now time.Time, endpoint string) *health {
+	h := l.health[endpoint]
+	if h == nil {
+		h = &health{latency: float64(priorLatency), rate: priorRate, at: now}
+		l.health[endpoint] = h
+	}
+	h.fade(now)
+	return h
+}
+
+// Succeeded records an attempt that the endpoint answered well.
+func (l *Loads) Succeeded(now time.Time, endpoint string, took time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	h := l.healthOf(now, endpoint)
+	h.fail *= 1 - failWeight
+	h.silences = 0
+	h.avoidUntil = time.Time{}
+	if took > 0 {
+		h.latency += (float64(took) - h.latency) * sampleWeight
+	}
+}
+
+// Prefilled records the speed of a prefill.
+func (l *Loads) Prefilled(now time.Time, endpoint string, tokens int, took time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	h := l.healthOf(now, endpoint)
+	h.fail *= 1 - failWeight
+	h.silences = 0
+	h.avoidUntil = time.Time{}
+	if ms := float64(took) / float64(time.Millisecond); ms > 0 {
+		h.rate += (float64(tokens)/ms - h.rate) * sampleWeight
+	}
+}
+
+// Failed records an attempt that the endpoint answered with a failure, or a
+// part of whose answer was lost.
+func (l *Loads) Failed(now time.Time, endpoint string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	h := l.healthOf(now, endpoint)
+	h.fail += (1 - h.fail) * failWeight
+}
+
+// Silent records an attempt that got no answer or no connection: the endpoint
+// is avoided for a while.
+//
+// Load pattern answered: an endpoint crashes or hangs and stays published for
+// seconds. Without this each new request waits for it in turn.
+func (l *Loads) Silent(now time.Time, endpoint string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	h := l.healthOf(now, endpoint)
+	h.fail += (1 - h.fail) * failWeight
+	pause := min(avoidFirst<<min(h.silences, 8), avoidMost)
+	h.silences++
+	h.avoidUntil = now.Add(pause)
+}
+
+// Keep forgets the records of endpoints that are not published any more.
+func (l *Loads) Keep(published func(endpoint string) bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for id := range l.health {
+		if !published(id) {
+			delete(l.health, id)
+		}
+	}
+}
--- /dev/null
+++ b/router/model.go
@@ -0,0 +1,184 @@
+// Package router decides what happens to each request: which endpoint gets it
+// and when, what is repeated, what is turned away and how an answer is put
+// back together. It works on typed values and knows no wire: callers,
+// endpoints and what the platform publishes reach it through interfaces.
+package router
+
+import (
+	"time"
+)
+
+// Kind says what may be repeated.
+type Kind uint8
+
+// Kinds of routes.
+const (
+	// Idempotent calls may run more than once.
+	Idempotent Kind = iota + 1
+	// NonIdempotent calls run at most once.
+	NonIdempotent
+	// Generation is an answer in a stream of events by a model engine.
+	Generation
+)
+
+// Role is the part that an endpoint plays.
+type Role uint8
+
+// Roles.
+const (
+	// Plain services answer calls.
+	Plain Role = iota
+	// Prefill engines compute the KV cache of prompts.
+	Prefill
+	// Decode engines generate; they can also compute prompts, more slowly.
+	Decode
+)
+
+// Route says which service gets a request and what is promised about it.
+type Route struct {
+	Name   string
+	Host   string
+	Prefix string
+	Kind   Kind
+	// Resumable generations may go on at another endpoint.
+	Resumable bool
+	// Timeout is the longest time that a request may be kept waiting.
+	Timeout time.Duration
+	// Target is the latency objective: to the answer, or to the first event.
+	Target time.Duration
+	// MaxAttempts is the number of endpoints that may get one request.
+	MaxAttempts int
+	// Services share the route's requests by weight.
+	Services []Share
+}
+
+// Share is a service's part of a route.
+type Share struct {
+	Service string
+	Weight  int
+}
+
+// Service is a set of endpoints with equal duties.
+type Service struct {
+	Name string
+	// Engine is nil for plain services.
+	Engine *Engine
+}
+
+// Engine describes the model engines of a service.
+type Engine struct {
+	// Slots is the number of requests in one batch.
+	Slots int
+	// KVTokens is the memory for running and cached tokens.
+	KVTokens int
+	// ResultLife is how long a prefill result is kept.
+	ResultLife time.Duration
+}
+
+// Endpoint is one incarnation of an engine or a plain service.
+type Endpoint struct {
+	ID         string
+	Addr       string
+	Service    string
+	DataCentre string
+	Role       Role
+	// Slots is the number of requests that it runs at once.
+	Slots int
+}
+
+// Directory is one consistent view of what is published. It is read-only.
+type Directory struct {
+	// Version is that of the configuration; zero means none.
+	Version uint64
+	// MaxBody is the longest request body in bytes.
+	MaxBody  int64
+	routes   map[string][]*Route // by host, longest prefix first
+	services map[string]*Service
+	// endpoints take new work; by service.
+	endpoints map[string][]*Endpoint
+}
+
+// Call is one request of a caller.
+type Call struct {
+	// ID is the caller's name for this attempt.
+	ID    string
+	Route *Route
+	// Service is the share of the route that this request falls to.
+	Service *Service
+	// Began is when the request was read.
+	Began time.Time
+	// Deadline is when the caller or the route stops waiting.
+	Deadline time.Time
+	// Message is the request itself, opaque to decisions.
+	Message any
+	// Prompt is the number of prompt tokens, and Output the most that may be
+	// generated; both zero for plain calls.
+	Prompt, Output int
+	// Hint is the caller's estimate of the generated tokens, zero if none.
+	Hint int
+	// Resume is the number of the last event that the caller has, or NoNumber.
+	Resume int64
+}
+
+// Left returns the time until the deadline.
+func (c *Call) Left(now time.Time) time.Duration { return c.Deadline.Sub(now) }
+
+// NewDirectory indexes routes, services and the endpoints that take new work.
+func NewDirectory(version uint64, maxBody int64, routes []*Route, services []*Service, endpoints []*Endpoint) *Directory {
+	d := &Directory{
+		Version:   version,
+		MaxBody:   maxBody,
+		routes:    make(map[string][]*Route),
+		services:  make(map[string]*Service, len(services)),
+		endpoints: make(map[string][]*Endpoint),
+	}
+	for _, r := range routes {
+		d.routes[r.Host] = append(d.routes[r.Host], r)
+	}
+	for _, s := range services {
+		d.services[s.Name] = s
+	}
+	for _, e := range endpoints {
+		d.endpoints[e.Service] = append(d.endpoints[e.Service], e)
+	}
+	return d
+}
+
+// Route returns the route of the longest prefix of path, or nil.
+func (d *Directory) Route(host, path string) *Route {
+	var best *Route
+	for _, r := range d.routes[host] {
+		if len(path) < len(r.Prefix) || path[:len(r.Prefix)] != r.Prefix {
+			continue
+		}
+		if best == nil || len(r.Prefix) > len(best.Prefix) {
+			best = r
+		}
+	}
+	return best
+}
+
+// Service returns a service by name, or nil.
+func (d *Directory) Service(name string) *Service { return d.services[name] }
+
+// Endpoints returns those of a service and role that take new work.
+func (d *Directory) Endpoints(service string, role Role) []*Endpoint {
+	all := d.endpoints[service]
+	list := make([]*Endpoint, 0, len(all))
+	for _, e := range all {
+		if e.Role == role {
+			list = append(list, e)
+		}
+	}
+	return list
+}
+
+// Has reports whether an endpoint still takes new work.
+func (d *Directory) Has(e *Endpoint) bool {
+	for _, x := range d.endpoints[e.Service] {
+		if x.ID == e.ID {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/router/place.go
@@ -0,0 +1,137 @@
+package router
+
+import (
+	"time"
+)
+
+// Figures of the model by which a generation's way is chosen. They are
+// estimates: only the order of the costs matters, and the speed of each
+// engine is replaced by what is measured of it.
+const (
+	// decodeSlowdown is how much longer a decode engine takes to compute a
+	// prompt itself than a prefill engine: it works between the tokens of
+	// other requests, at half the speed.
+	decodeSlowdown = 2.0
+	// moveTime is the time to move a result to another engine: set-up and the
+	// transfer of some thousand tokens.
+	moveTime = 12 * time.Millisecond
+	// farMove is the extra cost of a move between data centres, which takes
+	// twice as long and loads the links between them.
+	farMove = 30 * time.Millisecond
+	// crowdCost is what each generation in progress at a decode engine adds:
+	// each step of the batch takes 0.1 ms longer for each of them, over some
+	// tens of steps.
+	crowdCost = 4 * time.Millisecond
+	// failPromptCost is the delay that a certain failure is worth in a choice:
+	// a prompt computed once more.
+	failPromptCost = 600 * time.Millisecond
+	// kvHeadroom is the part of an engine's memory that placement leaves free
+	// for answers longer than estimated.
+	kvHeadroom = 0.06
+	// outputShare is the part of the allowed output that is reckoned with
+	// when the caller gives no estimate.
+	outputShare = 0.7
+)
+
+// placement is the way of one generation.
+type placement struct {
+	// prefill is nil if the decode endpoint computes the prompt itself.
+	prefill *Endpoint
+	decode  *Endpoint
+	// first is the estimated time to the first event.
+	first time.Duration
+}
+
+// need is the memory in tokens that a call will take at a decode endpoint.
+func (c *Call) need() int {
+	out := int(float64(c.Output) * outputShare)
+	if c.Hint > 0 {
+		out = min(max(out, c.Hint), c.Output)
+	}
+	return c.Prompt + out
+}
+
+// side is an endpoint with its state and its part of a way's cost.
+type side struct {
+	e    *Endpoint
+	view View
+	cost time.Duration
+}
+
+// place returns the way with the least expected time to the first event, or
+// false if no decode endpoint has room.
+//
+// Load pattern answered: bursts of long prompts from several entries at once.
+// Work under way of all entries is counted at each engine, so that a burst
+// spreads over all engines of both stages; an engine without room gets
+// nothing, because its refusal would waste the prefill.
+func (r *Router) place(now time.Time, c *Call, tried map[string]bool) (placement, bool) {
+	d := r.Directory()
+	prefills := r.sides(now, d.Endpoints(c.Service.Name, Prefill), tried)
+	decodes := r.roomy(c, r.sides(now, d.Endpoints(c.Service.Name, Decode), tried))
+	var best placement
+	var bestCost time.Duration
+	consider := func(p placement, cost time.Duration) {
+		if best.decode == nil || cost < bestCost {
+			best, bestCost = p, cost
+		}
+	}
+	for i := range decodes {
+		dec := &decodes[i]
+		alone := promptTime(dec.view, c.Prompt, decodeSlowdown)
+		consider(placement{decode: dec.e, first: alone}, alone+dec.cost)
+		for j := range prefills {
+			pre := &prefills[j]
+			split := promptTime(pre.view, c.Prompt, 1) + moveTime
+			cost := split + dec.cost + pre.cost
+			if pre.e.DataCentre != dec.e.DataCentre {
+				cost += farMove
+			}
+			consider(placement{prefill: pre.e, decode: dec.e, first: split}, cost)
+		}
+	}
+	return best, best.decode != nil
+}
+
+// promptTime is how long a prompt takes behind those already waiting.
+func promptTime(v View, tokens int, slowdown float64) time.Duration {
+	ms := float64(v.Prefill+tokens) * slowdown / v.Rate
+	return time.Duration(ms * float64(time.Millisecond))
+}
+
+func (r *Router) sides(now time.Time, list []*Endpoint, tried map[string]bool) []side {
+	sides := make([]side, 0, len(list))
+	for _, e := range list {
+		if tried[e.ID] {
+			continue
+		}
+		v := r.loads.View(now, e.ID)
+		s := side{e: e, view: v}
+		s.cost = time.Duration(v.Decodes)*crowdCost + time.Duration(v.FailShare*float64(failPromptCost))
+		if v.Avoid {
+			s.cost += time.Duration(avoidCost)
+		}
+		sides = append(sides, s)
+	}
+	return sides
+}
+
+// roomy keeps the decode endpoints with memory and a slot for the call.
+func (r *Router) roomy(c *Call, list []side) []side {
+	kept := list[:0]
+	for _, s := range list {
+		if r.hasRoom(c, s.view) {
+			kept = append(kept, s)
+		}
+	}
+	return kept
+}
+
+func (r *Router) hasRoom(c *Call, v View) bool {
+	eng := c.Service.Engine
+	if eng == nil {
+		return true
+	}
+	limit := int(float64(eng.KVTokens) * (1 - kvHeadroom))
+	return v.KV+c.need() <= limit && v.Decodes < eng.Slots
+}
--- /dev/null
+++ b/router/plain.go
@@ -0,0 +1,202 @@
+package router
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/joomcode/errorx"
+	"go.uber.org/zap"
+
+	"ebonypulley/event"
+)
+
+const (
+	// maxUnreachable is how many endpoints without a connection one request
+	// meets before it is refused. None of them got anything of it, so they
+	// count neither as attempts nor against the budget.
+	maxUnreachable = 3
+	// firstShare is the part of the time left that a call which may be
+	// repeated gives one endpoint before it asks another.
+	firstShare = 0.5
+	// minFirst is the least such time: most calls end well within it.
+	minFirst = 250 * time.Millisecond
+	// plainRetry and its spread are when a refused plain call may come back:
+	// a few times the usual time of a call, spread so that callers refused
+	// together do not return together.
+	plainRetry       = 100 * time.Millisecond
+	plainRetrySpread = 200 * time.Millisecond
+)
+
+// plainRun is one plain call, over as many attempts as are safe.
+type plainRun struct {
+	r      *Router
+	c      *Call
+	tried  map[string]bool
+	sent   int
+	failed *Answer // an endpoint's own failure, delivered if nothing better comes
+}
+
+// Call serves a plain call: it returns the answer, or why it was given up.
+func (r *Router) Call(ctx context.Context, c *Call) (*Answer, *Failure) {
+	run := &plainRun{r: r, c: c, tried: make(map[string]bool)}
+	r.budget(c.Service.Name).First(c.Began)
+	for unreachable := 0; ; {
+		a, err := run.attempt(ctx)
+		if err == nil && (!a.Failed || c.Route.Kind != Idempotent || !run.again(ctx)) {
+			return a, nil
+		}
+		if err == nil {
+			run.failed = a
+			continue
+		}
+		if errorx.IsOfType(err, ErrUnreachable) && unreachable < maxUnreachable {
+			unreachable++
+			run.sent--
+			continue
+		}
+		if run.repeatable(err) && run.again(ctx) {
+			continue
+		}
+		if run.failed != nil {
+			return run.failed, nil
+		}
+		return nil, run.failure(ctx, err)
+	}
+}
+
+// repeatable reports whether an attempt that ended with err may be followed
+// by another.
+func (p *plainRun) repeatable(err error) bool {
+	if errorx.IsOfType(err, errNoEndpoint) {
+		return false
+	}
+	return p.c.Route.Kind == Idempotent || errorx.IsOfType(err, ErrNotRun)
+}
+
+// again reports whether one more attempt is within the route's attempts, the
+// budget and the time, and there is an endpoint for it.
+func (p *plainRun) again(ctx context.Context) bool {
+	now := time.Now()
+	if p.sent >= p.c.Route.MaxAttempts || ctx.Err() != nil || p.c.Left(now) <= 0 {
+		return false
+	}
+	return p.r.pickPlain(now, p.c, p.tried) != nil && p.r.budget(p.c.Service.Name).Retry(now)
+}
+
+// errNoEndpoint is returned when no endpoint can take a request.
+var errNoEndpoint = ErrNotRun.NewSubtype("no-endpoint")
+
+func (p *plainRun) attempt(ctx context.Context) (*Answer, error) {
+	r, c := p.r, p.c
+	began := time.Now()
+	e := r.pickPlain(began, c, p.tried)
+	if e == nil {
+		return nil, errNoEndpoint.New("no endpoint of %s can take the call", c.Service.Name)
+	}
+	p.tried[e.ID] = true
+	p.sent++
+	ctx, cancel := context.WithDeadline(ctx, p.until(began))
+	defer cancel()
+	end := r.loads.Begin(e.ID, Load{Calls: 1})
+	a, err := r.endpoints.Call(ctx, e, c)
+	end()
+	r.learn(ctx, e, a, err, time.Since(began))
+	r.log.Emit(event.AttemptEnded, zap.String("request", c.ID), zap.String("endpoint", e.ID),
+		zap.Duration("took", time.Since(began)), zap.Bool("failed", a != nil && a.Failed), event.Err(err))
+	return a, err
+}
+
+// until returns when an attempt is given up for another one.
+func (p *plainRun) until(now time.Time) time.Time {
+	if p.c.Route.Kind != Idempotent || p.sent >= p.c.Route.MaxAttempts {
+		return p.c.Deadline
+	}
+	first := max(time.Duration(float64(p.c.Left(now))*firstShare), minFirst)
+	return earlier(now.Add(first), p.c.Deadline)
+}
+
+func earlier(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
+}
+
+// learn records what an attempt showed of its endpoint.
+func (r *Router) learn(ctx context.Context, e *Endpoint, a *Answer, err error, took time.Duration) {
+	now := time.Now()
+	switch {
+	case err == nil && !a.Failed:
+		r.loads.Succeeded(now, e.ID, took)
+	case err == nil:
+		r.loads.Failed(now, e.ID)
+	case errors.Is(ctx.Err(), context.Canceled):
+		// The caller left: nothing is learned.
+	case errorx.IsOfType(err, ErrUnreachable) || errors.Is(ctx.Err(), context.DeadlineExceeded):
+		r.loads.Silent(now, e.ID)
+	default:
+		r.loads.Failed(now, e.ID)
+	}
+}
+
+func (p *plainRun) failure(ctx context.Context, err error) *Failure {
+	f := &Failure{Cause: err}
+	switch {
+	case errors.Is(ctx.Err(), context.Canceled):
+		f.Why = CallerGone
+	case errorx.IsOfType(err, ErrNotRun) && (p.sent <= 1 || p.c.Route.Kind == NonIdempotent):
+		f.Why = NotRun
+		f.Retry = p.r.jitter(plainRetry, plainRetrySpread)
+	case p.c.Left(time.Now()) <= 0:
+		f.Why = TimedOut
+	default:
+		f.Why = Unknown
+	}
+	return f
+}
+
+// failCost is the delay that a certain failure is worth in the choice of an
+// endpoint: a second attempt's usual time, or a call lost.
+const failCost = 400 * time.Millisecond
+
+// farCost is what a hop to another data centre costs in the choice; it only
+// decides between endpoints that are otherwise equal.
+const farCost = 4 * time.Millisecond
+
+// pickPlain returns the endpoint with the least expected time for a call.
+//
+// Load pattern answered: a few slots before many callers, with endpoints that
+// are slow, fail a part or hang. Expected time counts work under way of all
+// entries, so that a slow endpoint gets its share and no more.
+func (r *Router) pickPlain(now time.Time, c *Call, tried map[string]bool) *Endpoint {
+	var best *Endpoint
+	var bestCost float64
+	for _, e := range r.Directory().Endpoints(c.Service.Name, Plain) {
+		if tried[e.ID] {
+			continue
+		}
+		cost := r.plainCost(now, e)
+		if best == nil || cost < bestCost {
+			best, bestCost = e, cost
+		}
+	}
+	return best
+}
+
+func (r *Router) plainCost(now time.Time, e *Endpoint) float64 {
+	v := r.loads.View(now, e.ID)
+	slots := max(e.Slots, 1)
+	fill := float64(v.Calls+1) / float64(slots)
+	cost := float64(v.Latency)*max(1, fill) + fill*float64(farCost) + v.FailShare*float64(failCost)
+	if e.DataCentre != r.set.DataCentre {
+		cost += float64(farCost)
+	}
+	if v.Avoid {
+		cost += avoidCost
+	}
+	return cost
+}
+
+// avoidCost puts an endpoint behind all that are not avoided.
+const avoidCost = float64(time.Minute)
--- /dev/null
+++ b/settings/platform.go
@@ -0,0 +1,62 @@
+package settings
+
+import (
+	"time"
+
+	"ebonypulley/config"
+	"ebonypulley/jsonc"
+	"ebonypulley/platform"
+)
+
+// DefaultPlatformEntry returns the settings of an entry on the platform with
+// their defaults.
+func DefaultPlatformEntry() platform.Settings {
+	return platform.Settings{
+		Name:        "edge-alm-a-1",
+		DataCentre:  "alm-a",
+		Listen:      "127.10.1.1:8080",
+		Ready:       "127.10.1.1:8081",
+		Peers:       "127.10.1.1:8082",
+		Metrics:     "127.10.1.1:8083",
+		Store:       "127.10.0.1:7001",
+		Seeds:       []string{"127.10.1.1:8082"},
+		Grace:       config.Duration(8 * time.Second),
+		RetryRatio:  0.2,
+		RetryWindow: config.Duration(10 * time.Second),
+		RetrySlack:  50,
+	}
+}
+
+// PlatformEntry reads the settings of an entry on the platform.
+func PlatformEntry(file string) (platform.Settings, error) {
+	var s platform.Settings
+	err := load(file, &s,
+		name("name", &s.Name),
+		name("data_centre", &s.DataCentre),
+		address("listen", &s.Listen, false),
+		address("ready", &s.Ready, false),
+		address("peers", &s.Peers, false),
+		address("metrics", &s.Metrics, true),
+		address("store", &s.Store, false),
+		addresses("seeds", &s.Seeds),
+		positive("grace", &s.Grace),
+		positive("retry_window", &s.RetryWindow),
+	)
+	return s, err
+}
+
+func addresses(field string, values *[]string) rule {
+	return func(src *jsonc.Source, report func(jsonc.Finding)) {
+		for i := range *values {
+			address(field, &(*values)[i], false)(src, report)
+		}
+	}
+}
+
+func positive(field string, d *config.Duration) rule {
+	return func(src *jsonc.Source, report func(jsonc.Finding)) {
+		if *d <= 0 {
+			report(src.Finding("/"+field, "%s must be above 0", field))
+		}
+	}
+}
--- a/platform/platform.go
+++ b/source/source.go
@@ -1,6 +1,6 @@
-// Package platform reads what the platform publishes: the configuration
+// Package source reads what the operators publish over plain HTTP: the configuration
 // document and the list of VMs. It writes nothing.
-package platform
+package source
 
 import (
 	"context"
@@ -12,7 +12,6 @@
 	"time"
 
 	"github.com/joomcode/errorx"
-	"go.uber.org/zap"
 
 	"ebonypulley"
 	"ebonypulley/config"
@@ -93,7 +92,7 @@
 		}
 		if err != nil {
 			if !down {
-				w.Log.Emit(event.ConfigUnreachable, zap.Error(err))
+				w.Log.Emit(event.ConfigUnreachable, event.Err(err))
 			}
 			down = true
 			ebonypulley.Sleep(ctx, pause/2+rand.N(pause))
@@ -158,7 +157,7 @@
 	for ctx.Err() == nil {
 		err := w.read(ctx)
 		if err != nil && !down && ctx.Err() == nil {
-			w.Log.Emit(event.VMListUnreachable, zap.Error(err))
+			w.Log.Emit(event.VMListUnreachable, event.Err(err))
 		}
 		down = err != nil
 		ebonypulley.Sleep(ctx, vmInterval/2+rand.N(vmInterval))
--- a/standin/platform.go
+++ b/standin/platform.go
@@ -12,7 +12,7 @@
 
 	"ebonypulley"
 	"ebonypulley/jsonc"
-	"ebonypulley/platform"
+	"ebonypulley/source"
 )
 
 // ConfigService holds the published document: GET /v1/config reads it, with
@@ -148,14 +148,14 @@
 	router *mux.Router
 	lag    time.Duration
 	mu     sync.Mutex
-	vms    map[string]platform.VM
+	vms    map[string]source.VM
 }
 
 // NewVMList returns a list of live VMs whose changes show after lag.
 func NewVMList(names []string, lag jsonc.Duration) *VMList {
-	l := &VMList{faults: newFaults(), router: mux.NewRouter(), lag: lag.D(), vms: make(map[string]platform.VM)}
+	l := &VMList{faults: newFaults(), router: mux.NewRouter(), lag: lag.D(), vms: make(map[string]source.VM)}
 	for _, n := range names {
-		l.vms[n] = platform.VM{Name: n, State: platform.Live}
+		l.vms[n] = source.VM{Name: n, State: source.Live}
 	}
 	l.router.HandleFunc("/v1/vms", l.serveList).Methods(http.MethodGet)
 	l.router.HandleFunc("/admin/vms/{name}/{state}", l.serveSet).Methods(http.MethodPut)
@@ -176,7 +176,7 @@
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	var out platform.VMs
+	var out source.VMs
 	for _, vm := range l.vms {
 		out.VMs = append(out.VMs, vm)
 	}
@@ -184,7 +184,7 @@
 }
 
 func (l *VMList) serveSet(w http.ResponseWriter, r *http.Request) {
-	vm := platform.VM{Name: mux.Vars(r)["name"], State: platform.VMState(mux.Vars(r)["state"])}
+	vm := source.VM{Name: mux.Vars(r)["name"], State: source.VMState(mux.Vars(r)["state"])}
 	time.AfterFunc(l.lag, func() {
 		l.mu.Lock()
 		defer l.mu.Unlock()
--- /dev/null
+++ b/upstream/exchange.go
@@ -0,0 +1,155 @@
+package upstream
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net/http"
+	"net/url"
+	"sync/atomic"
+)
+
+// Request is one request as it is sent.
+type Request struct {
+	Method string
+	// URI is the path with its query, sent as it is.
+	URI    string
+	Host   string
+	Header http.Header
+	Body   []byte
+	// Fresh asks for a new connection: for a request that must not be lost to
+	// an endpoint that closes an idle connection at the same moment.
+	Fresh bool
+	// Matches reports whether an answer belongs to this request, by its
+	// header. Nil takes any. First is set for the first answer on a new
+	// connection.
+	Matches func(h http.Header, first bool) bool
+}
+
+// maxStale is the number of answers to earlier requests that are skipped on
+// one connection, and maxStaleBytes the size of each.
+const (
+	maxStale      = 2
+	maxStaleBytes = 64 << 10
+)
+
+// Response is an answer whose body is read by the caller, who must end it
+// with Done.
+type Response struct {
+	Status int
+	Header http.Header
+	body   io.Reader
+	pool   *Pool
+	target Target
+	conn   *conn
+	stop   func() bool
+	sent   atomic.Bool
+	whole  bool
+	keep   bool
+}
+
+// Do sends a request and returns once the head of its answer is here. The
+// connection ends with ctx. Errors are ErrConnect and ErrLost.
+func (p *Pool) Do(ctx context.Context, t Target, req *Request) (*Response, error) {
+	c, err := p.get(ctx, t, req.Fresh)
+	if err != nil {
+		return nil, err
+	}
+	r := &Response{pool: p, target: t, conn: c}
+	r.stop = context.AfterFunc(ctx, func() { _ = c.nc.Close() })
+	hr := req.http(t)
+	go r.write(hr)
+	if err := r.readHead(hr, req.Matches); err != nil {
+		r.abandon()
+		if ctx.Err() != nil {
+			err = ctx.Err()
+		}
+		return nil, ErrLost.Wrap(err, "%s of %s", req.Method, t.Addr)
+	}
+	return r, nil
+}
+
+func (req *Request) http(t Target) *http.Request {
+	hr := &http.Request{
+		Method: req.Method,
+		URL:    &url.URL{Scheme: "http", Host: t.Addr, Opaque: req.URI},
+		Host:   req.Host,
+		Header: req.Header,
+	}
+	if len(req.Body) > 0 {
+		hr.Body = io.NopCloser(bytes.NewReader(req.Body))
+		hr.ContentLength = int64(len(req.Body))
+	}
+	return hr
+}
+
+// write sends the request beside the reading side, because an endpoint may
+// answer before it has read a long body.
+func (r *Response) write(hr *http.Request) {
+	err := hr.Write(r.conn.bw)
+	if err == nil {
+		err = r.conn.bw.Flush()
+	}
+	if err != nil {
+		return // the reading side sees how the connection ended
+	}
+	r.sent.Store(true)
+}
+
+// readHead reads answers until one matches.
+func (r *Response) readHead(hr *http.Request, matches func(http.Header, bool) bool) error {
+	first := !r.conn.reused
+	for stale := 0; ; {
+		resp, err := http.ReadResponse(r.conn.br, hr)
+		if err != nil {
+			return err
+		}
+		if resp.StatusCode < http.StatusOK {
+			continue
+		}
+		if matches != nil && !matches(resp.Header, first) {
+			if stale++; stale > maxStale {
+				return ErrLost.New("%d answers belong to other requests", stale)
+			}
+			first = false
+			if _, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxStaleBytes)); err != nil {
+				return err
+			}
+			continue
+		}
+		r.Status = resp.StatusCode
+		r.Header = resp.Header
+		r.body = resp.Body
+		r.keep = !resp.Close && stale == 0
+		if d := announcedIdle(resp.Header); d > 0 {
+			r.conn.idleFor = d
+		}
+		return nil
+	}
+}
+
+// Read reads the body. It returns io.EOF only at its whole end; a connection
+// that is reset or ends early gives another error.
+func (r *Response) Read(b []byte) (int, error) {
+	n, err := r.body.Read(b)
+	if err == io.EOF {
+		r.whole = true
+	}
+	return n, err
+}
+
+// Done ends the exchange: the connection is kept if the answer was read whole
+// and nothing follows it, and closed otherwise, which tells the endpoint to
+// stop.
+func (r *Response) Done() {
+	if !r.stop() || !r.whole || !r.keep || !r.sent.Load() || r.conn.br.Buffered() > 0 {
+		_ = r.conn.nc.Close()
+		return
+	}
+	r.pool.put(r.target, r.conn)
+}
+
+func (r *Response) abandon() {
+	r.stop()
+	_ = r.conn.nc.Close()
+}
--- /dev/null
+++ b/upstream/upstream.go
@@ -0,0 +1,183 @@
+// Package upstream keeps HTTP/1.1 connections to endpoints.
+//
+// It differs from http.Transport in what matters for calls that must not run
+// twice: it never sends a request a second time by itself, it says whether
+// anything of a request can have been read, and it recognises an answer that
+// belongs to an earlier request on the same connection.
+package upstream
+
+import (
+	"bufio"
+	"context"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/joomcode/errorx"
+
+	"ebonypulley"
+)
+
+var (
+	upstreamErrors = errorx.NewNamespace("upstream")
+	// ErrConnect is returned when no connection stood, so that nothing of the
+	// request was sent.
+	ErrConnect = upstreamErrors.NewType("connect")
+	// ErrLost is returned when the request was sent, at least in part, and no
+	// whole answer came. It may have run.
+	ErrLost = upstreamErrors.NewType("lost")
+)
+
+const (
+	// dialTimeout bounds a connection attempt. A handshake takes some
+	// milliseconds; a lost first packet is sent again after a second, which
+	// is too late for a call with a target of 300 ms.
+	dialTimeout = 400 * time.Millisecond
+	// defaultIdle is how long a connection is kept if the endpoint does not
+	// say how long it keeps its own end.
+	defaultIdle = 4 * time.Second
+	// idleMargin is taken off the idle time that an endpoint announces, so
+	// that this end closes first.
+	idleMargin = time.Second
+	// maxIdle bounds the kept connections to one endpoint: a burst's worth,
+	// well under what the smallest endpoint accepts from all entries.
+	maxIdle = 8
+	// buffer is the size of each connection's read and write buffers in
+	// bytes; most requests and answers fit in one.
+	buffer = 4 << 10
+)
+
+// Target is where a request goes. Connections are kept by both fields, so
+// that an address used again by another endpoint never meets old connections.
+type Target struct {
+	// ID names the endpoint's incarnation.
+	ID string
+	// Addr is IP:port.
+	Addr string
+}
+
+// Pool keeps idle connections. It is safe for concurrent use.
+type Pool struct {
+	dial ebonypulley.Dialer
+	mu   sync.Mutex
+	idle map[Target][]*conn
+}
+
+// NewPool returns an empty pool; dial is nil for TCP.
+func NewPool(dial ebonypulley.Dialer) *Pool {
+	if dial == nil {
+		dial = dialTCP
+	}
+	return &Pool{dial: dial, idle: make(map[Target][]*conn)}
+}
+
+// conn is one connection; it carries one request at a time.
+type conn struct {
+	nc      net.Conn
+	br      *bufio.Reader
+	bw      *bufio.Writer
+	until   time.Time // kept idle until then
+	reused  bool
+	idleFor time.Duration
+}
+
+// get returns an idle connection that is still open, or a new one.
+func (p *Pool) get(ctx context.Context, t Target, fresh bool) (*conn, error) {
+	if !fresh {
+		if c := p.takeIdle(t); c != nil {
+			return c, nil
+		}
+	}
+	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+	defer cancel()
+	nc, err := p.dial(ctx, "tcp", t.Addr)
+	if err != nil {
+		return nil, ErrConnect.Wrap(err, "connect to %s", t.Addr)
+	}
+	return &conn{nc: nc, br: bufio.NewReaderSize(nc, buffer), bw: bufio.NewWriterSize(nc, buffer), idleFor: defaultIdle}, nil
+}
+
+func (p *Pool) takeIdle(t Target) *conn {
+	now := time.Now()
+	for {
+		p.mu.Lock()
+		list := p.idle[t]
+		if len(list) == 0 {
+			p.mu.Unlock()
+			return nil
+		}
+		c := list[len(list)-1]
+		p.setIdle(t, list[:len(list)-1])
+		p.mu.Unlock()
+		if now.Before(c.until) && quiet(c.nc) {
+			c.reused = true
+			return c
+		}
+		_ = c.nc.Close()
+	}
+}
+
+// setIdle stores the list of a target; p.mu is held.
+func (p *Pool) setIdle(t Target, list []*conn) {
+	if len(list) == 0 {
+		delete(p.idle, t)
+		return
+	}
+	p.idle[t] = list
+}
+
+func (p *Pool) put(t Target, c *conn) {
+	c.until = time.Now().Add(c.idleFor)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if len(p.idle[t]) >= maxIdle {
+		_ = c.nc.Close()
+		return
+	}
+	p.idle[t] = append(p.idle[t], c)
+}
+
+// Sweep closes connections that were idle for too long.
+func (p *Pool) Sweep(now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for t, list := range p.idle {
+		kept := list[:0]
+		for _, c := range list {
+			if now.Before(c.until) {
+				kept = append(kept, c)
+				continue
+			}
+			_ = c.nc.Close()
+		}
+		p.setIdle(t, kept)
+	}
+}
+
+// Close closes all idle connections.
+func (p *Pool) Close() {
+	p.Sweep(time.Now().Add(time.Hour))
+}
+
+// announcedIdle returns how long a connection may be kept by its Keep-Alive
+// header, or zero if it does not say.
+func announcedIdle(h http.Header) time.Duration {
+	for field := range strings.SplitSeq(h.Get("Keep-Alive"), ",") {
+		name, value, _ := strings.Cut(strings.TrimSpace(field), "=")
+		if name != "timeout" {
+			continue
+		}
+		s, err := strconv.Atoi(value)
+		if err != nil {
+			return 0
+		}
+		return max(time.Duration(s)*time.Second-idleMargin, time.Duration(s)*time.Second/2)
+	}
+	return 0
+}
+
+// IsConnect reports whether nothing of a request was sent.
+func IsConnect(err error) bool { return errorx.IsOfType(err, ErrConnect) }
