Entries tell each other their work under way

Ruled out: expired results (the refusals name the decode engine as full). Change: gossip: whole reports every 50 ms while work changes, over a connection to each entry; entries that can't read the store learn from others.

--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -64,6 +64,9 @@
 	RequestGivenUp   = define(6003, zap.InfoLevel, "request given up")
 	Placed           = define(6004, zap.DebugLevel, "generation placed")
 	ResultWasted     = define(6005, zap.InfoLevel, "prefill result wasted")
+	EntryHeard       = define(6007, zap.InfoLevel, "another entry is heard")
+	EntryLost        = define(6008, zap.WarnLevel, "another entry is not heard any more")
+	LearnedFromEntry = define(6009, zap.InfoLevel, "published entries learned from another entry")
 	DirectoryChanged = define(6006, zap.InfoLevel, "published directory changed")
 )
 
--- /dev/null
+++ b/gossip/members.go
@@ -0,0 +1,109 @@
+// Package gossip lets the entries of a fleet tell each other what only they
+// know: that they live, the work that each has under way at every endpoint,
+// and, to one that can't read the platform, what is published.
+//
+// Each report is whole and replaces the one before, so that none has to
+// arrive. Nothing is agreed upon: a wrong or old report costs a worse choice,
+// never a broken promise.
+package gossip
+
+import (
+	"sort"
+	"time"
+)
+
+const (
+	// heardFor is how long an entry counts as living after its last report.
+	heardFor = 3 * time.Second
+	// knownFor is how long an address is tried without an answer before it is
+	// forgotten, unless it is a seed.
+	knownFor = 15 * time.Second
+	// maxPeers bounds the entries that one entry reports to.
+	maxPeers = 48
+)
+
+// Members is what one entry knows of the others. It does no I/O and is not
+// safe for concurrent use.
+type Members struct {
+	self  string
+	seeds map[string]bool
+	// heard holds when each was last heard directly, known when anybody last
+	// named it.
+	heard map[string]time.Time
+	known map[string]time.Time
+}
+
+// NewMembers returns what an entry knows at its start.
+func NewMembers(self string, seeds []string) *Members {
+	m := &Members{self: self, seeds: make(map[string]bool), heard: make(map[string]time.Time), known: make(map[string]time.Time)}
+	for _, s := range seeds {
+		if s != self {
+			m.seeds[s] = true
+		}
+	}
+	return m
+}
+
+// Hear records a report or a reply from an entry; it returns whether the
+// entry was not counted as living before.
+func (m *Members) Hear(now time.Time, addr string) (fresh bool) {
+	if addr == m.self {
+		return false
+	}
+	last, ok := m.heard[addr]
+	m.heard[addr] = now
+	m.known[addr] = now
+	return !ok || now.Sub(last) > heardFor
+}
+
+// Learn records addresses that another entry named.
+func (m *Members) Learn(now time.Time, addrs []string) {
+	for _, a := range addrs {
+		if a != m.self {
+			m.known[a] = now
+		}
+	}
+}
+
+// Living returns the entries heard lately, without this one, sorted.
+func (m *Members) Living(now time.Time) []string {
+	var list []string
+	for a, at := range m.heard {
+		if now.Sub(at) <= heardFor {
+			list = append(list, a)
+		}
+	}
+	sort.Strings(list)
+	return list
+}
+
+// Lost returns the entries that have fallen silent since the last call.
+func (m *Members) Lost(now time.Time) []string {
+	var list []string
+	for a, at := range m.heard {
+		if now.Sub(at) > heardFor {
+			delete(m.heard, a)
+			list = append(list, a)
+		}
+	}
+	return list
+}
+
+// Targets returns the addresses to report to: the seeds and all known ones.
+func (m *Members) Targets(now time.Time) []string {
+	list := make([]string, 0, len(m.seeds)+len(m.known))
+	for a := range m.seeds {
+		list = append(list, a)
+	}
+	for a, at := range m.known {
+		if now.Sub(at) > knownFor {
+			delete(m.known, a)
+			continue
+		}
+		if !m.seeds[a] {
+			list = append(list, a)
+		}
+	}
+	sort.Strings(list)
+	return list[:min(len(list), maxPeers)]
+}
--- /dev/null
+++ b/gossip/node.go
@@ -0,0 +1,249 @@
+package gossip
+
+import (
+	"context"
+	"net"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"ebonypulley"
+	"ebonypulley/catalog"
+	"ebonypulley/event"
+	"ebonypulley/router"
+	"ebonypulley/wire"
+)
+
+const (
+	// busyInterval is the pause between two reports while work changes: work
+	// moves within tens of milliseconds, and a report is some hundred bytes.
+	busyInterval = 50 * time.Millisecond
+	// idleInterval is the pause while nothing changes.
+	idleInterval = 500 * time.Millisecond
+	// silentFor is how long a connection may bring no reply before it is
+	// replaced.
+	//
+	// Failure guarded against: a connection goes silent for good while new
+	// ones work. It shows as entries that overload the same engines. The
+	// guard holds because each report is answered.
+	silentFor = 1200 * time.Millisecond
+	// dialTimeout and redialPause bound attempts to reach an entry.
+	dialTimeout = 500 * time.Millisecond
+	redialPause = 500 * time.Millisecond
+	// membersInterval is the pause between two looks at who lives.
+	membersInterval = 250 * time.Millisecond
+)
+
+// Node exchanges reports with other entries.
+type Node struct {
+	self    string
+	inc     wire.Incarnation
+	loads   *router.Loads
+	catalog *catalog.Catalog
+	log     *event.Log
+	dial    ebonypulley.Dialer
+	// Behind reports whether this entry can't read the platform itself.
+	Behind func() bool
+	// Entries is told the number of living entries, this one included.
+	Entries func(n int)
+
+	mu      sync.Mutex
+	members *Members
+	work    []wire.EndpointWork
+	changed time.Time
+	links   map[string]context.CancelFunc
+}
+
+// NewNode returns a node of the entry that listens at self.
+func NewNode(self string, seeds []string, loads *router.Loads, cat *catalog.Catalog, log *event.Log, dial ebonypulley.Dialer) *Node {
+	return &Node{
+		self: self, inc: wire.NewID(), loads: loads, catalog: cat, log: log, dial: dial.OrTCP(),
+		Behind: func() bool { return false }, Entries: func(int) {},
+		members: NewMembers(self, seeds), links: make(map[string]context.CancelFunc),
+	}
+}
+
+// Serve takes reports on ln, and sends them, until ctx ends.
+func (n *Node) Serve(ctx context.Context, ln net.Listener) error {
+	g := ebonypulley.NewGroup(ctx)
+	g.Go(n.manage)
+	g.Go(func(ctx context.Context) error {
+		stop := context.AfterFunc(ctx, func() { _ = ln.Close() })
+		defer stop()
+		for {
+			nc, err := ln.Accept()
+			if ctx.Err() != nil {
+				return nil
+			}
+			if err != nil {
+				ebonypulley.Sleep(ctx, redialPause) // out of descriptors, most likely
+				continue
+			}
+			go n.accept(ctx, nc)
+		}
+	})
+	return g.Wait()
+}
+
+// accept answers the reports of one entry.
+func (n *Node) accept(ctx context.Context, nc net.Conn) {
+	c := wire.NewConn(nc)
+	// The end of the connection needs no log line: losing the entry has one.
+	_ = c.Serve(ctx, func(m wire.Message) {
+		if r, ok := m.(*wire.Report); ok {
+			_ = c.Send(n.answer(r))
+		}
+	})
+}
+
+// answer takes a report in.
+func (n *Node) answer(r *wire.Report) *wire.Reply {
+	now := time.Now()
+	n.hear(now, r.From, r.Members)
+	work := make(map[string]router.Load, len(r.Work))
+	for _, w := range r.Work {
+		work[w.Endpoint] = router.Load{Calls: w.Calls, Prefill: w.Prefill, Decodes: w.Decodes, KV: w.KV}
+	}
+	n.loads.Hear(now, r.From, work)
+	reply := &wire.Reply{Members: n.living(now)}
+	if r.Behind && n.catalog.Revision() > r.Revision {
+		entries, upTo := n.catalog.Since(r.Revision)
+		reply.UpTo = upTo
+		for _, e := range entries {
+			reply.Entries = append(reply.Entries, wire.Published(e))
+		}
+	}
+	return reply
+}
+
+func (n *Node) hear(now time.Time, addr string, members []string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.members.Hear(now, addr) {
+		n.log.Emit(event.EntryHeard, zap.String("peer", addr))
+	}
+	n.members.Learn(now, members)
+}
+
+func (n *Node) living(now time.Time) []string {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.members.Living(now)
+}
+
+// manage keeps a link to each target.
+func (n *Node) manage(ctx context.Context) error {
+	for {
+		now := time.Now()
+		n.mu.Lock()
+		lost := n.members.Lost(now)
+		targets := n.members.Targets(now)
+		living := len(n.members.Living(now))
+		n.link(ctx, targets)
+		n.mu.Unlock()
+		for _, addr := range lost {
+			n.log.Emit(event.EntryLost, zap.String("peer", addr))
+		}
+		n.Entries(living + 1)
+		if !ebonypulley.Sleep(ctx, membersInterval) {
+			return nil
+		}
+	}
+}
+
+// link starts and ends links so that there is one to each target; n.mu is
+// held.
+func (n *Node) link(ctx context.Context, targets []string) {
+	wanted := make(map[string]bool, len(targets))
+	for _, addr := range targets {
+		wanted[addr] = true
+		if n.links[addr] == nil {
+			lctx, cancel := context.WithCancel(ctx)
+			n.links[addr] = cancel
+			go n.keep(lctx, addr)
+		}
+	}
+	for addr, cancel := range n.links {
+		if !wanted[addr] {
+			cancel()
+			delete(n.links, addr)
+		}
+	}
+}
+
+// keep reports to one entry until ctx ends, over one connection after another.
+func (n *Node) keep(ctx context.Context, addr string) {
+	for ctx.Err() == nil {
+		dctx, cancel := context.WithTimeout(ctx, dialTimeout)
+		nc, err := n.dial(dctx, "tcp", addr)
+		cancel()
+		if err == nil {
+			n.report(ctx, addr, nc)
+		}
+		ebonypulley.Sleep(ctx, redialPause)
+	}
+}
+
+// report sends reports on one connection until it ends or falls silent.
+func (n *Node) report(ctx context.Context, addr string, nc net.Conn) {
+	c := wire.NewConn(nc)
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	go func() {
+		defer cancel()
+		_ = c.Serve(ctx, func(m wire.Message) {
+			if r, ok := m.(*wire.Reply); ok {
+				n.take(addr, r)
+			}
+		})
+	}()
+	var sent, seen time.Time
+	for {
+		now := time.Now()
+		work, changed := n.ownWork(now)
+		if changed.After(seen) || now.Sub(sent) >= idleInterval {
+			sent, seen = now, changed
+			err := c.Send(&wire.Report{
+				From: n.self, Incarnation: n.inc, Members: n.living(now), Work: work,
+				Revision: n.catalog.Revision(), Behind: n.Behind(),
+			})
+			if err != nil {
+				return
+			}
+		}
+		if !ebonypulley.Sleep(ctx, busyInterval) || c.Silence(time.Now()) > silentFor {
+			return
+		}
+	}
+}
+
+// ownWork returns this entry's work and when it last changed.
+func (n *Node) ownWork(now time.Time) ([]wire.EndpointWork, time.Time) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	loads, changed := n.loads.Own()
+	if changed {
+		n.changed = now
+		n.work = make([]wire.EndpointWork, 0, len(loads))
+		for id, l := range loads {
+			n.work = append(n.work, wire.EndpointWork{Endpoint: id, Calls: l.Calls, Prefill: l.Prefill, Decodes: l.Decodes, KV: l.KV})
+		}
+	}
+	return n.work, n.changed
+}
+
+func (n *Node) take(addr string, r *wire.Reply) {
+	now := time.Now()
+	n.hear(now, addr, r.Members)
+	if r.UpTo == 0 {
+		return
+	}
+	entries := make([]catalog.Entry, 0, len(r.Entries))
+	for _, e := range r.Entries {
+		entries = append(entries, catalog.Entry(e))
+	}
+	if news := n.catalog.Merge(now, entries, r.UpTo); len(news) > 0 {
+		n.log.Emit(event.LearnedFromEntry, zap.String("peer", addr), zap.Int("entries", len(news)), zap.Uint64("revision", r.UpTo))
+	}
+}
--- a/wire/kinds.go
+++ b/wire/kinds.go
@@ -60,6 +60,12 @@
 // Kind implements Message.
 func (*Outcome) Kind() Kind { return KindOutcome }
 
+// Kind implements Message.
+func (*Report) Kind() Kind { return KindReport }
+
+// Kind implements Message.
+func (*Reply) Kind() Kind { return KindReply }
+
 // Attempt implements Attempted.
 func (m *Reserve) Attempt() ID { return m.ID }
 
@@ -150,6 +156,10 @@
 		return new(Withdraw)
 	case KindOutcome:
 		return new(Outcome)
+	case KindReport:
+		return new(Report)
+	case KindReply:
+		return new(Reply)
 	default:
 		return nil
 	}
--- a/wire/message.go
+++ b/wire/message.go
@@ -55,6 +55,8 @@
 	KindStart
 	KindWithdraw
 	KindOutcome
+	KindReport
+	KindReply
 	kindEnd
 )
 
@@ -355,3 +357,44 @@
 	Replayed bool
 	Load     Load
 }
+
+// EndpointWork is an entry's own work at one endpoint.
+type EndpointWork struct {
+	Endpoint string
+	// Calls, Prefill, Decodes and KV are as in router.Load.
+	Calls, Prefill, Decodes, KV int
+}
+
+// Report is what one entry tells another; each is whole, so that any of them
+// may be lost.
+type Report struct {
+	// From is where the sender listens for other entries.
+	From        string
+	Incarnation Incarnation
+	// Members are the entries that the sender has heard lately.
+	Members []string
+	// Work is all of the sender's work.
+	Work []EndpointWork
+	// Revision is that of the sender's catalog.
+	Revision uint64
+	// Behind asks for newer published entries, because the sender can't read
+	// them itself.
+	Behind bool
+}
+
+// Published is one published entry.
+type Published struct {
+	Key      string
+	Value    []byte
+	Revision uint64
+	Removed  bool
+}
+
+// Reply answers each Report.
+type Reply struct {
+	Members []string
+	// Entries are those newer than the Report's revision, if it asked.
+	Entries []Published
+	// UpTo is the revision up to which Entries are complete; 0 without.
+	UpTo uint64
+}
