Reserve when nearly full, use a refused result elsewhere, count each arrival

One refusal also threw away a result that another engine could still take. Change: each prefill and decode beyond the first draws one; a refused result is offered to another decode engine while it lives; engines more than 55% full are reserved before the prefill.

--- a/router/generate.go
+++ b/router/generate.go
@@ -29,6 +29,13 @@
 	eventPatience = 1500 * time.Millisecond
 	// resultMargin is the life that a prefill result must have left.
 	resultMargin = 30 * time.Millisecond
+	// reserveAbove is the part of an engine's memory from which on it is
+	// reserved before the prefill.
+	reserveAbove = 0.55
+	// reserveTimeout bounds the round trip, and reserveLife is how long the
+	// reservation is held beyond the estimated prefill.
+	reserveTimeout = 300 * time.Millisecond
+	reserveLife    = 600 * time.Millisecond
 	// generationRetry and its spread are when a refused generation may come
 	// back: the time in which a good part of the running ones ends.
 	generationRetry       = 400 * time.Millisecond
@@ -49,6 +56,10 @@
 	// runs counts the attempts that may have run.
 	runs     int
 	refusals int
+	// prefills and decodes count what was sent to endpoints of each stage.
+	prefills, decodes int
+	// kept is a result whose decode endpoint refused it.
+	kept *Result
 	// failed is an endpoint's own failure, delivered if nothing better comes.
 	failed *Answer
 }
@@ -59,6 +70,7 @@
 func (r *Router) Generate(ctx context.Context, c *Call, sink Sink) (*Answer, *Failure) {
 	g := &generationRun{r: r, c: c, sink: sink, tried: make(map[string]bool), after: c.Resume}
 	r.budget(c.Service.Name).First(c.Began)
+	defer g.dropKept()
 	for {
 		err := g.attempt(ctx)
 		if err == nil {
@@ -94,7 +106,8 @@
 // again decides about another attempt after err.
 func (g *generationRun) again(ctx context.Context, err error) bool {
 	now := time.Now()
-	if ctx.Err() != nil || g.c.Left(now) <= 0 || errorx.IsOfType(err, ErrCaller) || errorx.IsOfType(err, errNoEndpoint) {
+	if ctx.Err() != nil || g.c.Left(now) <= 0 || errorx.IsOfType(err, ErrCaller) ||
+		errorx.IsOfType(err, errNoEndpoint) || errorx.IsOfType(err, errBudget) {
 		return false
 	}
 	if errorx.IsOfType(err, ErrNotRun) {
@@ -104,13 +117,23 @@
 	} else if !g.c.Route.Resumable || g.runs >= g.c.Route.MaxAttempts {
 		return false
 	}
-	if errorx.IsOfType(err, ErrUnreachable) {
-		return true
+	return true
+}
+
+// errBudget is returned when the retry budget allows no further arrival.
+var errBudget = ErrNotRun.NewSubtype("budget")
+
+// spend draws on the retry budget for what is sent to a stage beyond the
+// first time. Each arrival counts, also one that is refused.
+func (g *generationRun) spend(sent *int) error {
+	*sent++
+	if *sent > 1 && !g.r.budget(g.c.Service.Name).Retry(time.Now()) {
+		return errBudget.New("the retry budget is used up")
 	}
-	return g.r.budget(g.c.Service.Name).Retry(now)
+	return nil
 }
 
-// attempt makes one try: choose, prefill, decode.
+// attempt makes one try: choose, reserve, prefill, decode.
 func (g *generationRun) attempt(ctx context.Context) error {
 	p, err := g.wait(ctx)
 	if err != nil {
@@ -119,29 +142,90 @@
 	c := g.c
 	endDecode := g.r.loads.Begin(p.decode.ID, Load{Decodes: 1, KV: c.need()})
 	defer endDecode()
-	var start Start
-	if p.prefill != nil {
-		start.Result, err = g.prefill(ctx, p)
-		if err != nil {
-			return err
-		}
+	start := Start{After: g.after}
+	start.Reservation, err = g.reserve(ctx, p)
+	if err != nil {
+		return err
+	}
+	start.Result, err = g.result(ctx, p)
+	if err != nil {
+		g.release(start.Reservation)
+		return err
 	}
-	start.After = g.after
 	err = g.decode(ctx, p, start)
-	if start.Result != nil && errorx.IsOfType(err, ErrNotRun) {
-		g.r.metrics.Add("wasted_prefill_tokens", int64(c.Prompt))
-		g.r.log.Emit(event.ResultWasted, zap.String("request", c.ID), zap.String("endpoint", p.decode.ID), event.Err(err))
-		g.r.endpoints.Drop(start.Result)
+	if err != nil && errorx.IsOfType(err, ErrNotRun) {
+		g.release(start.Reservation)
+		g.keep(start.Result)
 	}
 	return err
 }
 
+// reserve holds memory at a decode endpoint that is nearly full.
+//
+// Load pattern answered: a burst fills the decode engines, and what entries
+// reckon of each other is some tens of milliseconds old. A refusal after the
+// prefill costs the whole prompt; a reservation costs a round trip.
+func (g *generationRun) reserve(ctx context.Context, p placement) (*Reservation, error) {
+	eng := g.c.Service.Engine
+	if eng == nil || p.fill < reserveAbove {
+		return nil, nil
+	}
+	stage, cancel := context.WithTimeout(ctx, reserveTimeout)
+	defer cancel()
+	res, err := g.r.endpoints.Reserve(stage, p.decode, g.c.need(), reserveLife+p.first)
+	if err != nil {
+		g.tried[p.decode.ID] = true
+		g.r.metrics.Add("reservations_refused", 1)
+		return nil, ErrNotRun.Wrap(err, "reserve at %s", p.decode.ID)
+	}
+	return res, nil
+}
+
+func (g *generationRun) release(res *Reservation) {
+	if res != nil {
+		g.r.endpoints.Release(res)
+	}
+}
+
+// result returns the prompt's KV cache for a way with a prefill: a kept one
+// or a new one.
+func (g *generationRun) result(ctx context.Context, p placement) (*Result, error) {
+	kept := g.kept
+	g.kept = nil
+	if kept != nil {
+		return kept, nil
+	}
+	if p.prefill == nil {
+		return nil, nil
+	}
+	return g.prefill(ctx, p)
+}
+
+// keep keeps a result that its decode endpoint refused.
+func (g *generationRun) keep(res *Result) {
+	g.kept = res
+}
+
+// dropKept frees a kept result that no attempt took.
+func (g *generationRun) dropKept() {
+	if g.kept == nil {
+		return
+	}
+	g.r.metrics.Add("wasted_prefill_tokens", int64(g.c.Prompt))
+	g.r.log.Emit(event.ResultWasted, zap.String("request", g.c.ID), zap.String("endpoint", g.kept.Endpoint.ID))
+	g.r.endpoints.Drop(g.kept)
+	g.kept = nil
+}
+
 // wait returns a way as soon as one has room.
 func (g *generationRun) wait(ctx context.Context) (placement, error) {
 	began := time.Now()
 	for {
 		now := time.Now()
-		p, ok := g.r.place(now, g.c, g.tried)
+		if g.kept != nil && g.kept.Expiry.Sub(now) < resultMargin {
+			g.dropKept()
+		}
+		p, ok := g.r.place(now, g.c, g.tried, g.kept)
 		if ok {
 			g.r.log.Emit(event.Placed, zap.String("request", g.c.ID), zap.String("decode", p.decode.ID), zap.Duration("first", p.first))
 			return p, nil
@@ -157,6 +241,9 @@
 
 func (g *generationRun) prefill(ctx context.Context, p placement) (*Result, error) {
 	r, c := g.r, g.c
+	if err := g.spend(&g.prefills); err != nil {
+		return nil, err
+	}
 	began := time.Now()
 	ahead := r.loads.View(began, p.prefill.ID).Prefill
 	end := r.loads.Begin(p.prefill.ID, Load{Prefill: c.Prompt})
@@ -168,13 +255,16 @@
 	if err != nil {
 		g.tried[p.prefill.ID] = true
 		r.learn(stage, p.prefill, nil, err, took)
-		// A prefill is no run, whatever became of it.
-		return nil, ErrNotRun.Wrap(err, "prefill at %s", p.prefill.ID)
+		return nil, errPrefill.Wrap(err, "prefill at %s", p.prefill.ID)
 	}
 	r.loads.Prefilled(time.Now(), p.prefill.ID, ahead+c.Prompt, took)
 	return res, nil
 }
 
+// errPrefill is returned when a prefill brought no result. A prefill is no
+// run, whatever became of it.
+var errPrefill = ErrNotRun.NewSubtype("prefill")
+
 // decode streams the answer from the decode endpoint.
 func (g *generationRun) decode(ctx context.Context, p placement, start Start) error {
 	r, c := g.r, g.c
@@ -182,6 +272,9 @@
 		g.tried[p.decode.ID] = true
 		return ErrUnreachable.New("%s left during the prefill", p.decode.ID)
 	}
+	if err := g.spend(&g.decodes); err != nil {
+		return err
+	}
 	attempt, cancel := context.WithCancel(ctx)
 	defer cancel()
 	patience := stagePatience
--- a/router/place.go
+++ b/router/place.go
@@ -40,6 +40,8 @@
 	decode  *Endpoint
 	// first is the estimated time to the first event.
 	first time.Duration
+	// fill is the part of the decode endpoint's memory in use with the call.
+	fill float64
 }
 
 // need is the memory in tokens that a call will take at a decode endpoint.
@@ -65,7 +67,9 @@
 // Work under way of all entries is counted at each engine, so that a burst
 // spreads over all engines of both stages; an engine without room gets
 // nothing, because its refusal would waste the prefill.
-func (r *Router) place(now time.Time, c *Call, tried map[string]bool) (placement, bool) {
+//
+// A kept result only needs a decode endpoint.
+func (r *Router) place(now time.Time, c *Call, tried map[string]bool, kept *Result) (placement, bool) {
 	d := r.Directory()
 	prefills := r.sides(now, d.Endpoints(c.Service.Name, Prefill), tried)
 	decodes := r.roomy(c, r.sides(now, d.Endpoints(c.Service.Name, Decode), tried))
@@ -78,6 +82,10 @@
 	}
 	for i := range decodes {
 		dec := &decodes[i]
+		if kept != nil {
+			consider(placement{decode: dec.e, first: moveTime}, dec.cost)
+			continue
+		}
 		alone := promptTime(dec.view, c.Prompt, decodeSlowdown)
 		consider(placement{decode: dec.e, first: alone}, alone+dec.cost)
 		for j := range prefills {
@@ -90,6 +98,10 @@
 			consider(placement{prefill: pre.e, decode: dec.e, first: split}, cost)
 		}
 	}
+	if best.decode != nil && c.Service.Engine != nil {
+		used := r.loads.View(now, best.decode.ID).KV + c.need()
+		best.fill = float64(used) / float64(max(c.Service.Engine.KVTokens, 1))
+	}
 	return best, best.decode != nil
 }
 
