Memory is reckoned by what is generated so far

Cause: a draft was reckoned with its prompt and 0.7 of the allowed output, 6,300 tokens; it ends at 5,650 and holds 5,350 in the mean (412 drafts: 748 tokens out of 1,870 allowed, the hint right in the mean only). Ruled out: slots (11 of 128 in use), prefill (1.07 of 3 engines busy). Change: what comes is added event by event, a headroom of 4% is left.

--- a/router/generate.go
+++ b/router/generate.go
@@ -140,8 +140,8 @@
 		return err
 	}
 	c := g.c
-	endDecode := g.r.loads.Begin(p.decode.ID, Load{Decodes: 1, KV: c.need()})
-	defer endDecode()
+	work := g.r.loads.Begin(p.decode.ID, Load{Decodes: 1, KV: c.need()})
+	defer work.End()
 	start := Start{After: g.after}
 	start.Reservation, err = g.reserve(ctx, p)
 	if err != nil {
@@ -152,7 +152,7 @@
 		g.release(start.Reservation)
 		return err
 	}
-	err = g.decode(ctx, p, start)
+	err = g.decode(ctx, p, start, work)
 	if err != nil && errorx.IsOfType(err, ErrNotRun) {
 		g.release(start.Reservation)
 		g.keep(start.Result)
@@ -246,8 +246,8 @@
 	}
 	began := time.Now()
 	ahead := r.loads.View(began, p.prefill.ID).Prefill
-	end := r.loads.Begin(p.prefill.ID, Load{Prefill: c.Prompt})
-	defer end()
+	work := r.loads.Begin(p.prefill.ID, Load{Prefill: c.Prompt})
+	defer work.End()
 	stage, cancel := context.WithTimeout(ctx, 2*p.first+stagePatience)
 	defer cancel()
 	res, err := r.endpoints.Prefill(stage, p.prefill, c)
@@ -266,7 +266,7 @@
 var errPrefill = ErrNotRun.NewSubtype("prefill")
 
 // decode streams the answer from the decode endpoint.
-func (g *generationRun) decode(ctx context.Context, p placement, start Start) error {
+func (g *generationRun) decode(ctx context.Context, p placement, start Start, work *Work) error {
 	r, c := g.r, g.c
 	if !r.Directory().Has(p.decode) {
 		g.tried[p.decode.ID] = true
@@ -283,16 +283,16 @@
 	}
 	silence := time.AfterFunc(patience, cancel)
 	defer silence.Stop()
-	endPrompt := func() {}
+	prompt := r.loads.Begin(p.decode.ID, Load{})
 	if start.Result == nil {
-		endPrompt = r.loads.Begin(p.decode.ID, Load{Prefill: c.Prompt})
+		prompt.Grow(Load{Prefill: c.Prompt})
 	}
-	defer endPrompt()
+	defer prompt.End()
 	began := time.Now()
 	s, err := r.endpoints.Generate(attempt, p.decode, c, start)
 	if err == nil {
 		defer s.Close()
-		err = g.stream(s, silence, endPrompt)
+		err = g.stream(s, silence, prompt, work)
 	}
 	if !errorx.IsOfType(err, ErrNotRun) {
 		g.runs++
@@ -313,7 +313,7 @@
 }
 
 // stream delivers events until the whole end.
-func (g *generationRun) stream(s Stream, silence *time.Timer, first func()) error {
+func (g *generationRun) stream(s Stream, silence *time.Timer, prompt, work *Work) error {
 	if a := s.Failed(); a != nil {
 		g.failed = a
 		return errFailed.New("the endpoint reports a failure")
@@ -327,7 +327,8 @@
 			return err
 		}
 		silence.Reset(eventPatience)
-		first()
+		prompt.End()
+		work.Grow(Load{KV: g.c.stride()})
 		if err := g.deliver(s, ev); err != nil {
 			return err
 		}
--- a/router/load.go
+++ b/router/load.go
@@ -22,6 +22,10 @@
 	return Load{Calls: l.Calls + o.Calls, Prefill: l.Prefill + o.Prefill, Decodes: l.Decodes + o.Decodes, KV: l.KV + o.KV}
 }
 
+func (l Load) negative() Load {
+	return Load{Calls: -l.Calls, Prefill: -l.Prefill, Decodes: -l.Decodes, KV: -l.KV}
+}
+
 func (l Load) zero() bool { return l == Load{} }
 
 // remoteLife is how long another entry's word about its work counts. Entries
@@ -48,16 +52,41 @@
 	return &Loads{own: make(map[string]Load), remote: make(map[string]remote), health: make(map[string]*health)}
 }
 
-// Begin records work at an endpoint; the function returned ends it and may be
-// called again without effect.
-func (l *Loads) Begin(endpoint string, work Load) (end func()) {
+// Work is work under way at one endpoint.
+type Work struct {
+	loads    *Loads
+	endpoint string
+	mu       sync.Mutex
+	sum      Load
+	ended    bool
+}
+
+// Begin records work at an endpoint until End.
+func (l *Loads) Begin(endpoint string, work Load) *Work {
 	l.change(endpoint, work)
-	var once sync.Once
-	return func() {
-		once.Do(func() {
-			l.change(endpoint, Load{Calls: -work.Calls, Prefill: -work.Prefill, Decodes: -work.Decodes, KV: -work.KV})
-		})
+	return &Work{loads: l, endpoint: endpoint, sum: work}
+}
+
+// Grow adds to the work, unless it has ended.
+func (w *Work) Grow(by Load) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.ended {
+		return
+	}
+	w.sum = w.sum.add(by)
+	w.loads.change(w.endpoint, by)
+}
+
+// End ends the work; again it has no effect.
+func (w *Work) End() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.ended {
+		return
 	}
+	w.ended = true
+	w.loads.change(w.endpoint, w.sum.negative())
 }
 
 func (l *Loads) change(endpoint string, by Load) {
--- a/router/model.go
+++ b/router/model.go
@@ -71,6 +71,8 @@
 	Slots int
 	// KVTokens is the memory for running and cached tokens.
 	KVTokens int
+	// Stride is the number of tokens in one event of a stream.
+	Stride int
 	// ResultLife is how long a prefill result is kept.
 	ResultLife time.Duration
 }
--- a/router/place.go
+++ b/router/place.go
@@ -26,11 +26,11 @@
 	// a prompt computed once more.
 	failPromptCost = 600 * time.Millisecond
 	// kvHeadroom is the part of an engine's memory that placement leaves free
-	// for answers longer than estimated.
-	kvHeadroom = 0.06
-	// outputShare is the part of the allowed output that is reckoned with
-	// when the caller gives no estimate.
-	outputShare = 0.7
+	// for running answers to grow into.
+	kvHeadroom = 0.04
+	// growth is the part of an answer, in tokens, that is reckoned with from
+	// its start.
+	growth = 64
 )
 
 // placement is the way of one generation.
@@ -44,13 +44,20 @@
 	fill float64
 }
 
-// need is the memory in tokens that a call will take at a decode endpoint.
-func (c *Call) need() int {
-	out := int(float64(c.Output) * outputShare)
-	if c.Hint > 0 {
-		out = min(max(out, c.Hint), c.Output)
+// need is the memory in tokens that a call takes at a decode endpoint when it
+// starts.
+//
+// What it generates is added as it comes. To reckon with the whole answer from
+// the start would leave a fifth of the memory unused: answers are short of
+// what callers allow, and while they grow, others end and make room.
+func (c *Call) need() int { return c.Prompt + min(c.Output, growth) }
+
+// stride is the number of tokens in one event.
+func (c *Call) stride() int {
+	if e := c.Service.Engine; e != nil && e.Stride > 0 {
+		return e.Stride
 	}
-	return c.Prompt + out
+	return 1
 }
 
 // side is an endpoint with its state and its part of a way's cost.
--- a/router/plain.go
+++ b/router/plain.go
@@ -98,9 +98,9 @@
 	p.sent++
 	ctx, cancel := context.WithDeadline(ctx, p.until(began))
 	defer cancel()
-	end := r.loads.Begin(e.ID, Load{Calls: 1})
+	work := r.loads.Begin(e.ID, Load{Calls: 1})
 	a, err := r.endpoints.Call(ctx, e, c)
-	end()
+	work.End()
 	r.learn(ctx, e, a, err, time.Since(began))
 	r.log.Emit(event.AttemptEnded, zap.String("request", c.ID), zap.String("endpoint", e.ID),
 		zap.Duration("took", time.Since(began)), zap.Bool("failed", a != nil && a.Failed), event.Err(err))
