SIGHUP and a changed settings file are taken

Change: every daemon takes the signal; entries on the platform read their settings again, on the signal or when the file's time changes.

--- a/cmd/ebonypulley/daemon.go
+++ b/cmd/ebonypulley/daemon.go
@@ -9,6 +9,7 @@
 	"net/netip"
 	"os"
 	"os/signal"
+	"syscall"
 	"time"
 
 	"github.com/joomcode/errorx"
@@ -49,9 +50,17 @@
 	return log, nil
 }
 
-// serve runs a daemon until it ends; SIGTERM drains it.
-func serve(ctx context.Context, d ebonypulley.Daemon, log *event.Log, debug string) error {
+// serve runs a daemon until it ends; SIGTERM drains it, and it reads its
+// settings file again on SIGHUP or when the file has changed.
+//
+// Failure guarded against: a SIGHUP that no handler takes ends the process at
+// once. It shows as every request in progress cut off.
+func serve(ctx context.Context, d ebonypulley.Daemon, log *event.Log, debug, file string) error {
 	g := ebonypulley.NewGroup(ctx)
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
+	defer signal.Stop(hangups)
+	g.Go(func(ctx context.Context) error { return reloadLoop(ctx, d, log, hangups, file) })
 	if debug != "" {
 		g.Go(func(ctx context.Context) error { return serveDebug(ctx, debug) })
 	}
@@ -73,6 +82,47 @@
 	return g.Wait()
 }
 
+// settingsInterval is the pause between two looks at the settings file, which
+// may change without a signal.
+const settingsInterval = time.Second
+
+func reloadLoop(ctx context.Context, d ebonypulley.Daemon, log *event.Log, hangups <-chan os.Signal, file string) error {
+	tick := time.NewTicker(settingsInterval)
+	defer tick.Stop()
+	last := modified(file)
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-hangups:
+		case <-tick.C:
+			if modified(file).Equal(last) {
+				continue
+			}
+		}
+		last = modified(file)
+		r, ok := d.(ebonypulley.Reloader)
+		if !ok {
+			continue
+		}
+		if err := r.Reload(); err != nil {
+			log.Emit(event.SettingsRefused, event.Err(err))
+			continue
+		}
+		log.Emit(event.SettingsReloaded, zap.String("file", file))
+	}
+}
+
+// modified returns when a file was last changed. A file that can't be read
+// counts as unchanged at the zero time; reloading it says what is wrong.
+func modified(file string) time.Time {
+	info, err := os.Stat(file)
+	if err != nil {
+		return time.Time{}
+	}
+	return info.ModTime()
+}
+
 const debugHeaderTimeout = 5 * time.Second
 
 // serveDebug shows expvar at /debug/vars.
@@ -152,7 +202,7 @@
 			warnPlainText(log, set.Listen)
 			e := entry.New(set, log, nil)
 			metrics.Publish("entry", func() any { return e.Stats() })
-			return serve(ctx, e, log, set.Debug)
+			return serve(ctx, e, log, set.Debug, file)
 		})
 }
 
@@ -167,7 +217,7 @@
 			warnPlainText(log, set.Listen)
 			a := agent.New(set, log, nil)
 			metrics.Publish("agent", func() any { return a.Stats() })
-			return serve(ctx, a, log, set.Debug)
+			return serve(ctx, a, log, set.Debug, file)
 		})
 }
 
@@ -183,6 +233,6 @@
 			if err != nil {
 				return err
 			}
-			return serve(ctx, &standin.Server{Listen: set.Listen, Handler: h}, log, "")
+			return serve(ctx, &standin.Server{Listen: set.Listen, Handler: h}, log, "", file)
 		})
 }
--- a/cmd/ebonypulley/platform.go
+++ b/cmd/ebonypulley/platform.go
@@ -43,6 +43,7 @@
 		return err
 	}
 	e := platform.New(set, log)
+	e.ReadSettings = func() (platform.Settings, error) { return settings.PlatformEntry(file) }
 	metrics.Publish("entry", func() any { return e.Metrics().Snapshot() })
-	return serve(ctx, e, log, set.Metrics)
+	return serve(ctx, e, log, set.Metrics, file)
 }
--- a/gossip/members.go
+++ b/gossip/members.go
@@ -35,13 +35,19 @@
 
 // NewMembers returns what an entry knows at its start.
 func NewMembers(self string, seeds []string) *Members {
-	m := &Members{self: self, seeds: make(map[string]bool), heard: make(map[string]time.Time), known: make(map[string]time.Time)}
+	m := &Members{self: self, heard: make(map[string]time.Time), known: make(map[string]time.Time)}
+	m.SetSeeds(seeds)
+	return m
+}
+
+// SetSeeds changes the entries that are contacted at any time.
+func (m *Members) SetSeeds(seeds []string) {
+	m.seeds = make(map[string]bool, len(seeds))
 	for _, s := range seeds {
-		if s != self {
+		if s != m.self {
 			m.seeds[s] = true
 		}
 	}
-	return m
 }
 
 // Hear records a report or a reply from an entry; it returns whether the
--- a/gossip/node.go
+++ b/gossip/node.go
@@ -64,6 +64,13 @@
 	}
 }
 
+// SetSeeds changes the entries to contact first.
+func (n *Node) SetSeeds(seeds []string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.members.SetSeeds(seeds)
+}
+
 // Serve takes reports on ln, and sends them, until ctx ends.
 func (n *Node) Serve(ctx context.Context, ln net.Listener) error {
 	g := ebonypulley.NewGroup(ctx)
--- a/lifecycle.go
+++ b/lifecycle.go
@@ -16,6 +16,13 @@
 	Drain(ctx context.Context) error
 }
 
+// Reloader is a daemon that can take changed settings while it runs.
+type Reloader interface {
+	// Reload reads the settings again. On an error the former ones stay in
+	// force.
+	Reload() error
+}
+
 // Group runs functions together: the first error ends them all.
 type Group struct {
 	ctx    context.Context
--- a/router/router.go
+++ b/router/router.go
@@ -89,6 +89,25 @@
 	}
 }
 
+// SetBudget changes the bounds of the retry budget.
+func (r *Router) SetBudget(ratio float64, window time.Duration, slack int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.set.RetryRatio == ratio && r.set.RetryWindow == window && r.set.RetrySlack == slack {
+		return
+	}
+	r.set.RetryRatio, r.set.RetryWindow, r.set.RetrySlack = ratio, window, slack
+	for service := range r.budgets {
+		r.budgets[service] = r.newBudget()
+	}
+}
+
+func (r *Router) newBudget() *limit.SharedBudget {
+	b := limit.NewSharedBudget(r.set.RetryRatio, r.set.RetryWindow)
+	b.SetSlack(r.slackPart())
+	return b
+}
+
 func (r *Router) slackPart() float64 { return float64(r.set.RetrySlack) / float64(r.entries) }
 
 func (r *Router) budget(service string) *limit.SharedBudget {
@@ -96,8 +115,7 @@
 	defer r.mu.Unlock()
 	b := r.budgets[service]
 	if b == nil {
-		b = limit.NewSharedBudget(r.set.RetryRatio, r.set.RetryWindow)
-		b.SetSlack(r.slackPart())
+		b = r.newBudget()
 		r.budgets[service] = b
 	}
 	return b
