Late drafts stand back; a reset answer goes on at its engine

Cause: in bursts late drafts (a fifth of the worth) took the memory of those that could still be on time; an answer whose connection was reset was computed anew elsewhere though its engine lived and cached the prompt.

--- a/router/generate.go
+++ b/router/generate.go
@@ -16,10 +16,7 @@
 const (
 	// maxRefusals is how many endpoints may refuse one generation.
 	maxRefusals = 3
-	// roomWait is how long a generation waits for memory before it is
-	// refused: longer than that it would miss its target anyway.
-	roomWait = 500 * time.Millisecond
-	// roomPause is the pause before it looks again.
+	// roomPause is the pause before a waiting generation looks for room again.
 	roomPause = 20 * time.Millisecond
 	// stagePatience is how much longer than estimated a prefill or a first
 	// event may take before the endpoint counts as silent.
@@ -36,10 +33,6 @@
 	// reservation is held beyond the estimated prefill.
 	reserveTimeout = 300 * time.Millisecond
 	reserveLife    = 600 * time.Millisecond
-	// generationRetry and its spread are when a refused generation may come
-	// back: the time in which a good part of the running ones ends.
-	generationRetry       = 400 * time.Millisecond
-	generationRetrySpread = 800 * time.Millisecond
 )
 
 // generationRun is one generation, over as many attempts as are safe.
@@ -60,6 +53,9 @@
 	prefills, decodes int
 	// kept is a result whose decode endpoint refused it.
 	kept *Result
+	// warm is the engine of an answer that broke off while the engine lived.
+	warm *Endpoint
+	late lateness
 	// failed is an endpoint's own failure, delivered if nothing better comes.
 	failed *Answer
 }
@@ -69,6 +65,7 @@
 // a failure if the generation was given up. Both nil: the sink has it whole.
 func (r *Router) Generate(ctx context.Context, c *Call, sink Sink) (*Answer, *Failure) {
 	g := &generationRun{r: r, c: c, sink: sink, tried: make(map[string]bool), after: c.Resume}
+	g.late = r.lateness(c)
 	r.budget(c.Service.Name).First(c.Began)
 	defer g.dropKept()
 	for {
@@ -96,7 +93,7 @@
 		f.Why = CallerGone
 	case g.runs == 0:
 		f.Why = NotRun
-		f.Retry = g.r.jitter(generationRetry, generationRetrySpread)
+		f.Retry = g.late.retry(g.r)
 	case g.c.Left(time.Now()) <= 0:
 		f.Why = TimedOut
 	}
@@ -217,7 +214,7 @@
 	g.kept = nil
 }
 
-// wait returns a way as soon as one has room.
+// wait returns a way as soon as one has room, or refuses.
 func (g *generationRun) wait(ctx context.Context) (placement, error) {
 	began := time.Now()
 	for {
@@ -225,12 +222,13 @@
 		if g.kept != nil && g.kept.Expiry.Sub(now) < resultMargin {
 			g.dropKept()
 		}
-		p, ok := g.r.place(now, g.c, g.tried, g.kept)
+		turn := g.late.turn(now, began)
+		p, ok := g.r.place(now, g.c, options{tried: g.tried, kept: g.kept, warm: g.warm, fill: turn.fill})
 		if ok {
-			g.r.log.Emit(event.Placed, zap.String("request", g.c.ID), zap.String("decode", p.decode.ID), zap.Duration("first", p.first))
+			g.r.log.Emit(event.Placed, zap.String("request", g.c.ID), zap.String("decode", p.decode.ID), zap.Duration("first", p.first), zap.Float64("fill", p.fill))
 			return p, nil
 		}
-		if now.Sub(began) >= roomWait {
+		if turn.refuse {
 			return p, errNoEndpoint.New("no engine of %s has room", g.c.Service.Name)
 		}
 		if !ebonypulley.Sleep(ctx, roomPause) {
@@ -298,7 +296,8 @@
 		g.runs++
 	}
 	if err != nil {
-		g.tried[p.decode.ID] = true
+		g.warm = g.stillWarm(attempt, p.decode, err)
+		g.tried[p.decode.ID] = g.warm == nil
 		if ctx.Err() == nil && attempt.Err() != nil {
 			err = ErrLost.Wrap(err, "%s was silent", p.decode.ID)
 			r.loads.Silent(time.Now(), p.decode.ID)
@@ -312,6 +311,19 @@
 	return nil
 }
 
+// stillWarm returns the endpoint of an answer that broke off, if the next
+// attempt should go there again.
+//
+// Load pattern answered: connections are reset in the middle of answers while
+// their engines live. Such an engine still caches the prompt, so that going on
+// there costs no prefill.
+func (g *generationRun) stillWarm(attempt context.Context, e *Endpoint, err error) *Endpoint {
+	if g.warm != nil || attempt.Err() != nil || !errorx.IsOfType(err, ErrLost) || !g.begun {
+		return nil
+	}
+	return e
+}
+
 // stream delivers events until the whole end.
 func (g *generationRun) stream(s Stream, silence *time.Timer, prompt, work *Work) error {
 	if a := s.Failed(); a != nil {
--- a/router/model.go
+++ b/router/model.go
@@ -111,6 +111,8 @@
 	Began time.Time
 	// Deadline is when the caller or the route stops waiting.
 	Deadline time.Time
+	// Wait is the time limit that the caller names.
+	Wait time.Duration
 	// Message is the request itself, opaque to decisions.
 	Message any
 	// Prompt is the number of prompt tokens, and Output the most that may be
--- a/router/place.go
+++ b/router/place.go
@@ -25,9 +25,9 @@
 	// failPromptCost is the delay that a certain failure is worth in a choice:
 	// a prompt computed once more.
 	failPromptCost = 600 * time.Millisecond
-	// kvHeadroom is the part of an engine's memory that placement leaves free
-	// for running answers to grow into.
-	kvHeadroom = 0.04
+	// fullFill is the part of an engine's memory that may be in use when a
+	// generation starts; the rest is for running answers to grow into.
+	fullFill = 0.96
 	// growth is the part of an answer, in tokens, that is reckoned with from
 	// its start.
 	growth = 64
@@ -44,6 +44,18 @@
 	fill float64
 }
 
+// options restrict a choice.
+type options struct {
+	// tried endpoints are left out.
+	tried map[string]bool
+	// kept is a result that only needs a decode endpoint; or nil.
+	kept *Result
+	// warm is an engine that probably still caches the prompt; or nil.
+	warm *Endpoint
+	// fill is the part of an engine's memory that may be in use with the call.
+	fill float64
+}
+
 // need is the memory in tokens that a call takes at a decode endpoint when it
 // starts.
 //
@@ -76,10 +88,12 @@
 // nothing, because its refusal would waste the prefill.
 //
 // A kept result only needs a decode endpoint.
-func (r *Router) place(now time.Time, c *Call, tried map[string]bool, kept *Result) (placement, bool) {
+//
+// A warm engine has the prompt from an attempt before and needs no prefill.
+func (r *Router) place(now time.Time, c *Call, o options) (placement, bool) {
 	d := r.Directory()
-	prefills := r.sides(now, d.Endpoints(c.Service.Name, Prefill), tried)
-	decodes := r.roomy(c, r.sides(now, d.Endpoints(c.Service.Name, Decode), tried))
+	prefills := r.sides(now, d.Endpoints(c.Service.Name, Prefill), o.tried)
+	decodes := r.roomy(c, r.sides(now, d.Endpoints(c.Service.Name, Decode), o.tried), o.fill)
 	var best placement
 	var bestCost time.Duration
 	consider := func(p placement, cost time.Duration) {
@@ -89,7 +103,10 @@
 	}
 	for i := range decodes {
 		dec := &decodes[i]
-		if kept != nil {
+		if o.warm != nil && o.warm.ID == dec.e.ID {
+			return placement{decode: dec.e, first: moveTime}, true
+		}
+		if o.kept != nil {
 			consider(placement{decode: dec.e, first: moveTime}, dec.cost)
 			continue
 		}
@@ -136,21 +153,21 @@
 }
 
 // roomy keeps the decode endpoints with memory and a slot for the call.
-func (r *Router) roomy(c *Call, list []side) []side {
+func (r *Router) roomy(c *Call, list []side, fill float64) []side {
 	kept := list[:0]
 	for _, s := range list {
-		if r.hasRoom(c, s.view) {
+		if hasRoom(c, s.view, fill) {
 			kept = append(kept, s)
 		}
 	}
 	return kept
 }
 
-func (r *Router) hasRoom(c *Call, v View) bool {
+func hasRoom(c *Call, v View, fill float64) bool {
 	eng := c.Service.Engine
 	if eng == nil {
 		return true
 	}
-	limit := int(float64(eng.KVTokens) * (1 - kvHeadroom))
+	limit := int(float64(eng.KVTokens) * fill)
 	return v.KV+c.need() <= limit && v.Decodes < eng.Slots
 }
--- a/router/router.go
+++ b/router/router.go
@@ -37,6 +37,8 @@
 	slack   float64
 	entries int
 	rnd     *rand.Rand
+	// waits are the longest time limits that callers named, by route.
+	waits map[string]time.Duration
 }
 
 // assumedEntries is the number of entries that share the slack of the retry
@@ -55,6 +57,7 @@
 		metrics:   m,
 		budgets:   make(map[string]*limit.SharedBudget),
 		entries:   assumedEntries,
+		waits:     make(map[string]time.Duration),
 		rnd:       rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 	}
 	r.directory.Store(NewDirectory(0, 0, nil, nil, nil))
