Resumed answers go to the engine that caches their prompt

Change: a resume asks the decode engines once what they cache, all resumes of one moment share the question.

--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -67,6 +67,7 @@
 	EntryHeard       = define(6007, zap.InfoLevel, "another entry is heard")
 	EntryLost        = define(6008, zap.WarnLevel, "another entry is not heard any more")
 	LearnedFromEntry = define(6009, zap.InfoLevel, "published entries learned from another entry")
+	CacheUnknown     = define(6010, zap.InfoLevel, "engine does not say what it caches")
 	DirectoryChanged = define(6006, zap.InfoLevel, "published directory changed")
 )
 
--- a/router/answer.go
+++ b/router/answer.go
@@ -137,6 +137,8 @@
 	Prefill(ctx context.Context, e *Endpoint, c *Call) (*Result, error)
 	// Drop frees a result that nobody will use. It does not wait.
 	Drop(r *Result)
+	// Cached returns the sessions whose prompts an engine keeps, by Session.
+	Cached(ctx context.Context, e *Endpoint) (map[string]bool, error)
 	// Generate starts a generation and returns with its head.
 	Generate(ctx context.Context, e *Endpoint, c *Call, s Start) (Stream, error)
 }
--- a/router/generate.go
+++ b/router/generate.go
@@ -68,6 +68,9 @@
 	g.late = r.lateness(c)
 	r.budget(c.Service.Name).First(c.Began)
 	defer g.dropKept()
+	if c.Resume != NoNumber {
+		g.warm = r.holder(ctx, c)
+	}
 	for {
 		err := g.attempt(ctx)
 		if err == nil {
--- a/router/model.go
+++ b/router/model.go
@@ -120,6 +120,9 @@
 	Prompt, Output int
 	// Hint is the caller's estimate of the generated tokens, zero if none.
 	Hint int
+	// Session names the part of the prompt that is this caller's own; the same
+	// prompt asked for again has the same.
+	Session string
 	// Resume is the number of the last event that the caller has, or NoNumber.
 	Resume int64
 }
--- a/router/router.go
+++ b/router/router.go
@@ -31,6 +31,7 @@
 	log       *event.Log
 	metrics   *metrics.Set
 	directory atomic.Pointer[Directory]
+	cached    cachedLists
 
 	mu      sync.Mutex
 	budgets map[string]*limit.SharedBudget
