A silent prefill is given up sooner; refusing at arrival is rejected

Change: a prefill may take twice its estimate and 450 ms (700 before), a first event 900 ms (700 before).

--- a/router/generate.go
+++ b/router/generate.go
@@ -18,9 +18,11 @@
 	maxRefusals = 3
 	// roomPause is the pause before a waiting generation looks for room again.
 	roomPause = 20 * time.Millisecond
-	// stagePatience is how much longer than estimated a prefill or a first
-	// event may take before the endpoint counts as silent.
-	stagePatience = 700 * time.Millisecond
+	// prefillPatience and stagePatience are how much longer than estimated a
+	// prefill and a first event may take before the endpoint counts as silent:
+	// soon enough for another one to be on time.
+	prefillPatience = 450 * time.Millisecond
+	stagePatience   = 900 * time.Millisecond
 	// eventPatience is the longest pause between two events of a stream that
 	// is waited for; callers give up after about 3 s.
 	eventPatience = 1500 * time.Millisecond
@@ -221,18 +223,9 @@
 func (g *generationRun) wait(ctx context.Context) (placement, error) {
 	began := time.Now()
 	for {
-		now := time.Now()
-		if g.kept != nil && g.kept.Expiry.Sub(now) < resultMargin {
-			g.dropKept()
-		}
-		turn := g.late.turn(now, began)
-		p, ok := g.r.place(now, g.c, options{tried: g.tried, kept: g.kept, warm: g.warm, fill: turn.fill})
-		if ok {
-			g.r.log.Emit(event.Placed, zap.String("request", g.c.ID), zap.String("decode", p.decode.ID), zap.Duration("first", p.first), zap.Float64("fill", p.fill))
-			return p, nil
-		}
-		if turn.refuse {
-			return p, errNoEndpoint.New("no engine of %s has room", g.c.Service.Name)
+		p, ok, err := g.look(time.Now(), began)
+		if ok || err != nil {
+			return p, err
 		}
 		if !ebonypulley.Sleep(ctx, roomPause) {
 			return p, ctx.Err()
@@ -240,6 +233,24 @@
 	}
 }
 
+// look looks for a way once. An error refuses the generation.
+func (g *generationRun) look(now, began time.Time) (placement, bool, error) {
+	if g.kept != nil && g.kept.Expiry.Sub(now) < resultMargin {
+		g.dropKept()
+	}
+	turn := g.late.turn(now, began)
+	p, ok := g.r.place(now, g.c, options{tried: g.tried, kept: g.kept, warm: g.warm, fill: turn.fill})
+	if ok {
+		g.r.log.Emit(event.Placed, zap.String("request", g.c.ID), zap.String("decode", p.decode.ID),
+			zap.Duration("waited", now.Sub(began)), zap.Duration("first", p.first), zap.Float64("fill", p.fill))
+		return p, true, nil
+	}
+	if turn.refuse {
+		return p, false, errNoEndpoint.New("no engine of %s has room", g.c.Service.Name)
+	}
+	return p, false, nil
+}
+
 func (g *generationRun) prefill(ctx context.Context, p placement) (*Result, error) {
 	r, c := g.r, g.c
 	if err := g.spend(&g.prefills); err != nil {
@@ -249,7 +260,7 @@
 	ahead := r.loads.View(began, p.prefill.ID).Prefill
 	work := r.loads.Begin(p.prefill.ID, Load{Prefill: c.Prompt})
 	defer work.End()
-	stage, cancel := context.WithTimeout(ctx, 2*p.first+stagePatience)
+	stage, cancel := context.WithTimeout(ctx, 2*p.first+prefillPatience)
 	defer cancel()
 	res, err := r.endpoints.Prefill(stage, p.prefill, c)
 	took := time.Since(began)
