--- a/router/late.go
+++ b/router/late.go
@@ -18,7 +18,7 @@
 	lateGrace = 1200 * time.Millisecond
 	// lateWait is how long one that came back waits for room at most; callers
 	// give up on an answer that does not begin within about 3 s.
-	lateWait = 2500 * time.Millisecond
+	lateWait = 3000 * time.Millisecond
 	// firstEstimate is the usual time from a free place to the first event,
 	// taken off the time that there is for waiting.
 	firstEstimate = 230 * time.Millisecond
@@ -30,7 +30,7 @@
 	cameBack = 100 * time.Millisecond
 	// generationRetry and its spread are when a refused generation may come
 	// back: when a burst of some seconds is over, spread over as long again.
-	generationRetry       = 1500 * time.Millisecond
+	generationRetry       = 2500 * time.Millisecond
 	generationRetrySpread = 2000 * time.Millisecond
 )
 
