--- a/gossip/members.go
+++ b/gossip/members.go
@@ -31,6 +31,10 @@
 	// named it.
 	heard map[string]time.Time
 	known map[string]time.Time
+	// peak is the most entries that ever lived, this one included; firstSince
+	// is when this entry became the one to lead.
+	peak       int
+	firstSince time.Time
 }
 
 // NewMembers returns what an entry knows at its start.
@@ -83,6 +87,41 @@
 	return list
 }
 
+// leadFor is how long an entry must have been the first of all it knows before
+// it leads: longer than the time in which two holders of orders may not take
+// turns.
+const leadFor = 3 * time.Second
+
+// Leads reports whether this entry is the one that gives orders: the lowest
+// address of all that anybody heard lately. It is asked again and again.
+//
+// Failure guarded against: entries that are cut off from each other order the
+// same engine in turns. The guard holds because an entry leads only while it
+// hears most of those that it heard before, at least one seed's if there are
+// seeds, and has been first for a while.
+func (m *Members) Leads(now time.Time) bool {
+	living := len(m.Living(now)) + 1
+	m.peak = max(m.peak, living)
+	if !m.first(now) || 2*living <= m.peak || len(m.seeds) > 0 && living == 1 {
+		m.firstSince = time.Time{}
+		return false
+	}
+	if m.firstSince.IsZero() {
+		m.firstSince = now
+	}
+	return now.Sub(m.firstSince) >= leadFor
+}
+
+// first reports whether no lower address was heard lately, by anybody.
+func (m *Members) first(now time.Time) bool {
+	for a, at := range m.known {
+		if a < m.self && now.Sub(at) <= 2*heardFor {
+			return false
+		}
+	}
+	return true
+}
+
 // Lost returns the entries that have fallen silent since the last call.
 func (m *Members) Lost(now time.Time) []string {
 	var list []string
--- a/gossip/node.go
+++ b/gossip/node.go
@@ -139,6 +139,13 @@
 	return n.members.Living(now)
 }
 
+// Leads reports whether this entry gives orders.
+func (n *Node) Leads() bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.members.Leads(time.Now())
+}
+
 // manage keeps a link to each target.
 func (n *Node) manage(ctx context.Context) error {
 	for {
