The rest of an answer waits with those on time; engines fill to 0.98

Change: what has begun may fill engines and waits 3 s; engines are filled to 0.98 at the start of a generation.

--- a/router/generate.go
+++ b/router/generate.go
@@ -367,6 +367,7 @@
 		return nil
 	}
 	g.begun = true
+	g.late.begun = true
 	g.r.metrics.Histogram("first." + g.c.Service.Name).Record(time.Since(g.c.Began))
 	return g.sink.Begin(s.Head())
 }
--- a/router/late.go
+++ b/router/late.go
@@ -40,6 +40,8 @@
 	by time.Time
 	// again says that the caller was refused before.
 	again bool
+	// begun says that the caller has a part of the answer.
+	begun bool
 }
 
 // turn is what a waiting generation may do now.
@@ -50,6 +52,9 @@
 
 func (l lateness) turn(now, began time.Time) turn {
 	waited := now.Sub(began)
+	if l.begun {
+		return turn{fill: fullFill, refuse: waited >= lateWait}
+	}
 	if now.Before(l.by) {
 		return turn{fill: fullFill}
 	}
@@ -75,6 +80,7 @@
 	return lateness{
 		by:    c.Began.Add(c.Route.Target - spent - firstEstimate),
 		again: spent > cameBack,
+		begun: c.Resume != NoNumber,
 	}
 }
 
--- a/router/place.go
+++ b/router/place.go
@@ -27,7 +27,7 @@
 	failPromptCost = 600 * time.Millisecond
 	// fullFill is the part of an engine's memory that may be in use when a
 	// generation starts; the rest is for running answers to grow into.
-	fullFill = 0.96
+	fullFill = 0.98
 	// growth is the part of an answer, in tokens, that is reckoned with from
 	// its start.
 	growth = 64
