Stand-ins of the store and of workers; the platform's path under test; bounded logs

Change: standin.Store and standin.Worker; tests of the whole path over loopback, each with the story of its failure; logs of JSON lines on standard output through a queue that drops and counts, with a share of lines a second for each event and a larger one for warnings.

--- a/cmd/ebonypulley/daemon.go
+++ b/cmd/ebonypulley/daemon.go
@@ -27,23 +27,14 @@
 	"ebonypulley/standin"
 )
 
-// newLog returns a log of JSON lines on standard error and reports invariant
+// newLog returns a log of JSON lines on standard output and reports invariant
 // violations to it.
 func newLog(cmd *cli.Command) (*event.Log, error) {
 	level, err := zapcore.ParseLevel(cmd.String("log-level"))
 	if err != nil {
 		return nil, errorx.IllegalArgument.Wrap(err, "log-level")
 	}
-	conf := zap.NewProductionConfig()
-	conf.Level = zap.NewAtomicLevelAt(level)
-	conf.Sampling = nil
-	conf.DisableStacktrace = true
-	conf.DisableCaller = true
-	z, err := conf.Build()
-	if err != nil {
-		return nil, errorx.InitializationFailed.Wrap(err, "log")
-	}
-	log := event.NewLog(z)
+	log := event.NewOutput(os.Stdout, level)
 	invariant.SetHandler(func(rule invariant.Rule, detail string) {
 		log.Emit(event.Violation, zap.String("rule", string(rule)), zap.String("detail", detail))
 	})
@@ -56,6 +47,7 @@
 // Failure guarded against: a SIGHUP that no handler takes ends the process at
 // once. It shows as every request in progress cut off.
 func serve(ctx context.Context, d ebonypulley.Daemon, log *event.Log, debug, file string) error {
+	defer log.Sync()
 	g := ebonypulley.NewGroup(ctx)
 	hangups := make(chan os.Signal, 1)
 	signal.Notify(hangups, syscall.SIGHUP)
--- a/router/generate.go
+++ b/router/generate.go
@@ -82,6 +82,8 @@
 			return g.end(ctx, err)
 		}
 		r.metrics.Add("generation_attempts_again", 1)
+		r.log.Emit(event.GenerationAgain, zap.String("request", c.ID), zap.Bool("begun", g.begun), zap.Int64("after", g.after),
+			zap.Int("runs", g.runs), zap.Int("refusals", g.refusals), event.Err(err))
 	}
 }
 
@@ -241,8 +243,9 @@
 	turn := g.late.turn(now, began)
 	p, ok := g.r.place(now, g.c, options{tried: g.tried, kept: g.kept, warm: g.warm, fill: turn.fill})
 	if ok {
-		g.r.log.Emit(event.Placed, zap.String("request", g.c.ID), zap.String("decode", p.decode.ID),
-			zap.Duration("waited", now.Sub(began)), zap.Duration("first", p.first), zap.Float64("fill", p.fill))
+		g.r.log.Emit(event.Placed, zap.String("request", g.c.ID), zap.String("prefill", p.prefillID()),
+			zap.String("decode", p.decode.ID), zap.Duration("waited", now.Sub(began)), zap.Duration("first", p.first),
+			zap.Float64("fill", p.fill), zap.Bool("warm", g.warm == p.decode), zap.Bool("kept", g.kept != nil))
 		return p, true, nil
 	}
 	if turn.refuse {
--- a/router/place.go
+++ b/router/place.go
@@ -44,6 +44,15 @@
 	fill float64
 }
 
+// prefillID names the prefill endpoint; empty if the decode endpoint computes
+// the prompt itself or has it.
+func (p placement) prefillID() string {
+	if p.prefill == nil {
+		return ""
+	}
+	return p.prefill.ID
+}
+
 // options restrict a choice.
 type options struct {
 	// tried endpoints are left out.
--- /dev/null
+++ b/standin/store.go
@@ -0,0 +1,152 @@
+package standin
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"sort"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/gorilla/mux"
+)
+
+// StoreItem is one item of a Store, or its removal.
+type StoreItem struct {
+	Key      string `json:"key"`
+	Value    []byte `json:"value,omitempty"`
+	Revision uint64 `json:"revision"`
+	Deleted  bool   `json:"deleted,omitempty"`
+}
+
+// Store stands in for the platform's store: listings, watches and an outage.
+type Store struct {
+	mu       sync.Mutex
+	items    map[string]StoreItem
+	history  []StoreItem
+	dropped  uint64 // history up to this revision is gone
+	revision uint64
+	changed  chan struct{}
+	// down makes every call fail with 503.
+	down bool
+}
+
+// NewStore returns an empty store.
+func NewStore() *Store {
+	return &Store{items: make(map[string]StoreItem), changed: make(chan struct{})}
+}
+
+// Put writes v as JSON.
+func (s *Store) Put(key string, v any) {
+	text, err := json.Marshal(v)
+	if err != nil {
+		panic(err) // a mistake in the test that calls it
+	}
+	s.write(StoreItem{Key: key, Value: text})
+}
+
+// Delete removes a key.
+func (s *Store) Delete(key string) { s.write(StoreItem{Key: key, Deleted: true}) }
+
+func (s *Store) write(item StoreItem) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.revision++
+	item.Revision = s.revision
+	s.items[item.Key] = item
+	if item.Deleted {
+		delete(s.items, item.Key)
+	}
+	s.history = append(s.history, item)
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// SetDown begins or ends an outage.
+func (s *Store) SetDown(down bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.down = down
+}
+
+// Compact drops the history.
+func (s *Store) Compact() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.history, s.dropped = nil, s.revision
+}
+
+// Handler serves the store's reading calls.
+func (s *Store) Handler() http.Handler {
+	m := mux.NewRouter()
+	m.HandleFunc("/api/kv-range", s.list).Methods(http.MethodGet)
+	m.HandleFunc("/api/kv-watch", s.watch).Methods(http.MethodGet)
+	return m
+}
+
+// storePage is the number of items in one page of a listing.
+const storePage = 3
+
+func (s *Store) list(w http.ResponseWriter, r *http.Request) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.down {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	after := r.URL.Query().Get("after")
+	var keys []string
+	for k := range s.items {
+		if strings.HasPrefix(k, r.URL.Query().Get("path_prefix")) && k > after {
+			keys = append(keys, k)
+		}
+	}
+	sort.Strings(keys)
+	more := len(keys) > storePage
+	keys = keys[:min(len(keys), storePage)]
+	items := make([]StoreItem, 0, len(keys))
+	for _, k := range keys {
+		items = append(items, s.items[k])
+	}
+	writeJSON(w, map[string]any{"items": items, "more_pages": more, "store_revision": s.revision})
+}
+
+func (s *Store) watch(w http.ResponseWriter, r *http.Request) {
+	after, _ := strconv.ParseUint(r.URL.Query().Get("after"), 10, 64)
+	wait, _ := strconv.Atoi(r.URL.Query().Get("wait_ms"))
+	ctx, cancel := context.WithTimeout(r.Context(), time.Duration(wait)*time.Millisecond)
+	defer cancel()
+	for {
+		s.mu.Lock()
+		down, gone, revision, changed := s.down, after < s.dropped, s.revision, s.changed
+		events := make([]StoreItem, 0)
+		for _, i := range s.history {
+			if i.Revision > after {
+				events = append(events, i)
+			}
+		}
+		s.mu.Unlock()
+		switch {
+		case down:
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		case gone:
+			w.WriteHeader(http.StatusGone)
+			return
+		case len(events) > 0 || ctx.Err() != nil:
+			writeJSON(w, map[string]any{"events": events, "store_revision": revision})
+			return
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+		}
+	}
+}
+
+func writeJSON(w http.ResponseWriter, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(v) // the reader is gone
+}
