--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -59,19 +59,20 @@
 
 // Events of the router: 6xxx.
 var (
-	AttemptEnded     = define(6001, zap.InfoLevel, "attempt ended")
-	RequestAnswered  = define(6002, zap.InfoLevel, "request answered")
-	RequestGivenUp   = define(6003, zap.WarnLevel, "request given up")
-	Placed           = define(6004, zap.InfoLevel, "generation placed")
-	ResultWasted     = define(6005, zap.WarnLevel, "prefill result wasted")
-	EntryHeard       = define(6007, zap.InfoLevel, "another entry is heard")
-	EntryLost        = define(6008, zap.WarnLevel, "another entry is not heard any more")
-	LearnedFromEntry = define(6009, zap.InfoLevel, "published entries learned from another entry")
-	CacheUnknown     = define(6010, zap.InfoLevel, "engine does not say what it caches")
-	StageOrdered     = define(6011, zap.InfoLevel, "prefill engine ordered to decode")
-	OrderFailed      = define(6012, zap.WarnLevel, "order not accepted by the engine")
-	GenerationAgain  = define(6013, zap.WarnLevel, "generation is tried again")
-	DirectoryChanged = define(6006, zap.InfoLevel, "published directory changed")
+	AttemptEnded       = define(6001, zap.InfoLevel, "attempt ended")
+	RequestAnswered    = define(6002, zap.InfoLevel, "request answered")
+	RequestGivenUp     = define(6003, zap.WarnLevel, "request given up")
+	Placed             = define(6004, zap.InfoLevel, "generation placed")
+	ResultWasted       = define(6005, zap.WarnLevel, "prefill result wasted")
+	EntryHeard         = define(6007, zap.InfoLevel, "another entry is heard")
+	EntryLost          = define(6008, zap.WarnLevel, "another entry is not heard any more")
+	LearnedFromEntry   = define(6009, zap.InfoLevel, "published entries learned from another entry")
+	CacheUnknown       = define(6010, zap.InfoLevel, "engine does not say what it caches")
+	StageOrdered       = define(6011, zap.InfoLevel, "prefill engine ordered to decode")
+	OrderFailed        = define(6012, zap.WarnLevel, "order not accepted by the engine")
+	GenerationAgain    = define(6013, zap.WarnLevel, "generation is tried again")
+	ReservationRefused = define(6014, zap.InfoLevel, "reservation refused by the engine")
+	DirectoryChanged   = define(6006, zap.InfoLevel, "published directory changed")
 )
 
 // Events of the platform's adapter: 7xxx.
--- a/router/generate.go
+++ b/router/generate.go
@@ -139,24 +139,18 @@
 
 // attempt makes one try: choose, reserve, prefill, decode.
 func (g *generationRun) attempt(ctx context.Context) error {
-	p, err := g.wait(ctx)
+	pl, err := g.wait(ctx)
 	if err != nil {
 		return err
 	}
-	c := g.c
-	work := g.r.loads.Begin(p.decode.ID, Load{Decodes: 1, KV: c.need()})
-	defer work.End()
-	start := Start{After: g.after}
-	start.Reservation, err = g.reserve(ctx, p)
-	if err != nil {
-		return err
-	}
-	start.Result, err = g.result(ctx, p)
+	defer pl.work.End()
+	start := Start{After: g.after, Reservation: pl.reservation}
+	start.Result, err = g.result(ctx, pl.placement)
 	if err != nil {
 		g.release(start.Reservation)
 		return err
 	}
-	err = g.decode(ctx, p, start, work)
+	err = g.decode(ctx, pl.placement, start, pl.work)
 	if err != nil && errorx.IsOfType(err, ErrNotRun) {
 		g.release(start.Reservation)
 		g.keep(start.Result)
@@ -164,25 +158,45 @@
 	return err
 }
 
-// reserve holds memory at a decode endpoint that is nearly full.
+// place is a way whose memory is counted and, if the engine is nearly full,
+// reserved.
+type place struct {
+	placement
+	work        *Work
+	reservation *Reservation
+}
+
+// take counts the memory of a way and reserves it at a decode endpoint that is
+// nearly full. It returns false if the endpoint has none after all.
 //
 // Load pattern answered: a burst fills the decode engines, and what entries
 // reckon of each other is some tens of milliseconds old. A refusal after the
 // prefill costs the whole prompt; a reservation costs a round trip.
-func (g *generationRun) reserve(ctx context.Context, p placement) (*Reservation, error) {
-	eng := g.c.Service.Engine
-	if eng == nil || p.fill < reserveAbove {
-		return nil, nil
+func (g *generationRun) take(ctx context.Context, p placement) (place, bool) {
+	pl := place{placement: p, work: g.r.loads.Begin(p.decode.ID, Load{Decodes: 1, KV: g.c.need()})}
+	if g.c.Service.Engine == nil || p.fill < reserveAbove {
+		return pl, true
 	}
 	stage, cancel := context.WithTimeout(ctx, reserveTimeout)
 	defer cancel()
-	res, err := g.r.endpoints.Reserve(stage, p.decode, g.c.need(), reserveLife+p.first)
-	if err != nil {
-		g.tried[p.decode.ID] = true
-		g.r.metrics.Add("reservations_refused", 1)
-		return nil, ErrNotRun.Wrap(err, "reserve at %s", p.decode.ID)
+	var err error
+	pl.reservation, err = g.r.endpoints.Reserve(stage, p.decode, g.c.need(), reserveLife+p.first)
+	if err == nil {
+		return pl, true
 	}
-	return res, nil
+	pl.work.End()
+	g.r.metrics.Add("reservations_refused", 1)
+	g.r.log.Emit(event.ReservationRefused, zap.String("request", g.c.ID), zap.String("endpoint", p.decode.ID),
+		zap.Float64("fill", p.fill), event.Err(err))
+	if errorx.IsOfType(err, ErrNotRun) && !errorx.IsOfType(err, ErrUnreachable) {
+		g.r.loads.Full(time.Now(), p.decode.ID)
+		return pl, false
+	}
+	g.tried[p.decode.ID] = true
+	if ctx.Err() == nil {
+		g.r.loads.Silent(time.Now(), p.decode.ID)
+	}
+	return pl, false
 }
 
 func (g *generationRun) release(res *Reservation) {
@@ -222,15 +236,20 @@
 }
 
 // wait returns a way as soon as one has room, or refuses.
-func (g *generationRun) wait(ctx context.Context) (placement, error) {
+func (g *generationRun) wait(ctx context.Context) (place, error) {
 	began := time.Now()
 	for {
 		p, ok, err := g.look(time.Now(), began)
-		if ok || err != nil {
-			return p, err
+		if err != nil {
+			return place{}, err
+		}
+		if ok {
+			if pl, ok := g.take(ctx, p); ok {
+				return pl, nil
+			}
 		}
 		if !ebonypulley.Sleep(ctx, roomPause) {
-			return p, ctx.Err()
+			return place{}, ctx.Err()
 		}
 	}
 }
--- a/router/generate_test.go
+++ b/router/generate_test.go
@@ -272,3 +272,32 @@
 		assert.Zero(t, count(f.notes(), "generate d1"))
 	})
 }
+
+// TestRefusedReservation: a draft is refused although an engine has room. What
+// an engine was thought to have free was not; asking others is no attempt and
+// costs nothing of the retry budget.
+func TestRefusedReservation(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := &fakeEndpoints{reserve: func(e *router.Endpoint) error {
+			if e.ID != "d5" {
+				return router.ErrNotRun.New("503")
+			}
+			return nil
+		}}
+		ids := []string{"d1", "d2", "d3", "d4", "d5"}
+		list := []*router.Endpoint{engine("p", router.Prefill)}
+		for _, id := range ids {
+			list = append(list, engine(id, router.Decode))
+		}
+		r := newRouter(f, list...)
+		r.SetEntries(1000) // no slack
+		for i, id := range ids {
+			r.Loads().Begin(id, router.Load{Decodes: 5 + i, KV: 36000})
+		}
+		s := new(fakeSink)
+		_, fail := r.Generate(t.Context(), newCall(draftRoute, llm), s)
+		assert.Nil(t, fail)
+		assert.Equal(t, whole, s.got)
+		assert.Equal(t, 1, count(f.notes(), "generate d5"))
+	})
+}
--- a/router/load.go
+++ b/router/load.go
@@ -143,6 +143,8 @@
 	Latency time.Duration
 	// Rate is the recent speed of the prefill in tokens per millisecond.
 	Rate float64
+	// Full says that the endpoint just refused a reservation.
+	Full bool
 	// Avoid says that the endpoint gets work only if no other can take it.
 	Avoid bool
 }
@@ -160,6 +162,7 @@
 	v.FailShare = h.fail
 	v.Latency = time.Duration(h.latency)
 	v.Rate = h.rate
+	v.Full = now.Before(h.fullUntil)
 	v.Avoid = now.Before(h.avoidUntil)
 	return v
 }
@@ -191,6 +194,7 @@
 	rate       float64
 	silences   int
 	avoidUntil time.Time
+	fullUntil  time.Time
 	at         time.Time
 }
 
@@ -262,6 +266,17 @@
 	h.avoidUntil = now.Add(pause)
 }
 
+// fullFor is how long an endpoint that refused a reservation gets no more:
+// about the time in which one of its generations ends.
+const fullFor = 100 * time.Millisecond
+
+// Full records that an endpoint has less memory than reckoned.
+func (l *Loads) Full(now time.Time, endpoint string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.healthOf(now, endpoint).fullUntil = now.Add(fullFor)
+}
+
 // Keep forgets the records of endpoints that are not published any more.
 func (l *Loads) Keep(published func(endpoint string) bool) {
 	l.mu.Lock()
--- a/router/place.go
+++ b/router/place.go
@@ -178,5 +178,5 @@
 		return true
 	}
 	limit := int(float64(eng.KVTokens) * fill)
-	return v.KV+c.need() <= limit && v.Decodes < eng.Slots
+	return !v.Full && v.KV+c.need() <= limit && v.Decodes < eng.Slots
 }
