--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -28,10 +28,18 @@
 type slot struct {
 	Entry
 	since time.Time // when this process learned of it
+	// changed is the revision of the last change that matters.
+	changed uint64
 }
 
 // Catalog is the merged state. It is safe for concurrent use.
 type Catalog struct {
+	// Same, if set before use, reports whether two values of a key differ in
+	// nothing that matters, such as the counter of a heartbeat. Such a change
+	// is no news and is not handed on: heartbeats of thousands of endpoints
+	// would fill every process's share of the network.
+	Same func(a, b []byte) bool
+
 	mu      sync.Mutex
 	slots   map[string]slot
 	read    uint64 // the store's revision up to which all is here
@@ -55,7 +63,7 @@
 }
 
 // Merge adds entries that bring the catalog up to the store's revision upTo.
-// It returns those that were news.
+// It returns those that were news and matter.
 func (c *Catalog) Merge(now time.Time, entries []Entry, upTo uint64) []Entry {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -64,7 +72,11 @@
 		if old, ok := c.slots[e.Key]; ok && old.Revision >= e.Revision {
 			continue
 		}
-		c.slots[e.Key] = slot{Entry: e, since: now}
+		if changed, since, same := c.unchanged(e); same {
+			c.slots[e.Key] = slot{Entry: e, since: since, changed: changed}
+			continue
+		}
+		c.slots[e.Key] = slot{Entry: e, since: now, changed: e.Revision}
 		news = append(news, e)
 	}
 	c.read = max(c.read, upTo)
@@ -73,6 +85,16 @@
 	return news
 }
 
+// unchanged reports whether an entry brings nothing that matters, with the
+// former change; c.mu is held.
+func (c *Catalog) unchanged(e Entry) (changed uint64, since time.Time, same bool) {
+	old, ok := c.slots[e.Key]
+	if !ok || c.Same == nil || old.Removed || e.Removed || !c.Same(old.Value, e.Value) {
+		return 0, time.Time{}, false
+	}
+	return old.changed, old.since, true
+}
+
 // Replace merges a full listing taken at revision upTo: keys that it lacks and
 // that have not changed since are gone.
 func (c *Catalog) Replace(now time.Time, entries []Entry, upTo uint64) []Entry {
@@ -110,13 +132,13 @@
 	}
 }
 
-// Since returns the entries changed after a revision, removals included, and
+// Since returns the entries that changed in what matters after a revision, removals included, and
 // the revision up to which all is known.
 func (c *Catalog) Since(revision uint64) (entries []Entry, upTo uint64) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for _, s := range c.slots {
-		if s.Revision > revision {
+		if s.changed > revision {
 			entries = append(entries, s.Entry)
 		}
 	}
--- a/catalog/catalog_test.go
+++ b/catalog/catalog_test.go
@@ -76,3 +76,18 @@
 	assert.Equal(t, []catalog.Entry{{Key: "b", Revision: 6, Removed: true}}, got)
 	assert.EqualValues(t, 7, upTo)
 }
+
+// TestHeartbeatsAreNoNews: the network of each entry fills with the heartbeats
+// of thousands of workers, which change a counter only.
+func TestHeartbeatsAreNoNews(t *testing.T) {
+	now := time.Unix(100, 0)
+	c := catalog.New()
+	c.Same = func(a, b []byte) bool { return a[0] == b[0] }
+	c.Merge(now, []catalog.Entry{{Key: "k", Revision: 1, Value: []byte("a1")}}, 1)
+	assert.Empty(t, c.Merge(now, []catalog.Entry{{Key: "k", Revision: 2, Value: []byte("a2")}}, 2))
+	news, upTo := c.Since(1)
+	assert.Empty(t, news)
+	assert.EqualValues(t, 2, upTo)
+	assert.Len(t, c.Merge(now, []catalog.Entry{{Key: "k", Revision: 3, Value: []byte("b3")}}, 3), 1)
+	assert.Len(t, c.Merge(now, []catalog.Entry{{Key: "k", Revision: 4, Removed: true}}, 4), 1)
+}
--- a/gossip/gossip_test.go
+++ b/gossip/gossip_test.go
@@ -22,9 +22,9 @@
 // TestOneLeader: two entries order the same engine in turns. An entry that
 // hears nobody any more, or that another one still hears of, does not lead.
 func TestOneLeader(t *testing.T) {
-	a := gossip.NewMembers("a", []string{"a", "b"})
-	b := gossip.NewMembers("b", []string{"a", "b"})
-	c := gossip.NewMembers("c", []string{"a", "b"})
+	a := gossip.NewMembers("a", "dc", []string{"a", "b"})
+	b := gossip.NewMembers("b", "dc", []string{"a", "b"})
+	c := gossip.NewMembers("c", "dc", []string{"a", "b"})
 	now := start
 	step := func(d time.Duration, hear func()) {
 		for end := now.Add(d); now.Before(end); now = now.Add(500 * time.Millisecond) {
@@ -32,12 +32,12 @@
 		}
 	}
 	all := func() {
-		a.Hear(now, "b")
-		a.Hear(now, "c")
-		b.Hear(now, "a")
-		b.Hear(now, "c")
-		c.Hear(now, "a")
-		c.Hear(now, "b")
+		a.Hear(now, "b", "dc")
+		a.Hear(now, "c", "dc")
+		b.Hear(now, "a", "dc")
+		b.Hear(now, "c", "dc")
+		c.Hear(now, "a", "dc")
+		c.Hear(now, "b", "dc")
 		a.Leads(now)
 		b.Leads(now)
 		c.Leads(now)
@@ -47,16 +47,16 @@
 	assert.False(t, b.Leads(now))
 
 	step(20*time.Second, func() { // a and b don't hear each other, c hears both
-		a.Hear(now, "c")
-		b.Hear(now, "c")
+		a.Hear(now, "c", "dc")
+		b.Hear(now, "c", "dc")
 		b.Learn(now, []string{"a"})
-		c.Hear(now, "a")
-		c.Hear(now, "b")
+		c.Hear(now, "a", "dc")
+		c.Hear(now, "b", "dc")
 		assert.False(t, b.Leads(now))
 	})
 	step(20*time.Second, func() { // a is cut off
-		b.Hear(now, "c")
-		c.Hear(now, "b")
+		b.Hear(now, "c", "dc")
+		c.Hear(now, "b", "dc")
 		b.Leads(now)
 		a.Leads(now)
 	})
@@ -67,8 +67,8 @@
 // TestLonelyStart: an entry that starts cut off from all others leads; it has
 // seeds that it does not hear. Alone by its settings it leads.
 func TestLonelyStart(t *testing.T) {
-	cut := gossip.NewMembers("b", []string{"a", "b"})
-	alone := gossip.NewMembers("b", []string{"b"})
+	cut := gossip.NewMembers("b", "dc", []string{"a", "b"})
+	alone := gossip.NewMembers("b", "dc", []string{"b"})
 	for d := time.Duration(0); d < 10*time.Second; d += time.Second {
 		assert.False(t, cut.Leads(at(d)))
 		alone.Leads(at(d))
@@ -77,9 +77,9 @@
 }
 
 func TestLostAndForgotten(t *testing.T) {
-	m := gossip.NewMembers("a", []string{"seed"})
-	assert.True(t, m.Hear(at(0), "b"))
-	assert.False(t, m.Hear(at(time.Second), "b"))
+	m := gossip.NewMembers("a", "dc", []string{"seed"})
+	assert.True(t, m.Hear(at(0), "b", "dc"))
+	assert.False(t, m.Hear(at(time.Second), "b", "dc"))
 	m.Learn(at(time.Second), []string{"c", "a"})
 	assert.Equal(t, []string{"b", "c", "seed"}, m.Targets(at(time.Second)))
 	assert.Equal(t, []string{"b"}, m.Lost(at(5*time.Second)))
@@ -97,7 +97,7 @@
 	require.NoError(t, err)
 	addr := ln.Addr().String()
 	n := testNode{loads: router.NewLoads(), catalog: catalog.New()}
-	n.node = gossip.NewNode(addr, seeds, n.loads, n.catalog, event.Nop(), nil)
+	n.node = gossip.NewNode(gossip.Self{Addr: addr, DataCentre: addr}, seeds, n.loads, n.catalog, event.Nop(), nil)
 	n.node.Behind = func() bool { return behind }
 	go func() { _ = n.node.Serve(ctx, ln) }()
 	return n, addr
@@ -120,3 +120,14 @@
 	}, 5*time.Second, 10*time.Millisecond)
 	assert.Zero(t, reader.catalog.Revision(), "one that reads the store itself asks nobody")
 }
+
+// TestReaderOfDataCentre: changes stop coming when the one entry that reads for
+// the others dies. The next one takes over within a second.
+func TestReaderOfDataCentre(t *testing.T) {
+	m := gossip.NewMembers("b", "dc-1", nil)
+	m.Hear(at(0), "a", "dc-1")
+	m.Hear(at(0), "0", "dc-2")
+	m.Hear(at(0), "c", "dc-1")
+	assert.Equal(t, "a", m.Reader(at(0)))
+	assert.Equal(t, "b", m.Reader(at(900*time.Millisecond)))
+}
--- a/gossip/members.go
+++ b/gossip/members.go
@@ -25,8 +25,11 @@
 // Members is what one entry knows of the others. It does no I/O and is not
 // safe for concurrent use.
 type Members struct {
-	self  string
-	seeds map[string]bool
+	self       string
+	dataCentre string
+	seeds      map[string]bool
+	// where holds the data centres of entries heard.
+	where map[string]string
 	// heard holds when each was last heard directly, known when anybody last
 	// named it.
 	heard map[string]time.Time
@@ -38,8 +41,8 @@
 }
 
 // NewMembers returns what an entry knows at its start.
-func NewMembers(self string, seeds []string) *Members {
-	m := &Members{self: self, heard: make(map[string]time.Time), known: make(map[string]time.Time)}
+func NewMembers(self, dataCentre string, seeds []string) *Members {
+	m := &Members{self: self, dataCentre: dataCentre, where: make(map[string]string), heard: make(map[string]time.Time), known: make(map[string]time.Time)}
 	m.SetSeeds(seeds)
 	return m
 }
@@ -56,10 +59,11 @@
 
 // Hear records a report or a reply from an entry; it returns whether the
 // entry was not counted as living before.
-func (m *Members) Hear(now time.Time, addr string) (fresh bool) {
+func (m *Members) Hear(now time.Time, addr, dataCentre string) (fresh bool) {
 	if addr == m.self {
 		return false
 	}
+	m.where[addr] = dataCentre
 	last, ok := m.heard[addr]
 	m.heard[addr] = now
 	m.known[addr] = now
@@ -87,6 +91,26 @@
 	return list
 }
 
+// readerFor is how long after its last word an entry still counts as the
+// reader of its data centre.
+const readerFor = 800 * time.Millisecond
+
+// Reader returns the entry that reads the platform for this one's data centre:
+// the lowest address there. Two readers at a time do no harm, and without one
+// each entry reads itself.
+//
+// Load pattern answered: hundreds of entries watch the store, each heartbeat
+// of a worker ends every watch, and reads grow with the square of the fleet.
+func (m *Members) Reader(now time.Time) string {
+	reader := m.self
+	for a, at := range m.heard {
+		if a < reader && m.where[a] == m.dataCentre && now.Sub(at) <= readerFor {
+			reader = a
+		}
+	}
+	return reader
+}
+
 // leadFor is how long an entry must have been the first of all it knows before
 // it leads: longer than the time in which two holders of orders may not take
 // turns.
@@ -128,6 +152,7 @@
 	for a, at := range m.heard {
 		if now.Sub(at) > heardFor {
 			delete(m.heard, a)
+			delete(m.where, a)
 			list = append(list, a)
 		}
 	}
--- a/gossip/node.go
+++ b/gossip/node.go
@@ -27,6 +27,9 @@
 	reportsPerSecond = 300
 	// idleInterval is the pause while nothing changes.
 	idleInterval = 500 * time.Millisecond
+	// askInterval is the pause to the entry that reads the platform for this
+	// one: a part of the 2 s in which a change is to be in force.
+	askInterval = 100 * time.Millisecond
 	// silentFor is how long a connection may bring no reply before it is
 	// replaced.
 	//
@@ -41,9 +44,16 @@
 	membersInterval = 250 * time.Millisecond
 )
 
+// Self is the entry that a node belongs to.
+type Self struct {
+	// Addr is where it listens for others.
+	Addr       string
+	DataCentre string
+}
+
 // Node exchanges reports with other entries.
 type Node struct {
-	self    string
+	self    Self
 	inc     wire.Incarnation
 	loads   *router.Loads
 	catalog *catalog.Catalog
@@ -51,6 +61,10 @@
 	dial    ebonypulley.Dialer
 	// Behind reports whether this entry can't read the platform itself.
 	Behind func() bool
+	// Age is how old this entry's knowledge of the platform is, and Heard is
+	// told the age of what another one handed on.
+	Age   func() time.Duration
+	Heard func(age time.Duration)
 	// Entries is told the number of living entries, this one included.
 	Entries func(n int)
 
@@ -61,12 +75,13 @@
 	links   map[string]context.CancelFunc
 }
 
-// NewNode returns a node of the entry that listens at self.
-func NewNode(self string, seeds []string, loads *router.Loads, cat *catalog.Catalog, log *event.Log, dial ebonypulley.Dialer) *Node {
+// NewNode returns the node of an entry.
+func NewNode(self Self, seeds []string, loads *router.Loads, cat *catalog.Catalog, log *event.Log, dial ebonypulley.Dialer) *Node {
 	return &Node{
 		self: self, inc: wire.NewID(), loads: loads, catalog: cat, log: log, dial: dial.OrTCP(),
 		Behind: func() bool { return false }, Entries: func(int) {},
-		members: NewMembers(self, seeds), links: make(map[string]context.CancelFunc),
+		Age: func() time.Duration { return 0 }, Heard: func(time.Duration) {},
+		members: NewMembers(self.Addr, self.DataCentre, seeds), links: make(map[string]context.CancelFunc),
 	}
 }
 
@@ -113,14 +128,14 @@
 // answer takes a report in.
 func (n *Node) answer(r *wire.Report) *wire.Reply {
 	now := time.Now()
-	n.hear(now, r.From, r.Members)
+	n.hear(now, r.From, r.DataCentre, r.Members)
 	work := make(map[string]router.Load, len(r.Work))
 	for _, w := range r.Work {
 		work[w.Endpoint] = router.Load{Calls: w.Calls, Prefill: w.Prefill, Decodes: w.Decodes, KV: w.KV}
 	}
 	n.loads.Hear(now, r.From, work)
-	reply := &wire.Reply{Members: n.living(now)}
-	if r.Behind && n.catalog.Revision() > r.Revision {
+	reply := &wire.Reply{DataCentre: n.self.DataCentre, Members: n.living(now), Age: n.Age()}
+	if r.Behind && n.catalog.Revision() >= max(r.Revision, 1) {
 		entries, upTo := n.catalog.Since(r.Revision)
 		reply.UpTo = upTo
 		for _, e := range entries {
@@ -130,10 +145,10 @@
 	return reply
 }
 
-func (n *Node) hear(now time.Time, addr string, members []string) {
+func (n *Node) hear(now time.Time, addr, dataCentre string, members []string) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	if n.members.Hear(now, addr) {
+	if n.members.Hear(now, addr, dataCentre) {
 		n.log.Emit(event.EntryHeard, zap.String("peer", addr))
 	}
 	n.members.Learn(now, members)
@@ -145,6 +160,23 @@
 	return n.members.Living(now)
 }
 
+// Reads reports whether this entry reads the platform for its data centre.
+func (n *Node) Reads() bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.members.Reader(time.Now()) == n.self.Addr
+}
+
+// asks reports whether an entry is to hand on what is published.
+func (n *Node) asks(now time.Time, addr string) bool {
+	if n.Behind() {
+		return true
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.members.Reader(now) == addr
+}
+
 // Leads reports whether this entry gives orders.
 func (n *Node) Leads() bool {
 	n.mu.Lock()
@@ -222,11 +254,12 @@
 	for {
 		now := time.Now()
 		work, changed := n.ownWork(now)
-		if changed.After(seen) && now.Sub(sent) >= n.interval(now) || now.Sub(sent) >= idleInterval {
+		asks := n.asks(now, addr)
+		if changed.After(seen) && now.Sub(sent) >= n.interval(now) || now.Sub(sent) >= quietInterval(asks) {
 			sent, seen = now, changed
 			err := c.Send(&wire.Report{
-				From: n.self, Incarnation: n.inc, Members: n.living(now), Work: work,
-				Revision: n.catalog.Revision(), Behind: n.Behind(),
+				From: n.self.Addr, DataCentre: n.self.DataCentre, Incarnation: n.inc, Members: n.living(now), Work: work,
+				Revision: n.catalog.Revision(), Behind: asks,
 			})
 			if err != nil {
 				return
@@ -238,6 +271,14 @@
 	}
 }
 
+// quietInterval is the pause between two reports while nothing changes.
+func quietInterval(asks bool) time.Duration {
+	if asks {
+		return askInterval
+	}
+	return idleInterval
+}
+
 // interval is the pause between two reports to one entry while work changes.
 func (n *Node) interval(now time.Time) time.Duration {
 	others := len(n.living(now))
@@ -261,10 +302,11 @@
 
 func (n *Node) take(addr string, r *wire.Reply) {
 	now := time.Now()
-	n.hear(now, addr, r.Members)
+	n.hear(now, addr, r.DataCentre, r.Members)
 	if r.UpTo == 0 {
 		return
 	}
+	n.Heard(r.Age)
 	entries := make([]catalog.Entry, 0, len(r.Entries))
 	for _, e := range r.Entries {
 		entries = append(entries, catalog.Entry(e))
--- a/wire/message.go
+++ b/wire/message.go
@@ -370,6 +370,7 @@
 type Report struct {
 	// From is where the sender listens for other entries.
 	From        string
+	DataCentre  string
 	Incarnation Incarnation
 	// Members are the entries that the sender has heard lately.
 	Members []string
@@ -392,7 +393,10 @@
 
 // Reply answers each Report.
 type Reply struct {
-	Members []string
+	DataCentre string
+	Members    []string
+	// Age is how old the sender's knowledge of the platform is.
+	Age time.Duration
 	// Entries are those newer than the Report's revision, if it asked.
 	Entries []Published
 	// UpTo is the revision up to which Entries are complete; 0 without.
