--- a/router/generate.go
+++ b/router/generate.go
@@ -139,28 +139,33 @@
 
 // attempt makes one try: choose, reserve, prefill, decode.
 func (g *generationRun) attempt(ctx context.Context) error {
-	pl, err := g.wait(ctx)
+	a, err := g.wait(ctx)
 	if err != nil {
 		return err
 	}
-	defer pl.work.End()
-	start := Start{After: g.after, Reservation: pl.reservation}
-	start.Result, err = g.result(ctx, pl.placement)
+	defer a.work.End()
+	start := Start{After: g.after, Reservation: a.reservation}
+	start.Result, err = g.result(ctx, a.placement)
 	if err != nil {
 		g.release(start.Reservation)
 		return err
 	}
-	err = g.decode(ctx, pl.placement, start, pl.work)
+	err = g.decode(ctx, a.placement, start, a.work)
 	if err != nil && errorx.IsOfType(err, ErrNotRun) {
 		g.release(start.Reservation)
-		g.keep(start.Result)
+		g.kept = start.Result
+	}
+	if start.Result != nil && ctx.Err() != nil {
+		// The caller left; a result that was taken is not there any more.
+		g.r.endpoints.Drop(start.Result)
+		g.kept = nil
 	}
 	return err
 }
 
-// place is a way whose memory is counted and, if the engine is nearly full,
+// admission is a way whose memory is counted and, if the engine is nearly full,
 // reserved.
-type place struct {
+type admission struct {
 	placement
 	work        *Work
 	reservation *Reservation
@@ -172,31 +177,31 @@
 // Load pattern answered: a burst fills the decode engines, and what entries
 // reckon of each other is some tens of milliseconds old. A refusal after the
 // prefill costs the whole prompt; a reservation costs a round trip.
-func (g *generationRun) take(ctx context.Context, p placement) (place, bool) {
-	pl := place{placement: p, work: g.r.loads.Begin(p.decode.ID, Load{Decodes: 1, KV: g.c.need()})}
+func (g *generationRun) take(ctx context.Context, p placement) (admission, bool) {
+	a := admission{placement: p, work: g.r.loads.Begin(p.decode.ID, Load{Decodes: 1, KV: g.c.need()})}
 	if g.c.Service.Engine == nil || p.fill < reserveAbove {
-		return pl, true
+		return a, true
 	}
 	stage, cancel := context.WithTimeout(ctx, reserveTimeout)
 	defer cancel()
 	var err error
-	pl.reservation, err = g.r.endpoints.Reserve(stage, p.decode, g.c.need(), reserveLife+p.first)
+	a.reservation, err = g.r.endpoints.Reserve(stage, p.decode, g.c.need(), reserveLife+p.first)
 	if err == nil {
-		return pl, true
+		return a, true
 	}
-	pl.work.End()
+	a.work.End()
 	g.r.metrics.Add("reservations_refused", 1)
 	g.r.log.Emit(event.ReservationRefused, zap.String("request", g.c.ID), zap.String("endpoint", p.decode.ID),
 		zap.Float64("fill", p.fill), event.Err(err))
 	if errorx.IsOfType(err, ErrNotRun) && !errorx.IsOfType(err, ErrUnreachable) {
 		g.r.loads.Full(time.Now(), p.decode.ID)
-		return pl, false
+		return a, false
 	}
 	g.tried[p.decode.ID] = true
 	if ctx.Err() == nil {
 		g.r.loads.Silent(time.Now(), p.decode.ID)
 	}
-	return pl, false
+	return a, false
 }
 
 func (g *generationRun) release(res *Reservation) {
@@ -219,11 +224,6 @@
 	return g.prefill(ctx, p)
 }
 
-// keep keeps a result that its decode endpoint refused.
-func (g *generationRun) keep(res *Result) {
-	g.kept = res
-}
-
 // dropKept frees a kept result that no attempt took.
 func (g *generationRun) dropKept() {
 	if g.kept == nil {
@@ -236,20 +236,20 @@
 }
 
 // wait returns a way as soon as one has room, or refuses.
-func (g *generationRun) wait(ctx context.Context) (place, error) {
+func (g *generationRun) wait(ctx context.Context) (admission, error) {
 	began := time.Now()
 	for {
 		p, ok, err := g.look(time.Now(), began)
 		if err != nil {
-			return place{}, err
+			return admission{}, err
 		}
 		if ok {
-			if pl, ok := g.take(ctx, p); ok {
-				return pl, nil
+			if a, ok := g.take(ctx, p); ok {
+				return a, nil
 			}
 		}
 		if !ebonypulley.Sleep(ctx, roomPause) {
-			return place{}, ctx.Err()
+			return admission{}, ctx.Err()
 		}
 	}
 }
@@ -301,8 +301,7 @@
 
 // decode streams the answer from the decode endpoint.
 func (g *generationRun) decode(ctx context.Context, p placement, start Start, work *Work) error {
-	r, c := g.r, g.c
-	if !r.Directory().Has(p.decode) {
+	if !g.r.Directory().Has(p.decode) {
 		g.tried[p.decode.ID] = true
 		return ErrUnreachable.New("%s left during the prefill", p.decode.ID)
 	}
@@ -311,42 +310,61 @@
 	}
 	attempt, cancel := context.WithCancel(ctx)
 	defer cancel()
-	patience := stagePatience
-	if start.Result == nil {
-		patience += 2 * p.first
-	}
-	silence := time.AfterFunc(patience, cancel)
+	silence := time.AfterFunc(firstPatience(p, start), cancel)
 	defer silence.Stop()
-	prompt := r.loads.Begin(p.decode.ID, Load{})
-	if start.Result == nil {
-		prompt.Grow(Load{Prefill: c.Prompt})
-	}
-	defer prompt.End()
 	began := time.Now()
-	s, err := r.endpoints.Generate(attempt, p.decode, c, start)
-	if err == nil {
-		defer s.Close()
-		err = g.stream(s, silence, prompt, work)
-	}
+	err := g.exchange(attempt, p, start, silence, work)
 	if !errorx.IsOfType(err, ErrNotRun) {
 		g.runs++
 	}
 	if err != nil {
-		g.warm = g.stillWarm(attempt, p.decode, err)
-		g.tried[p.decode.ID] = g.warm == nil
-		if ctx.Err() == nil && attempt.Err() != nil {
-			err = ErrLost.Wrap(err, "%s was silent", p.decode.ID)
-			r.loads.Silent(time.Now(), p.decode.ID)
-		} else if ctx.Err() == nil && !errorx.IsOfType(err, ErrCaller) {
-			r.loads.Failed(time.Now(), p.decode.ID)
-		}
-		return err
+		return g.decodeFailed(ctx, attempt, p.decode, err)
 	}
-	r.loads.Succeeded(time.Now(), p.decode.ID, 0)
-	r.metrics.Histogram("whole." + c.Service.Name).Record(time.Since(began))
+	g.r.loads.Succeeded(time.Now(), p.decode.ID, 0)
+	g.r.metrics.Histogram("whole." + g.c.Service.Name).Record(time.Since(began))
 	return nil
 }
 
+// firstPatience is how long a decode endpoint may take for its first event.
+func firstPatience(p placement, start Start) time.Duration {
+	if start.Result == nil {
+		return stagePatience + 2*p.first
+	}
+	return stagePatience
+}
+
+// exchange starts the generation and delivers its events. An endpoint that
+// computes the prompt itself counts as busy with it until the first event.
+func (g *generationRun) exchange(ctx context.Context, p placement, start Start, silence *time.Timer, work *Work) error {
+	prompt := g.r.loads.Begin(p.decode.ID, Load{})
+	if start.Result == nil {
+		prompt.Grow(Load{Prefill: g.c.Prompt})
+	}
+	defer prompt.End()
+	s, err := g.r.endpoints.Generate(ctx, p.decode, g.c, start)
+	if err != nil {
+		return err
+	}
+	defer s.Close()
+	return g.stream(s, silence, prompt, work)
+}
+
+// decodeFailed records what a failed attempt shows of its endpoint. Attempt
+// has ended and ctx has not if the endpoint was silent.
+func (g *generationRun) decodeFailed(ctx, attempt context.Context, e *Endpoint, err error) error {
+	g.warm = g.stillWarm(attempt, e, err)
+	g.tried[e.ID] = g.warm == nil
+	switch {
+	case ctx.Err() != nil || errorx.IsOfType(err, ErrCaller):
+	case attempt.Err() != nil:
+		g.r.loads.Silent(time.Now(), e.ID)
+		return ErrLost.Wrap(err, "%s was silent", e.ID)
+	default:
+		g.r.loads.Failed(time.Now(), e.ID)
+	}
+	return err
+}
+
 // stillWarm returns the endpoint of an answer that broke off, if the next
 // attempt should go there again.
 //
--- a/router/router.go
+++ b/router/router.go
@@ -35,7 +35,6 @@
 
 	mu      sync.Mutex
 	budgets map[string]*limit.SharedBudget
-	slack   float64
 	entries int
 	rnd     *rand.Rand
 	// waits are the longest time limits that callers named, by route.
--- a/router/stages_test.go
+++ b/router/stages_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -30,11 +31,11 @@
 		}
 		r := newRouter(f, list...)
 		ctx, cancel := contextWithCancel(t)
-		may := false
-		go func() { _ = r.KeepStages(ctx, func() (uint64, bool) { return 7, may }) }()
+		var may atomic.Bool
+		go func() { _ = r.KeepStages(ctx, func() (uint64, bool) { return 7, may.Load() }) }()
 		time.Sleep(5 * time.Second)
 		assert.Empty(t, f.notes())
-		may = true
+		may.Store(true)
 		time.Sleep(5 * time.Second)
 		assert.Equal(t, []string{"order p1 7"}, f.notes())
 		cancel()
