--- a/cmd/ebonypulley/daemon.go
+++ b/cmd/ebonypulley/daemon.go
@@ -54,7 +54,12 @@
 	defer signal.Stop(hangups)
 	g.Go(func(ctx context.Context) error { return reloadLoop(ctx, d, log, hangups, file) })
 	if debug != "" {
-		g.Go(func(ctx context.Context) error { return serveDebug(ctx, debug) })
+		g.Go(func(ctx context.Context) error {
+			if err := serveDebug(ctx, debug); err != nil {
+				log.Emit(event.MetricsLost, zap.String("listen", debug), event.Err(err))
+			}
+			return nil
+		})
 	}
 	signals := make(chan os.Signal, 1)
 	signal.Notify(signals, drainSignals...)
@@ -117,8 +122,18 @@
 
 const debugHeaderTimeout = 5 * time.Second
 
+// debugDelay lets the daemon's own addresses go first.
+const debugDelay = 300 * time.Millisecond
+
 // serveDebug shows expvar at /debug/vars.
+//
+// Failure guarded against: the metrics port, which is the same on all VMs, is
+// in use on one of them. It shows as a process that does not start. The guard
+// holds because the daemon listens first and goes on without its metrics.
 func serveDebug(ctx context.Context, addr string) error {
+	if !ebonypulley.Sleep(ctx, debugDelay) {
+		return nil
+	}
 	ln, err := net.Listen("tcp", addr)
 	if err != nil {
 		return errorx.ExternalError.Wrap(err, "debug address")
--- a/cmd/ebonypulley/daemon_test.go
+++ b/cmd/ebonypulley/daemon_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"os"
 	"path/filepath"
 	"syscall"
@@ -52,6 +53,24 @@
 	assert.NoError(t, <-ended)
 }
 
+// TestMetricsPortInUse: an entry does not start. Its metrics port is taken by
+// something else on that VM; it serves without metrics.
+func TestMetricsPortInUse(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer func() { _ = ln.Close() }()
+	ctx, cancel := context.WithCancel(t.Context())
+	ended := make(chan error, 1)
+	go func() { ended <- serve(ctx, &reloadable{}, event.Nop(), ln.Addr().String(), "") }()
+	select {
+	case err := <-ended:
+		t.Fatalf("it ended: %v", err)
+	case <-time.After(2 * debugDelay):
+	}
+	cancel()
+	assert.NoError(t, <-ended)
+}
+
 func reloaded(t *testing.T, d *reloadable) {
 	t.Helper()
 	select {
--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -11,6 +11,7 @@
 	Paused        = define(1005, zap.WarnLevel, "process was paused")
 	Violation     = define(1006, zap.ErrorLevel, "invariant violated")
 	DrainWaits    = define(1008, zap.InfoLevel, "drain waits for work in progress")
+	MetricsLost   = define(1009, zap.WarnLevel, "metrics are not served")
 	PlainTextOpen = define(1007, zap.WarnLevel, "listening without TLS on an address other than loopback")
 )
 
