The choice of a way in small functions; warm engines are not asked for reservations

Change: smaller functions; that a warm engine is not reserved is said and tested instead of following from a fill of zero.

--- a/router/generate.go
+++ b/router/generate.go
@@ -176,10 +176,12 @@
 //
 // Load pattern answered: a burst fills the decode engines, and what entries
 // reckon of each other is some tens of milliseconds old. A refusal after the
-// prefill costs the whole prompt; a reservation costs a round trip.
+// prefill costs the whole prompt; a reservation costs a round trip. A warm
+// engine is not asked: what is reserved there may push out the cached prompt
+// itself. Measured with it: mean worth 0.772 to 0.765 over 30 days.
 func (g *generationRun) take(ctx context.Context, p placement) (admission, bool) {
 	a := admission{placement: p, work: g.r.loads.Begin(p.decode.ID, Load{Decodes: 1, KV: g.c.need()})}
-	if g.c.Service.Engine == nil || p.fill < reserveAbove {
+	if p.warm || p.fill < reserveAbove {
 		return a, true
 	}
 	stage, cancel := context.WithTimeout(ctx, reserveTimeout)
@@ -264,7 +266,7 @@
 	if ok {
 		g.r.log.Emit(event.Placed, zap.String("request", g.c.ID), zap.String("prefill", p.prefillID()),
 			zap.String("decode", p.decode.ID), zap.Duration("waited", now.Sub(began)), zap.Duration("first", p.first),
-			zap.Float64("fill", p.fill), zap.Bool("warm", g.warm == p.decode), zap.Bool("kept", g.kept != nil))
+			zap.Float64("fill", p.fill), zap.Bool("warm", p.warm), zap.Bool("kept", g.kept != nil))
 		return p, true, nil
 	}
 	if turn.refuse {
--- a/router/generate_test.go
+++ b/router/generate_test.go
@@ -301,3 +301,20 @@
 		assert.Equal(t, 1, count(f.notes(), "generate d5"))
 	})
 }
+
+// TestWarmEngineIsNotReserved: the rest of an answer is computed anew although
+// its engine had the prompt. What was reserved for it there pushed the cached
+// prompt out.
+func TestWarmEngineIsNotReserved(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := &fakeEndpoints{cached: map[string]string{"s1": "d2"}}
+		r := newRouter(f, engine("d1", router.Decode), engine("d2", router.Decode))
+		r.Loads().Begin("d2", router.Load{Decodes: 7, KV: 40000})
+		c := newCall(draftRoute, llm)
+		c.Resume = 2
+		_, fail := r.Generate(t.Context(), c, new(fakeSink))
+		assert.Nil(t, fail)
+		assert.Equal(t, 1, count(f.notes(), "generate d2"))
+		assert.Zero(t, count(f.notes(), "reserve"))
+	})
+}
--- a/router/place.go
+++ b/router/place.go
@@ -42,6 +42,8 @@
 	first time.Duration
 	// fill is the part of the decode endpoint's memory in use with the call.
 	fill float64
+	// warm says that the decode endpoint probably caches the prompt.
+	warm bool
 }
 
 // prefillID names the prefill endpoint; empty if the decode endpoint computes
@@ -89,53 +91,71 @@
 }
 
 // place returns the way with the least expected time to the first event, or
-// false if no decode endpoint has room.
+// false if no decode endpoint has room. A kept result only needs a decode
+// endpoint; a warm engine has the prompt from an attempt before.
 //
 // Load pattern answered: bursts of long prompts from several entries at once.
 // Work under way of all entries is counted at each engine, so that a burst
 // spreads over all engines of both stages; an engine without room gets
 // nothing, because its refusal would waste the prefill.
-//
-// A kept result only needs a decode endpoint.
-//
-// A warm engine has the prompt from an attempt before and needs no prefill.
 func (r *Router) place(now time.Time, c *Call, o options) (placement, bool) {
 	d := r.Directory()
-	prefills := r.sides(now, d.Endpoints(c.Service.Name, Prefill), o.tried)
 	decodes := r.roomy(c, r.sides(now, d.Endpoints(c.Service.Name, Decode), o.tried), o.fill)
-	var best placement
-	var bestCost time.Duration
-	consider := func(p placement, cost time.Duration) {
-		if best.decode == nil || cost < bestCost {
-			best, bestCost = p, cost
-		}
+	if len(decodes) == 0 {
+		return placement{}, false
+	}
+	var prefills []side
+	if o.kept == nil {
+		prefills = r.sides(now, d.Endpoints(c.Service.Name, Prefill), o.tried)
 	}
+	var best way
 	for i := range decodes {
 		dec := &decodes[i]
 		if o.warm != nil && o.warm.ID == dec.e.ID {
-			return placement{decode: dec.e, first: moveTime}, true
+			best = way{placement: placement{decode: dec.e, first: moveTime, fill: dec.fill(c), warm: true}}
+			break
 		}
-		if o.kept != nil {
-			consider(placement{decode: dec.e, first: moveTime}, dec.cost)
-			continue
+		w := cheapest(c, dec, prefills, o.kept != nil)
+		if best.decode == nil || w.cost < best.cost {
+			best = w
 		}
-		alone := promptTime(dec.view, c.Prompt, decodeSlowdown)
-		consider(placement{decode: dec.e, first: alone}, alone+dec.cost)
-		for j := range prefills {
-			pre := &prefills[j]
-			split := promptTime(pre.view, c.Prompt, 1) + moveTime
-			cost := split + dec.cost + pre.cost
-			if pre.e.DataCentre != dec.e.DataCentre {
-				cost += farMove
-			}
-			consider(placement{prefill: pre.e, decode: dec.e, first: split}, cost)
+	}
+	return best.placement, true
+}
+
+// way is a placement with its cost.
+type way struct {
+	placement
+	cost time.Duration
+}
+
+// cheapest returns the best way that ends at a decode endpoint.
+func cheapest(c *Call, dec *side, prefills []side, hasResult bool) way {
+	if hasResult {
+		return way{placement{decode: dec.e, first: moveTime, fill: dec.fill(c)}, dec.cost}
+	}
+	alone := promptTime(dec.view, c.Prompt, decodeSlowdown)
+	best := way{placement{decode: dec.e, first: alone, fill: dec.fill(c)}, alone + dec.cost}
+	for i := range prefills {
+		pre := &prefills[i]
+		split := promptTime(pre.view, c.Prompt, 1) + moveTime
+		cost := split + dec.cost + pre.cost
+		if pre.e.DataCentre != dec.e.DataCentre {
+			cost += farMove
+		}
+		if cost < best.cost {
+			best = way{placement{prefill: pre.e, decode: dec.e, first: split, fill: dec.fill(c)}, cost}
 		}
 	}
-	if best.decode != nil && c.Service.Engine != nil {
-		used := r.loads.View(now, best.decode.ID).KV + c.need()
-		best.fill = float64(used) / float64(max(c.Service.Engine.KVTokens, 1))
+	return best
+}
+
+// fill is the part of the endpoint's memory in use with the call.
+func (s *side) fill(c *Call) float64 {
+	if c.Service.Engine == nil {
+		return 0
 	}
-	return best, best.decode != nil
+	return float64(s.view.KV+c.need()) / float64(max(c.Service.Engine.KVTokens, 1))
 }
 
 // promptTime is how long a prompt takes behind those already waiting.
