A whole answer keeps its connection even if the writer has not yet run again

Cause: Response.Done closed a connection when the goroutine that wrote the request had not yet noted its end, although the answer was whole. Ruled out: a longer timeout of the test (the second connection never gets the answer); waiting in Done (an endpoint that answers early would hold it up). Change: short requests are written before the answer is read; for longer ones the second of the two sides to end keeps the connection, and the rest of a request has 100 ms. The accept loops of agents and entries are one, with a log line (3006); a lost release of engine memory has one too (7006). Before: TestAnswerBeforeWriteReturns 3 connections for 3 requests, with and without a body. After: 1; all of ./upstream 30 times with the race detector: ok.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -155,22 +155,13 @@
 }
 
 func (a *Agent) accept(ctx context.Context, ln net.Listener) error {
-	stop := context.AfterFunc(ctx, func() { _ = ln.Close() })
-	defer stop()
-	for {
-		nc, err := ln.Accept()
-		if ctx.Err() != nil {
-			return nil
-		}
-		if err != nil {
-			time.Sleep(tickInterval)
-			continue
-		}
+	wire.Accept(ctx, ln, a.log, func(nc net.Conn) {
 		a.group.Go(func(ctx context.Context) error {
 			a.serveSession(ctx, nc)
 			return nil
 		})
-	}
+	})
+	return nil
 }
 
 // Drain refuses new work at once, lets work in progress end whole and be
--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -32,6 +32,7 @@
 	LinkLost     = define(3002, zap.WarnLevel, "connection to an agent ended")
 	LinkSilent   = define(3003, zap.WarnLevel, "connection to an agent is silent and is replaced")
 	PeerRefused  = define(3004, zap.ErrorLevel, "peer refused: it breaks the protocol")
+	AcceptFailed = define(3006, zap.ErrorLevel, "connection of a peer can't be accepted")
 	PeerDraining = define(3005, zap.InfoLevel, "an endpoint is leaving")
 )
 
@@ -82,5 +83,6 @@
 	StoreReachable   = define(7002, zap.InfoLevel, "store answers again")
 	EntryUnreadable  = define(7003, zap.ErrorLevel, "published entry is not readable")
 	SettingsReloaded = define(7004, zap.InfoLevel, "settings reloaded")
+	ReleaseLost      = define(7006, zap.InfoLevel, "release of engine memory lost")
 	SettingsRefused  = define(7005, zap.ErrorLevel, "changed settings refused")
 )
--- a/gossip/node.go
+++ b/gossip/node.go
@@ -97,19 +97,8 @@
 	g := ebonypulley.NewGroup(ctx)
 	g.Go(n.manage)
 	g.Go(func(ctx context.Context) error {
-		stop := context.AfterFunc(ctx, func() { _ = ln.Close() })
-		defer stop()
-		for {
-			nc, err := ln.Accept()
-			if ctx.Err() != nil {
-				return nil
-			}
-			if err != nil {
-				ebonypulley.Sleep(ctx, redialPause) // out of descriptors, most likely
-				continue
-			}
-			go n.accept(ctx, nc)
-		}
+		wire.Accept(ctx, ln, n.log, func(nc net.Conn) { go n.accept(ctx, nc) })
+		return nil
 	})
 	return g.Wait()
 }
--- a/upstream/exchange.go
+++ b/upstream/exchange.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"net/url"
 	"sync/atomic"
+	"time"
 )
 
 // Request is one request as it is sent.
@@ -43,11 +44,23 @@
 	target Target
 	conn   *conn
 	stop   func() bool
-	sent   atomic.Bool
+	// halves counts the sides that are done with the connection: the request
+	// is written, the answer is read. The second keeps the connection.
+	halves atomic.Int32
 	whole  bool
 	keep   bool
 }
 
+const (
+	// inlineBody is the size in bytes up to which a body is written before
+	// the answer is read: with its header it fits into what any endpoint's
+	// receive window takes, so that the write can't block.
+	inlineBody = 2 << 10
+	// restTimeout is how long the rest of a request may still take when its
+	// answer is whole; then the connection is closed.
+	restTimeout = 100 * time.Millisecond
+)
+
 // Do sends a request and returns once the head of its answer is here. The
 // connection ends with ctx. Errors are ErrConnect and ErrLost.
 func (p *Pool) Do(ctx context.Context, t Target, req *Request) (*Response, error) {
@@ -58,7 +71,11 @@
 	r := &Response{pool: p, target: t, conn: c}
 	r.stop = context.AfterFunc(ctx, func() { _ = c.nc.Close() })
 	hr := req.http(t)
-	go r.write(hr)
+	if len(req.Body) <= inlineBody {
+		r.write(hr)
+	} else {
+		go r.write(hr)
+	}
 	if err := r.readHead(hr, req.Matches); err != nil {
 		r.abandon()
 		if ctx.Err() != nil {
@@ -83,17 +100,29 @@
 	return hr
 }
 
-// write sends the request beside the reading side, because an endpoint may
-// answer before it has read a long body.
+// write sends the request. A long body is written beside the reading side,
+// because an endpoint may answer before it has read it.
 func (r *Response) write(hr *http.Request) {
 	err := hr.Write(r.conn.bw)
 	if err == nil {
 		err = r.conn.bw.Flush()
 	}
 	if err != nil {
-		return // the reading side sees how the connection ended
+		_ = r.conn.nc.Close() // the reading side sees how the connection ended
+		return
+	}
+	r.half()
+}
+
+// half marks one side as done and keeps the connection after the second.
+//
+// Failure guarded against: the answer is whole before the writing goroutine
+// has run again to note that the request is. It shows as a new connection for
+// each request while the machine is busy.
+func (r *Response) half() {
+	if r.halves.Add(1) == 2 {
+		r.pool.put(r.target, r.conn)
 	}
-	r.sent.Store(true)
 }
 
 // readHead reads answers until one matches.
@@ -142,11 +171,14 @@
 // and nothing follows it, and closed otherwise, which tells the endpoint to
 // stop.
 func (r *Response) Done() {
-	if !r.stop() || !r.whole || !r.keep || !r.sent.Load() || r.conn.br.Buffered() > 0 {
+	if !r.stop() || !r.whole || !r.keep || r.conn.br.Buffered() > 0 {
 		_ = r.conn.nc.Close()
 		return
 	}
-	r.pool.put(r.target, r.conn)
+	if r.halves.Load() == 0 {
+		_ = r.conn.nc.SetWriteDeadline(time.Now().Add(restTimeout))
+	}
+	r.half()
 }
 
 func (r *Response) abandon() {
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -130,6 +130,7 @@
 }
 
 func (p *Pool) put(t Target, c *conn) {
+	_ = c.nc.SetWriteDeadline(time.Time{}) // one that can't be set shows at the next use
 	c.until = time.Now().Add(c.idleFor)
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/upstream/upstream_test.go
+++ b/upstream/upstream_test.go
@@ -94,6 +94,42 @@
 	assert.Equal(t, "two", body)
 }
 
+// lateWriter is a connection whose writes return after the bytes have gone.
+type lateWriter struct{ net.Conn }
+
+func (c lateWriter) Write(b []byte) (int, error) {
+	n, err := c.Conn.Write(b)
+	time.Sleep(20 * time.Millisecond)
+	return n, err
+}
+
+// TestAnswerBeforeWriteReturns: a busy entry makes a new connection for each
+// request. The answer is whole before the goroutine that wrote the request has
+// run again, so that the request seems not to be sent yet.
+func TestAnswerBeforeWriteReturns(t *testing.T) {
+	for _, body := range []int{0, 8 << 10} {
+		target, count := serve(t, func(_ int, c net.Conn) {
+			br := bufio.NewReader(c)
+			for readRequest(t, br) != nil {
+				_, _ = io.WriteString(c, answer("1", "one"))
+			}
+		})
+		p := upstream.NewPool(func(ctx context.Context, network, addr string) (net.Conn, error) {
+			nc, err := new(net.Dialer).DialContext(ctx, network, addr)
+			return lateWriter{nc}, err
+		})
+		for range 3 {
+			r := get("1")
+			r.Method, r.Body = http.MethodPost, make([]byte, body)
+			_, err := call(p, target, r)
+			require.NoError(t, err)
+			time.Sleep(50 * time.Millisecond)
+		}
+		assert.EqualValues(t, 1, count.Load(), "with a body of %d bytes", body)
+		p.Close()
+	}
+}
+
 // TestUnaskedBytes: as before, but the second answer arrives while the
 // connection is idle; such a connection is not used again.
 func TestUnaskedBytes(t *testing.T) {
