--- a/router/answer.go
+++ b/router/answer.go
@@ -20,10 +20,38 @@
 	// ErrLost is returned when a request may have run and no whole answer
 	// came.
 	ErrLost = routerErrors.NewType("lost")
+	// ErrWaited is an ErrNotRun of a request that queued at an endpoint for as
+	// long as it may: asking another one can't help.
+	ErrWaited = ErrNotRun.NewSubtype("waited")
+	// ErrExpired is an ErrLost whose endpoint dropped the work because it did
+	// not hear this process, which is no sign of an outage.
+	ErrExpired = ErrLost.NewSubtype("expired")
 	// ErrCaller is returned by a sink whose caller has gone.
 	ErrCaller = routerErrors.NewType("caller")
 )
 
+// retryAfter holds an endpoint's advice in an error.
+var retryAfter = errorx.RegisterProperty("retry_after")
+
+// WithRetryAfter adds an endpoint's advice when to ask again.
+func WithRetryAfter(err *errorx.Error, after time.Duration) *errorx.Error {
+	return err.WithProperty(retryAfter, after)
+}
+
+// advice returns an endpoint's advice when to ask again, or the fallback.
+func advice(err error, fallback time.Duration) time.Duration {
+	value, _ := errorx.ExtractProperty(err, retryAfter)
+	if after, ok := value.(time.Duration); ok && after > 0 {
+		return after
+	}
+	return fallback
+}
+
+// advised hands the advice of one error on to another.
+func advised(err *errorx.Error, from error) *errorx.Error {
+	return WithRetryAfter(err, advice(from, 0))
+}
+
 // Answer is a whole answer of an endpoint.
 type Answer struct {
 	// Failed says that the endpoint itself reports a failure, which is
@@ -75,8 +103,8 @@
 // Result is the KV cache of a prompt, kept by the engine that computed it.
 type Result struct {
 	Endpoint *Endpoint
-	// Handle is the engine's name for it.
-	Handle string
+	// Handle is the engine's name for it, opaque to decisions.
+	Handle any
 	// Expiry is when the engine drops it.
 	Expiry time.Time
 }
@@ -84,8 +112,16 @@
 // Reservation is memory held at a decode endpoint for one request.
 type Reservation struct {
 	Endpoint *Endpoint
-	// Handle is the engine's name for it.
-	Handle string
+	// Handle is the engine's name for it, opaque to decisions.
+	Handle any
+}
+
+// Ask is what a reservation asks for.
+type Ask struct {
+	// Tokens is the memory.
+	Tokens int
+	// Hold is how long the memory is held for the request to come.
+	Hold time.Duration
 }
 
 // Start says from what a generation starts.
@@ -129,8 +165,8 @@
 type Endpoints interface {
 	// Call runs a plain call.
 	Call(ctx context.Context, e *Endpoint, c *Call) (*Answer, error)
-	// Reserve holds memory for a number of tokens.
-	Reserve(ctx context.Context, e *Endpoint, tokens int, ttl time.Duration) (*Reservation, error)
+	// Reserve holds memory for a call.
+	Reserve(ctx context.Context, e *Endpoint, c *Call, ask Ask) (*Reservation, error)
 	// Release gives an unused reservation back. It does not wait.
 	Release(r *Reservation)
 	// Prefill computes the prompt and keeps the result.
--- a/router/fake_test.go
+++ b/router/fake_test.go
@@ -57,7 +57,7 @@
 	}
 }
 
-func (f *fakeEndpoints) Reserve(_ context.Context, e *router.Endpoint, _ int, _ time.Duration) (*router.Reservation, error) {
+func (f *fakeEndpoints) Reserve(_ context.Context, e *router.Endpoint, _ *router.Call, _ router.Ask) (*router.Reservation, error) {
 	if f.reserve != nil {
 		if err := f.reserve(e); err != nil {
 			return nil, err
--- a/router/generate.go
+++ b/router/generate.go
@@ -57,7 +57,12 @@
 	kept *Result
 	// warm is the engine of an answer that broke off while the engine lived.
 	warm *Endpoint
-	late lateness
+	// progress: the last attempt brought events.
+	progress bool
+	// expiries counts the attempts that ended with ErrExpired.
+	expiries int
+	last     time.Time // when the last event was delivered
+	late     lateness
 	// failed is an endpoint's own failure, delivered if nothing better comes.
 	failed *Answer
 }
@@ -74,14 +79,20 @@
 		g.warm = r.holder(ctx, c)
 	}
 	for {
+		before := g.after
 		err := g.attempt(ctx)
 		if err == nil {
+			r.metrics.Histogram("whole." + c.class()).Record(time.Since(c.Began))
 			return nil, nil
 		}
+		g.progress = g.after != before
 		if !g.again(ctx, err) {
 			return g.end(ctx, err)
 		}
 		r.metrics.Add("generation_attempts_again", 1)
+		if !errorx.IsOfType(err, ErrNotRun) {
+			r.metrics.Add("continued", 1)
+		}
 		r.log.Emit(event.GenerationAgain, zap.String("request", c.ID), zap.Bool("begun", g.begun), zap.Int64("after", g.after),
 			zap.Int("runs", g.runs), zap.Int("refusals", g.refusals), event.Err(err))
 	}
@@ -100,7 +111,7 @@
 		f.Why = CallerGone
 	case g.runs == 0:
 		f.Why = NotRun
-		f.Retry = g.late.retry(g.r)
+		f.Retry = advice(err, g.late.retry(g.r))
 	case g.c.Left(time.Now()) <= 0:
 		f.Why = TimedOut
 	}
@@ -111,27 +122,38 @@
 func (g *generationRun) again(ctx context.Context, err error) bool {
 	now := time.Now()
 	if ctx.Err() != nil || g.c.Left(now) <= 0 || errorx.IsOfType(err, ErrCaller) ||
-		errorx.IsOfType(err, errNoEndpoint) || errorx.IsOfType(err, errBudget) {
+		errorx.IsOfType(err, errNoEndpoint) || errorx.IsOfType(err, errBudget) || errorx.IsOfType(err, ErrWaited) {
 		return false
 	}
-	if errorx.IsOfType(err, ErrNotRun) {
-		if g.refusals++; g.refusals >= maxRefusals {
-			return false
-		}
-	} else if !g.c.Route.Resumable || g.runs >= g.c.Route.MaxAttempts {
+	if g.progress {
+		g.refusals = 0
+	}
+	notRun := errorx.IsOfType(err, ErrNotRun)
+	if notRun {
+		g.refusals++
+	}
+	if g.refusals >= maxRefusals || !notRun && !g.mayRun() {
 		return false
 	}
-	return true
+	lost := !notRun || errorx.IsOfType(err, errPrefillLost)
+	return !lost || !g.r.gated() || g.lossAllowed(err)
+}
+
+// mayRun reports whether the generation may run once more.
+func (g *generationRun) mayRun() bool {
+	most := g.c.Route.MaxAttempts
+	return g.c.Route.Resumable && (most == 0 || g.runs < most)
 }
 
 // errBudget is returned when the retry budget allows no further arrival.
 var errBudget = ErrNotRun.NewSubtype("budget")
 
 // spend draws on the retry budget for what is sent to a stage beyond the
-// first time. Each arrival counts, also one that is refused.
+// first time. Each arrival counts, also one that is refused; behind gates only
+// losses count, see lossAllowed.
 func (g *generationRun) spend(sent *int) error {
 	*sent++
-	if *sent > 1 && !g.r.budget(g.c.Service.Name).Retry(time.Now()) {
+	if *sent > 1 && !g.r.gated() && !g.r.budget(g.c.Service.Name).Retry(time.Now()) {
 		return errBudget.New("the retry budget is used up")
 	}
 	return nil
@@ -139,7 +161,7 @@
 
 // attempt makes one try: choose, reserve, prefill, decode.
 func (g *generationRun) attempt(ctx context.Context) error {
-	a, err := g.wait(ctx)
+	a, err := g.admit(ctx)
 	if err != nil {
 		return err
 	}
@@ -150,11 +172,15 @@
 		g.release(start.Reservation)
 		return err
 	}
+	before := g.after
 	err = g.decode(ctx, a.placement, start, a.work)
 	if err != nil && errorx.IsOfType(err, ErrNotRun) {
 		g.release(start.Reservation)
 		g.kept = start.Result
 	}
+	if err != nil && start.Result != nil && g.kept == nil && g.after == before {
+		g.wasted(start.Result)
+	}
 	if start.Result != nil && ctx.Err() != nil {
 		// The caller left; a result that was taken is not there any more.
 		g.r.endpoints.Drop(start.Result)
@@ -163,6 +189,15 @@
 	return err
 }
 
+// admit secures memory at a decode endpoint: at its gate, or by what is
+// reckoned of it.
+func (g *generationRun) admit(ctx context.Context) (admission, error) {
+	if g.r.gated() {
+		return g.queue(ctx)
+	}
+	return g.wait(ctx)
+}
+
 // admission is a way whose memory is counted and, if the engine is nearly full,
 // reserved.
 type admission struct {
@@ -187,7 +222,7 @@
 	stage, cancel := context.WithTimeout(ctx, reserveTimeout)
 	defer cancel()
 	var err error
-	a.reservation, err = g.r.endpoints.Reserve(stage, p.decode, g.c.need(), reserveLife+p.first)
+	a.reservation, err = g.r.endpoints.Reserve(stage, p.decode, g.c, Ask{Tokens: g.c.need(), Hold: reserveLife + p.first})
 	if err == nil {
 		return a, true
 	}
@@ -218,6 +253,7 @@
 	kept := g.kept
 	g.kept = nil
 	if kept != nil {
+		g.r.metrics.Add("reused_results", 1)
 		return kept, nil
 	}
 	if p.prefill == nil {
@@ -231,12 +267,24 @@
 	if g.kept == nil {
 		return
 	}
-	g.r.metrics.Add("wasted_prefill_tokens", int64(g.c.Prompt))
-	g.r.log.Emit(event.ResultWasted, zap.String("request", g.c.ID), zap.String("endpoint", g.kept.Endpoint.ID))
+	g.wasted(g.kept)
 	g.r.endpoints.Drop(g.kept)
 	g.kept = nil
 }
 
+// expireKept frees a kept result that won't live long enough to be used.
+func (g *generationRun) expireKept(now time.Time) {
+	if g.kept != nil && g.kept.Expiry.Sub(now) < resultMargin {
+		g.dropKept()
+	}
+}
+
+// wasted counts a prompt that was computed in vain.
+func (g *generationRun) wasted(res *Result) {
+	g.r.metrics.Add("wasted_prefill_tokens", int64(g.c.Prompt))
+	g.r.log.Emit(event.ResultWasted, zap.String("request", g.c.ID), zap.String("endpoint", res.Endpoint.ID))
+}
+
 // wait returns a way as soon as one has room, or refuses.
 func (g *generationRun) wait(ctx context.Context) (admission, error) {
 	began := time.Now()
@@ -247,6 +295,7 @@
 		}
 		if ok {
 			if a, ok := g.take(ctx, p); ok {
+				g.r.metrics.Histogram("queue." + g.c.class()).Record(time.Since(began))
 				return a, nil
 			}
 		}
@@ -258,9 +307,7 @@
 
 // look looks for a way once. An error refuses the generation.
 func (g *generationRun) look(now, began time.Time) (placement, bool, error) {
-	if g.kept != nil && g.kept.Expiry.Sub(now) < resultMargin {
-		g.dropKept()
-	}
+	g.expireKept(now)
 	turn := g.late.turn(now, began)
 	p, ok := g.r.place(now, g.c, options{tried: g.tried, kept: g.kept, warm: g.warm, fill: turn.fill})
 	if ok {
@@ -284,26 +331,41 @@
 	ahead := r.loads.View(began, p.prefill.ID).Prefill
 	work := r.loads.Begin(p.prefill.ID, Load{Prefill: c.Prompt})
 	defer work.End()
-	stage, cancel := context.WithTimeout(ctx, 2*p.first+prefillPatience)
+	stage, cancel := g.prefillTime(ctx, p)
 	defer cancel()
 	res, err := r.endpoints.Prefill(stage, p.prefill, c)
 	took := time.Since(began)
 	if err != nil {
 		g.tried[p.prefill.ID] = true
 		r.learn(stage, p.prefill, nil, err, took)
-		return nil, errPrefill.Wrap(err, "prefill at %s", p.prefill.ID)
+		if errorx.IsOfType(err, ErrNotRun) {
+			return nil, advised(errPrefill.Wrap(err, "prefill at %s", p.prefill.ID), err)
+		}
+		return nil, errPrefillLost.Wrap(err, "prefill at %s", p.prefill.ID)
 	}
 	r.loads.Prefilled(time.Now(), p.prefill.ID, ahead+c.Prompt, took)
 	return res, nil
 }
 
-// errPrefill is returned when a prefill brought no result. A prefill is no
-// run, whatever became of it.
-var errPrefill = ErrNotRun.NewSubtype("prefill")
+// prefillTime bounds a prefill; a gate watches its engine itself.
+func (g *generationRun) prefillTime(ctx context.Context, p placement) (context.Context, context.CancelFunc) {
+	if g.r.gated() {
+		return context.WithCancel(ctx)
+	}
+	return context.WithTimeout(ctx, 2*p.first+prefillPatience)
+}
+
+var (
+	// errPrefill is returned when a prefill brought no result. A prefill is no
+	// run, whatever became of it.
+	errPrefill = ErrNotRun.NewSubtype("prefill")
+	// errPrefillLost is an errPrefill that was not refused but lost.
+	errPrefillLost = errPrefill.NewSubtype("lost")
+)
 
 // decode streams the answer from the decode endpoint.
 func (g *generationRun) decode(ctx context.Context, p placement, start Start, work *Work) error {
-	if !g.r.Directory().Has(p.decode) {
+	if !g.r.usable(p.decode) {
 		g.tried[p.decode.ID] = true
 		return ErrUnreachable.New("%s left during the prefill", p.decode.ID)
 	}
@@ -312,9 +374,8 @@
 	}
 	attempt, cancel := context.WithCancel(ctx)
 	defer cancel()
-	silence := time.AfterFunc(firstPatience(p, start), cancel)
-	defer silence.Stop()
-	began := time.Now()
+	silence := g.watch(p, start, cancel)
+	defer silence.stop()
 	err := g.exchange(attempt, p, start, silence, work)
 	if !errorx.IsOfType(err, ErrNotRun) {
 		g.runs++
@@ -323,10 +384,34 @@
 		return g.decodeFailed(ctx, attempt, p.decode, err)
 	}
 	g.r.loads.Succeeded(time.Now(), p.decode.ID, 0)
-	g.r.metrics.Histogram("whole." + g.c.Service.Name).Record(time.Since(began))
 	return nil
 }
 
+// silence ends an attempt whose endpoint brings nothing for too long; nil
+// waits for ever.
+type silence struct{ timer *time.Timer }
+
+// watch starts to wait for the first event. A gate watches its engine itself.
+func (g *generationRun) watch(p placement, start Start, end func()) *silence {
+	if g.r.gated() {
+		return nil
+	}
+	return &silence{time.AfterFunc(firstPatience(p, start), end)}
+}
+
+// heard tells of an event; the next one is waited for.
+func (s *silence) heard() {
+	if s != nil {
+		s.timer.Reset(eventPatience)
+	}
+}
+
+func (s *silence) stop() {
+	if s != nil {
+		s.timer.Stop()
+	}
+}
+
 // firstPatience is how long a decode endpoint may take for its first event.
 func firstPatience(p placement, start Start) time.Duration {
 	if start.Result == nil {
@@ -337,7 +422,7 @@
 
 // exchange starts the generation and delivers its events. An endpoint that
 // computes the prompt itself counts as busy with it until the first event.
-func (g *generationRun) exchange(ctx context.Context, p placement, start Start, silence *time.Timer, work *Work) error {
+func (g *generationRun) exchange(ctx context.Context, p placement, start Start, quiet *silence, work *Work) error {
 	prompt := g.r.loads.Begin(p.decode.ID, Load{})
 	if start.Result == nil {
 		prompt.Grow(Load{Prefill: g.c.Prompt})
@@ -348,7 +433,7 @@
 		return err
 	}
 	defer s.Close()
-	return g.stream(s, silence, prompt, work)
+	return g.stream(s, quiet, prompt, work)
 }
 
 // decodeFailed records what a failed attempt shows of its endpoint. Attempt
@@ -374,14 +459,14 @@
 // their engines live. Such an engine still caches the prompt, so that going on
 // there costs no prefill.
 func (g *generationRun) stillWarm(attempt context.Context, e *Endpoint, err error) *Endpoint {
-	if g.warm != nil || attempt.Err() != nil || !errorx.IsOfType(err, ErrLost) || !g.begun {
+	if g.r.gated() || g.warm != nil || attempt.Err() != nil || !errorx.IsOfType(err, ErrLost) || !g.begun {
 		return nil
 	}
 	return e
 }
 
 // stream delivers events until the whole end.
-func (g *generationRun) stream(s Stream, silence *time.Timer, prompt, work *Work) error {
+func (g *generationRun) stream(s Stream, quiet *silence, prompt, work *Work) error {
 	if a := s.Failed(); a != nil {
 		g.failed = a
 		return errFailed.New("the endpoint reports a failure")
@@ -394,7 +479,7 @@
 		if err != nil {
 			return err
 		}
-		silence.Reset(eventPatience)
+		quiet.heard()
 		prompt.End()
 		work.Grow(Load{KV: g.c.stride()})
 		if err := g.deliver(s, ev); err != nil {
@@ -410,7 +495,7 @@
 	}
 	g.begun = true
 	g.late.begun = true
-	g.r.metrics.Histogram("first." + g.c.Service.Name).Record(time.Since(g.c.Began))
+	g.r.metrics.Histogram("ttft." + g.c.class()).Record(time.Since(g.c.Began))
 	return g.sink.Begin(s.Head())
 }
 
@@ -426,8 +511,19 @@
 	if err := g.sink.Event(ev); err != nil {
 		return err
 	}
+	g.paced(ev)
 	if ev.Number != NoNumber {
 		g.after = ev.Number
 	}
 	return nil
 }
+
+// paced records the time between two events, for each number that they are
+// apart: the time between tokens where events are numbered by them.
+func (g *generationRun) paced(ev Event) {
+	now := time.Now()
+	if !g.last.IsZero() && ev.Number > g.after {
+		g.r.metrics.Histogram("tbt." + g.c.class()).Record(now.Sub(g.last) / time.Duration(ev.Number-max(g.after, 0)))
+	}
+	g.last = now
+}
--- a/router/model.go
+++ b/router/model.go
@@ -46,7 +46,8 @@
 	Timeout time.Duration
 	// Target is the latency objective: to the answer, or to the first event.
 	Target time.Duration
-	// MaxAttempts is the number of endpoints that may get one request.
+	// MaxAttempts is the number of endpoints that may get one request; zero
+	// leaves it to the retry budget.
 	MaxAttempts int
 	// Services share the route's requests by weight.
 	Services []Share
@@ -125,6 +126,33 @@
 	Session string
 	// Resume is the number of the last event that the caller has, or NoNumber.
 	Resume int64
+	// Class names the histograms that the call counts in; the service's name
+	// if empty.
+	Class string
+	// MaxWait is how long the call may queue at a gate before its answer
+	// begins.
+	MaxWait time.Duration
+	// Keyed calls may run at one endpoint only, the owner of their
+	// idempotency key.
+	Keyed bool
+}
+
+// class names the histograms of the call.
+func (c *Call) class() string {
+	if c.Class != "" {
+		return c.Class
+	}
+	return c.Service.Name
+}
+
+// Patience is how long the call may queue at a gate now: its MaxWait before
+// its answer has begun, and all the time there is after.
+func (c *Call) Patience(now time.Time, begun bool) time.Duration {
+	left := c.Left(now)
+	if !begun {
+		left = min(left, c.Began.Add(c.MaxWait).Sub(now))
+	}
+	return max(left, 0)
 }
 
 // Left returns the time until the deadline.
--- a/router/plain.go
+++ b/router/plain.go
@@ -34,6 +34,7 @@
 	c      *Call
 	tried  map[string]bool
 	sent   int
+	ran    bool    // an attempt may have run
 	failed *Answer // an endpoint's own failure, delivered if nothing better comes
 }
 
@@ -43,19 +44,22 @@
 	r.budget(c.Service.Name).First(c.Began)
 	for unreachable := 0; ; {
 		a, err := run.attempt(ctx)
-		if err == nil && (!a.Failed || c.Route.Kind != Idempotent || !run.again(ctx)) {
+		if !errorx.IsOfType(err, ErrNotRun) {
+			run.ran = true
+		}
+		if err == nil && (!a.Failed || c.Route.Kind != Idempotent || !run.again(ctx, nil)) {
 			return a, nil
 		}
 		if err == nil {
 			run.failed = a
 			continue
 		}
-		if errorx.IsOfType(err, ErrUnreachable) && unreachable < maxUnreachable {
+		if errorx.IsOfType(err, ErrUnreachable) && unreachable < maxUnreachable && !c.Keyed {
 			unreachable++
 			run.sent--
 			continue
 		}
-		if run.repeatable(err) && run.again(ctx) {
+		if run.repeatable(err) && run.again(ctx, err) {
 			continue
 		}
 		if run.failed != nil {
@@ -76,7 +80,10 @@
 
 // again reports whether one more attempt is within the route's attempts, the
 // budget and the time, and there is an endpoint for it.
-func (p *plainRun) again(ctx context.Context) bool {
+func (p *plainRun) again(ctx context.Context, err error) bool {
+	if p.r.gated() {
+		return p.againGated(ctx, err)
+	}
 	now := time.Now()
 	if p.sent >= p.c.Route.MaxAttempts || ctx.Err() != nil || p.c.Left(now) <= 0 {
 		return false
@@ -90,9 +97,9 @@
 func (p *plainRun) attempt(ctx context.Context) (*Answer, error) {
 	r, c := p.r, p.c
 	began := time.Now()
-	e := r.pickPlain(began, c, p.tried)
-	if e == nil {
-		return nil, errNoEndpoint.New("no endpoint of %s can take the call", c.Service.Name)
+	e, err := p.choose(ctx, began)
+	if err != nil {
+		return nil, err
 	}
 	p.tried[e.ID] = true
 	p.sent++
@@ -107,9 +114,19 @@
 	return a, err
 }
 
+func (p *plainRun) choose(ctx context.Context, now time.Time) (*Endpoint, error) {
+	if p.r.gated() {
+		return p.r.choose(ctx, p.c, Plain, p.tried)
+	}
+	if e := p.r.pickPlain(now, p.c, p.tried); e != nil {
+		return e, nil
+	}
+	return nil, errNoEndpoint.New("no endpoint of %s can take the call", p.c.Service.Name)
+}
+
 // until returns when an attempt is given up for another one.
 func (p *plainRun) until(now time.Time) time.Time {
-	if p.c.Route.Kind != Idempotent || p.sent >= p.c.Route.MaxAttempts {
+	if most := p.c.Route.MaxAttempts; p.c.Route.Kind != Idempotent || most > 0 && p.sent >= most {
 		return p.c.Deadline
 	}
 	first := max(time.Duration(float64(p.c.Left(now))*firstShare), minFirst)
@@ -145,9 +162,9 @@
 	switch {
 	case errors.Is(ctx.Err(), context.Canceled):
 		f.Why = CallerGone
-	case errorx.IsOfType(err, ErrNotRun) && (p.sent <= 1 || p.c.Route.Kind == NonIdempotent):
+	case errorx.IsOfType(err, ErrNotRun) && !p.ran:
 		f.Why = NotRun
-		f.Retry = p.r.jitter(plainRetry, plainRetrySpread)
+		f.Retry = advice(err, p.r.jitter(plainRetry, plainRetrySpread))
 	case p.c.Left(time.Now()) <= 0:
 		f.Why = TimedOut
 	default:
--- a/router/router.go
+++ b/router/router.go
@@ -21,6 +21,9 @@
 	RetryRatio  float64
 	RetryWindow time.Duration
 	RetrySlack  int
+	// Chooser is set for fleets whose endpoints stand behind gates of their
+	// own; see Chooser.
+	Chooser Chooser
 }
 
 // Router serves requests by its directory. It is safe for concurrent use.
