An engine without a connection is no arrival

Cause: each refused connection counted as one of three refusals and drew on the retry budget. Ruled out: a larger slack (the sum over all entries is what the rule bounds). Change: what spend drew is given back; up to 8 such engines are met, and each is avoided from then on like one that was silent. Conclusion: drafts whose prompts are computed find a living engine.

--- a/router/generate.go
+++ b/router/generate.go
@@ -14,6 +14,10 @@
 const (
 	// maxRefusals is how many endpoints may refuse one generation.
 	maxRefusals = 3
+	// maxEngines is how many engines without a connection one generation
+	// meets before it is refused: each costs a round trip, and none gets a
+	// second generation of this process in the next half second.
+	maxEngines = 8
 )
 
 // generationRun is one generation, over as many attempts as are safe.
@@ -30,6 +34,8 @@
 	// runs counts the attempts that may have run.
 	runs     int
 	refusals int
+	// unreachable counts the endpoints that took no connection.
+	unreachable int
 	// prefills and decodes count what was sent to endpoints of each stage.
 	prefills, decodes int
 	// kept is a result whose decode endpoint refused it.
@@ -107,6 +113,10 @@
 	if g.progress {
 		g.refusals = 0
 	}
+	if errorx.IsOfType(err, ErrUnreachable) {
+		g.unreachable++
+		return g.unreachable < maxEngines
+	}
 	notRun := errorx.IsOfType(err, ErrNotRun)
 	if notRun {
 		g.refusals++
@@ -129,15 +139,31 @@
 
 // spend draws on the retry budget for what is sent to a stage beyond the
 // first time. Each arrival counts, also one that is refused; behind gates only
-// losses count, see lossAllowed.
+// losses count, see lossAllowed. The caller must tell arrived how it ended.
 func (g *generationRun) spend(sent *int) error {
-	*sent++
-	if *sent > 1 && !g.r.gated() && !g.r.budget(g.c.Service.Name).Retry(time.Now()) {
+	if *sent > 0 && !g.r.gated() && !g.r.budget(g.c.Service.Name).Retry(time.Now()) {
 		return errBudget.New("the retry budget is used up")
 	}
+	*sent++
 	return nil
 }
 
+// arrived takes back what spend drew for an endpoint that took no connection.
+//
+// Load pattern answered: a third of the engines crash in the same second and
+// stay published for seconds. Each entry meets each of them; counted as
+// arrivals, these would use up the retry budget at once, and drafts whose
+// prompts are computed already would be refused.
+func (g *generationRun) arrived(sent *int, err error) {
+	if !errorx.IsOfType(err, ErrUnreachable) {
+		return
+	}
+	*sent--
+	if *sent > 0 && !g.r.gated() {
+		g.r.budget(g.c.Service.Name).Give(time.Now())
+	}
+}
+
 // attempt makes one try: choose, reserve, prefill, decode.
 func (g *generationRun) attempt(ctx context.Context) error {
 	a, err := g.admit(ctx)
--- a/router/generate_test.go
+++ b/router/generate_test.go
@@ -318,3 +318,32 @@
 		assert.Zero(t, count(f.notes(), "reserve"))
 	})
 }
+
+// TestUnreachableIsNoArrival: drafts are refused and their prompts computed in
+// vain while half of the engines serve. The other half crashed in the same
+// second and is still published; each takes no connection, so that nothing
+// arrives there, nothing is drawn from the retry budget, and the draft goes on
+// until it meets one that lives.
+func TestUnreachableIsNoArrival(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		crashed := map[string]bool{"p1": true, "d1": true, "d2": true, "d3": true, "d4": true}
+		down := func(e *router.Endpoint) error {
+			if crashed[e.ID] {
+				return router.ErrUnreachable.New("connection refused")
+			}
+			return nil
+		}
+		f := &fakeEndpoints{
+			prefill:  func(_ context.Context, e *router.Endpoint) error { return down(e) },
+			generate: func(e *router.Endpoint, _ router.Start) error { return down(e) },
+		}
+		r := newRouter(f, engine("p1", router.Prefill), engine("p2", router.Prefill), engine("d1", router.Decode),
+			engine("d2", router.Decode), engine("d3", router.Decode), engine("d4", router.Decode), engine("d5", router.Decode))
+		r.SetBudget(0, 10*time.Second, 0)
+		for range 10 {
+			_, fail := r.Generate(t.Context(), newCall(draftRoute, llm), new(fakeSink))
+			assert.Nil(t, fail)
+		}
+		assert.Zero(t, count(f.notes(), "drop"), "no prompt is computed in vain")
+	})
+}
--- a/router/prefill.go
+++ b/router/prefill.go
@@ -32,19 +32,29 @@
 	stage, cancel := g.prefillTime(ctx, p)
 	defer cancel()
 	res, err := r.endpoints.Prefill(stage, p.prefill, c)
+	g.arrived(&g.prefills, err)
 	took := time.Since(began)
 	if err != nil {
 		g.tried[p.prefill.ID] = true
 		r.learn(stage, p.prefill, nil, err, took)
-		if errorx.IsOfType(err, ErrNotRun) {
-			return nil, advised(errPrefill.Wrap(err, "prefill at %s", p.prefill.ID), err)
-		}
-		return nil, errPrefillLost.Wrap(err, "prefill at %s", p.prefill.ID)
+		return nil, prefillError(p.prefill, err)
 	}
 	r.loads.Prefilled(time.Now(), p.prefill.ID, ahead+c.Prompt, took)
 	return res, nil
 }
 
+// prefillError says what became of a prefill without a result.
+func prefillError(e *Endpoint, err error) error {
+	switch {
+	case errorx.IsOfType(err, ErrUnreachable):
+		return ErrUnreachable.Wrap(err, "prefill at %s", e.ID)
+	case errorx.IsOfType(err, ErrNotRun):
+		return advised(errPrefill.Wrap(err, "prefill at %s", e.ID), err)
+	default:
+		return errPrefillLost.Wrap(err, "prefill at %s", e.ID)
+	}
+}
+
 // prefillTime bounds a prefill; a gate watches its engine itself.
 func (g *generationRun) prefillTime(ctx context.Context, p placement) (context.Context, context.CancelFunc) {
 	if g.r.gated() {
--- a/router/stream.go
+++ b/router/stream.go
@@ -32,6 +32,7 @@
 	silence := g.watch(p, start, cancel)
 	defer silence.stop()
 	err := g.exchange(attempt, p, start, silence, work)
+	g.arrived(&g.decodes, err)
 	if !errorx.IsOfType(err, ErrNotRun) {
 		g.runs++
 	}
@@ -101,6 +102,8 @@
 	case attempt.Err() != nil:
 		g.r.loads.Silent(time.Now(), e.ID)
 		return ErrLost.Wrap(err, "%s was silent", e.ID)
+	case errorx.IsOfType(err, ErrUnreachable):
+		g.r.loads.Silent(time.Now(), e.ID)
 	default:
 		g.r.loads.Failed(time.Now(), e.ID)
 	}
