Entries that lapsed while the store was away count until they may be back

Cause: at the store's return the directory lost every endpoint whose entry had lapsed, although the platform lists those that live again within two seconds. Ruled out: holding every removal (a leaving endpoint must get no new work); holding after short silences (an entry lapses after three heartbeats). Change: after 3 s without the store's state, removals count 1.5 s later. Before: TestLapsedEntriesComeBack red.

--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -25,9 +25,21 @@
 // long a process may be cut off and still count.
 const tombstoneLife = 60 * time.Second
 
+const (
+	// outage is how long nothing may come from the store until entries that
+	// are gone then are taken for lapsed: endpoints' entries lapse after three
+	// missed heartbeats of about a second.
+	outage = 3 * time.Second
+	// lapsedFor is how long such entries still count. An endpoint that lives
+	// is listed again within about two seconds of the store's return.
+	lapsedFor = 1500 * time.Millisecond
+)
+
 type slot struct {
 	Entry
-	since time.Time // when this process learned of it
+	// lapsed is the value that a removed entry had, if it may only have lapsed.
+	lapsed []byte
+	since  time.Time // when this process learned of it
 	// changed is the revision of the last change that matters.
 	changed uint64
 }
@@ -45,6 +57,10 @@
 	read    uint64 // the store's revision up to which all is here
 	version uint64
 	changed chan struct{}
+	// heard is when the store's state last came here, from whomever.
+	heard time.Time
+	// lapsedUntil is until when entries that are gone may only have lapsed.
+	lapsedUntil time.Time
 }
 
 // New returns an empty catalog.
@@ -67,6 +83,7 @@
 func (c *Catalog) Merge(now time.Time, entries []Entry, upTo uint64) []Entry {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.returned(now)
 	var news []Entry
 	for _, e := range entries {
 		if old, ok := c.slots[e.Key]; ok && old.Revision >= e.Revision {
@@ -76,7 +93,7 @@
 			c.slots[e.Key] = slot{Entry: e, since: since, changed: changed}
 			continue
 		}
-		c.slots[e.Key] = slot{Entry: e, since: now, changed: e.Revision}
+		c.slots[e.Key] = slot{Entry: e, lapsed: c.lapsed(now, e), since: now, changed: e.Revision}
 		news = append(news, e)
 	}
 	c.read = max(c.read, upTo)
@@ -85,6 +102,28 @@
 	return news
 }
 
+// returned notes that the store's state came here; c.mu is held.
+func (c *Catalog) returned(now time.Time) {
+	if !c.heard.IsZero() && now.Sub(c.heard) >= outage {
+		c.lapsedUntil = now.Add(lapsedFor)
+	}
+	c.heard = now
+}
+
+// lapsed returns the value of an entry that is removed after an outage of the
+// store, else nil; c.mu is held.
+//
+// Failure guarded against: endpoints live, but their entries lapsed while the
+// store was away. It shows as refusals for want of endpoints right after its
+// return. The guard holds because their entries count until they had time to
+// come back; one that really is gone is avoided by its silence.
+func (c *Catalog) lapsed(now time.Time, e Entry) []byte {
+	if !e.Removed || !now.Before(c.lapsedUntil) {
+		return nil
+	}
+	return c.slots[e.Key].Value
+}
+
 // unchanged reports whether an entry brings nothing that matters, with the
 // former change; c.mu is held.
 func (c *Catalog) unchanged(e Entry) (changed uint64, since time.Time, same bool) {
@@ -151,13 +190,20 @@
 	Since time.Time
 }
 
-// All returns every entry, removals included.
-func (c *Catalog) All() []Known {
+// All returns every entry, removals included. Entries that may only have
+// lapsed are not yet removed; until then is when that ends, zero if there are
+// none.
+func (c *Catalog) All(now time.Time) (list []Known, until time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	list := make([]Known, 0, len(c.slots))
+	list = make([]Known, 0, len(c.slots))
 	for _, s := range c.slots {
-		list = append(list, Known{Entry: s.Entry, Since: s.since})
+		k := Known{Entry: s.Entry, Since: s.since}
+		if s.lapsed != nil && now.Before(c.lapsedUntil) {
+			k.Value, k.Removed = s.lapsed, false
+			until = c.lapsedUntil
+		}
+		list = append(list, k)
 	}
-	return list
+	return list, until
 }
--- a/catalog/catalog_test.go
+++ b/catalog/catalog_test.go
@@ -12,7 +12,8 @@
 
 func entries(c *catalog.Catalog) map[string]catalog.Entry {
 	out := make(map[string]catalog.Entry)
-	for _, k := range c.All() {
+	list, _ := c.All(time.Unix(100, 0))
+	for _, k := range list {
 		out[k.Key] = k.Entry
 	}
 	return out
@@ -91,3 +92,37 @@
 	assert.Len(t, c.Merge(now, []catalog.Entry{{Key: "k", Revision: 3, Value: []byte("b3")}}, 3), 1)
 	assert.Len(t, c.Merge(now, []catalog.Entry{{Key: "k", Revision: 4, Removed: true}}, 4), 1)
 }
+
+// TestLapsedEntriesComeBack: callers are refused for want of endpoints right
+// after the store's return. Entries lapsed while it was away and their
+// endpoints live; they count for as long as they may take to be listed again.
+// What is removed while the store is there is gone at once.
+func TestLapsedEntriesComeBack(t *testing.T) {
+	for _, away := range []time.Duration{time.Second, 5 * time.Second} {
+		c := catalog.New()
+		now := time.Unix(100, 0)
+		c.Merge(now, []catalog.Entry{{Key: "lives", Value: []byte("v"), Revision: 1}, {Key: "gone", Value: []byte("v"), Revision: 2}}, 2)
+		now = now.Add(away)
+		c.Merge(now, []catalog.Entry{{Key: "lives", Revision: 3, Removed: true}, {Key: "gone", Revision: 4, Removed: true}}, 4)
+		removed := func() (n int) {
+			list, _ := c.All(now)
+			for _, k := range list {
+				if k.Removed {
+					n++
+				}
+			}
+			return n
+		}
+		if away < 3*time.Second {
+			assert.Equal(t, 2, removed())
+			continue
+		}
+		assert.Zero(t, removed())
+		now = now.Add(time.Second)
+		c.Merge(now, []catalog.Entry{{Key: "lives", Value: []byte("v"), Revision: 5}}, 5)
+		_, until := c.All(now)
+		assert.True(t, until.After(now))
+		now = until
+		assert.Equal(t, 1, removed(), "the one that did not come back")
+	}
+}
