--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -82,6 +82,7 @@
 	StoreReachable   = define(7002, zap.InfoLevel, "store answers again")
 	EntryUnreadable  = define(7003, zap.ErrorLevel, "published entry is not readable")
 	SettingsReloaded = define(7004, zap.InfoLevel, "settings reloaded")
+	DeadlineUnset    = define(7007, zap.ErrorLevel, "a client's connection has no deadline")
 	ReleaseLost      = define(7006, zap.InfoLevel, "release of engine memory lost")
 	SettingsRefused  = define(7005, zap.ErrorLevel, "changed settings refused")
 )
