--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -5,6 +5,8 @@
 package catalog
 
 import (
+	"cmp"
+	"slices"
 	"sync"
 	"time"
 )
@@ -171,17 +173,45 @@
 	}
 }
 
-// Since returns the entries that changed in what matters after a revision, removals included, and
-// the revision up to which all is known.
+// sinceMost bounds the entries of one answer of Since: some 50 kB.
+const sinceMost = 256
+
+// Since returns entries that changed in what matters after a revision, the
+// oldest changes first and removals included, and the revision up to which they
+// are all.
+//
+// Failure guarded against: a hundred processes start together and ask the one
+// that reads the platform for thousands of entries each. It shows as a process
+// that runs out of memory with copies of them. The guard holds because each
+// answer is bounded and the next question goes on behind it.
 func (c *Catalog) Since(revision uint64) (entries []Entry, upTo uint64) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	var news []slot
 	for _, s := range c.slots {
 		if s.changed > revision {
-			entries = append(entries, s.Entry)
+			news = append(news, s)
 		}
 	}
-	return entries, c.read
+	slices.SortFunc(news, func(a, b slot) int { return cmp.Compare(a.changed, b.changed) })
+	upTo = c.read
+	if len(news) > sinceMost {
+		news = news[:cutAt(news, sinceMost)]
+		upTo = news[len(news)-1].changed
+	}
+	for _, s := range news {
+		entries = append(entries, s.Entry)
+	}
+	return entries, upTo
+}
+
+// cutAt returns how many of the news to hand on, about most: those of one
+// revision, such as the keys that a listing lacked, stay together.
+func cutAt(news []slot, most int) int {
+	for most < len(news) && news[most].changed == news[most-1].changed {
+		most++
+	}
+	return most
 }
 
 // Known is an entry with the time since which this process knows it.
--- a/catalog/catalog_test.go
+++ b/catalog/catalog_test.go
@@ -1,6 +1,7 @@
 package catalog_test
 
 import (
+	"strconv"
 	"testing"
 	"time"
 
@@ -126,3 +127,25 @@
 		assert.Equal(t, 1, removed(), "the one that did not come back")
 	}
 }
+
+// TestSinceIsBounded: an entry runs out of memory. Others started together and
+// ask it for thousands of entries; each gets them in parts, and has all of them
+// in the end.
+func TestSinceIsBounded(t *testing.T) {
+	const keys = 1000
+	now := time.Unix(100, 0)
+	full, other := catalog.New(), catalog.New()
+	for rev := range uint64(keys) {
+		full.Merge(now, []catalog.Entry{{Key: strconv.FormatUint(rev, 10), Revision: rev + 1}}, rev+1)
+	}
+	full.Merge(now, []catalog.Entry{{Key: "0", Revision: keys + 1}}, keys+1)
+	rounds := 0
+	for other.Revision() < full.Revision() {
+		part, upTo := full.Since(other.Revision())
+		assert.LessOrEqual(t, len(part), 300)
+		other.Merge(now, part, upTo)
+		rounds++
+	}
+	assert.Equal(t, entries(full), entries(other))
+	assert.Equal(t, 4, rounds)
+}
--- a/cmd/ebonypulley/soak.go
+++ b/cmd/ebonypulley/soak.go
@@ -3,30 +3,38 @@
 import (
 	"context"
 	"fmt"
+	"os"
 	"time"
 
 	"github.com/joomcode/errorx"
 	"github.com/urfave/cli/v3"
 
 	"ebonypulley/soak"
+	"ebonypulley/soak/processes"
 )
 
 func soakCommand() *cli.Command {
 	return &cli.Command{
 		Name:        "soak",
 		Usage:       "drive the decision machines through long random histories in virtual time",
-		Description: "One seed gives one history; its hash is printed. On a violation the history before it is printed and the exit code is 1.\n\nExamples:\n  ebonypulley soak --seed 7 --steps 1000000\n  ebonypulley soak --seeds 200 --steps 50000",
+		Description: "One seed gives one history; its hash is printed. On a violation the history before it is printed and the exit code is 1.\n\nExamples:\n  ebonypulley soak --seed 7 --steps 1000000\n  ebonypulley soak --seeds 200 --steps 50000\n  ebonypulley soak --processes --seeds 50 --for 10s",
 		Flags: []cli.Flag{
 			&cli.Uint64Flag{Name: "seed", Value: 1, Usage: "first seed"},
 			&cli.IntFlag{Name: "seeds", Value: 1, Usage: "number of seeds, one run each"},
 			&cli.IntFlag{Name: "steps", Value: 100_000, Usage: "steps of each run"},
 			&cli.StringFlag{Name: "faults", Value: "all", Usage: "all or none"},
+			&cli.BoolFlag{Name: "processes", Usage: "run entries as separate processes on loopback, with faults from outside"},
+			&cli.IntFlag{Name: "entries", Value: 3, Usage: "with --processes: number of entries"},
+			&cli.DurationFlag{Name: "for", Value: 10 * time.Second, Usage: "with --processes: how long each seed brings faults about"},
 		},
 		Action: runSoak,
 	}
 }
 
 func runSoak(ctx context.Context, cmd *cli.Command) error {
+	if cmd.Bool("processes") {
+		return runProcesses(ctx, cmd)
+	}
 	faults := cmd.String("faults")
 	if faults != "all" && faults != "none" {
 		return errorx.IllegalArgument.New("--faults is all or none, not %q", faults)
@@ -51,6 +59,33 @@
 	return nil
 }
 
+// runProcesses plays each seed with real processes; the first violation ends
+// it, with the logs kept.
+func runProcesses(ctx context.Context, cmd *cli.Command) error {
+	program, err := os.Executable()
+	if err != nil {
+		return err
+	}
+	for i := range cmd.Int("seeds") {
+		seed := cmd.Uint64("seed") + uint64(i)
+		r, err := processes.Run(ctx, processes.Settings{Program: program, Seed: seed, Entries: cmd.Int("entries"), For: cmd.Duration("for")})
+		if err != nil {
+			return err
+		}
+		fmt.Printf("soak: processes seed=%d requests=%d answered=%d refused=%d other=%d cut=%d faults=%d violations=%d\n",
+			seed, r.Requests, r.Answered, r.Refused, r.Other, r.Cut, r.Faults, len(r.Violations))
+		if len(r.Violations) == 0 {
+			continue
+		}
+		for _, v := range r.Violations {
+			fmt.Println(" ", v)
+		}
+		fmt.Println("  logs and history:", r.Dir)
+		return errReported
+	}
+	return nil
+}
+
 func printHistory(r soak.Report) {
 	fmt.Printf("seed %d after %d steps:\n", r.Seed, r.Steps)
 	for _, line := range r.History {
--- /dev/null
+++ b/soak/processes/proxy.go
@@ -0,0 +1,138 @@
+package processes
+
+import (
+	"context"
+	"io"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+// proxy passes connections on to a target on loopback, as badly as it is told.
+type proxy struct {
+	ln     net.Listener
+	target string
+	// refuse closes each new connection at once.
+	refuse atomic.Bool
+	// delay holds up each piece of data.
+	delay atomic.Int64
+	// cutFrom holds back what comes from one side, as a network that loses
+	// every packet in one direction: it arrives once the cut is over.
+	cutFrom atomic.Int32
+
+	mu    sync.Mutex
+	links map[*link]bool
+}
+
+// link is one connection through a proxy.
+type link struct {
+	client, server net.Conn
+	silent         atomic.Bool
+}
+
+const (
+	fromClient = 1
+	fromServer = 2
+)
+
+// newProxy listens on addr, which may have port 0.
+func newProxy(addr, target string) (*proxy, error) {
+	ln, err := net.Listen("tcp", addr)
+	if err != nil {
+		return nil, err
+	}
+	p := &proxy{ln: ln, target: target, links: make(map[*link]bool)}
+	go p.serve()
+	return p, nil
+}
+
+func (p *proxy) addr() string { return p.ln.Addr().String() }
+
+func (p *proxy) serve() {
+	for {
+		c, err := p.ln.Accept()
+		if err != nil {
+			return // closed at the end of the run
+		}
+		if p.refuse.Load() {
+			reset(c)
+			continue
+		}
+		go p.link(c)
+	}
+}
+
+func (p *proxy) link(c net.Conn) {
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	s, err := new(net.Dialer).DialContext(ctx, "tcp", p.target)
+	if err != nil {
+		reset(c)
+		return
+	}
+	l := &link{client: c, server: s}
+	p.mu.Lock()
+	p.links[l] = true
+	p.mu.Unlock()
+	go p.pump(l, c, s, fromClient)
+	p.pump(l, s, c, fromServer)
+	p.mu.Lock()
+	delete(p.links, l)
+	p.mu.Unlock()
+}
+
+// cutPause is the pause between two looks whether a cut is over.
+const cutPause = 10 * time.Millisecond
+
+// pump copies one direction until it ends, and ends both then.
+func (p *proxy) pump(l *link, from, to net.Conn, side int32) {
+	defer func() { _ = from.Close() }()
+	defer func() { _ = to.Close() }()
+	buf := make([]byte, 32<<10)
+	for {
+		n, err := from.Read(buf)
+		time.Sleep(time.Duration(p.delay.Load()))
+		for p.cutFrom.Load() == side && !l.silent.Load() {
+			time.Sleep(cutPause)
+		}
+		if n > 0 && !l.silent.Load() {
+			if _, err := to.Write(buf[:n]); err != nil {
+				return
+			}
+		}
+		if err != nil {
+			if err == io.EOF && l.silent.Load() {
+				time.Sleep(time.Second) // nobody hears of the end either
+			}
+			return
+		}
+	}
+}
+
+// each calls fn for every connection that stands.
+func (p *proxy) each(fn func(*link)) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for l := range p.links {
+		fn(l)
+	}
+}
+
+// reset ends all connections with a reset.
+func (p *proxy) reset() {
+	p.each(func(l *link) {
+		reset(l.client)
+		reset(l.server)
+	})
+}
+
+// silence makes all connections that stand silent for good; new ones work.
+func (p *proxy) silence() { p.each(func(l *link) { l.silent.Store(true) }) }
+
+func reset(c net.Conn) {
+	if tc, ok := c.(*net.TCPConn); ok {
+		_ = tc.SetLinger(0)
+	}
+	_ = c.Close()
+}
--- /dev/null
+++ b/soak/processes/worker.go
@@ -0,0 +1,168 @@
+package processes
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+// streamEvents is the number of events of a whole generation, eventPause the
+// time before each, callTime that of a plain call.
+const (
+	streamEvents = 40
+	eventPause   = 25 * time.Millisecond
+	callTime     = 20 * time.Millisecond
+)
+
+// book notes what workers ran, by the callers' attempts.
+type book struct {
+	mu   sync.Mutex
+	runs map[string]int
+	// busy are the attempts that a worker works on.
+	busy map[string]bool
+}
+
+func newBook() *book { return &book{runs: make(map[string]int), busy: make(map[string]bool)} }
+
+func (b *book) begin(id string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.runs[id]++
+	b.busy[id] = true
+}
+
+func (b *book) end(id string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	delete(b.busy, id)
+}
+
+func (b *book) ran(id string) int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.runs[id]
+}
+
+func (b *book) working(id string) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.busy[id]
+}
+
+// worker is one address at which incarnations of a worker follow each other.
+type worker struct {
+	service, stage string
+	proxy          *proxy
+	server         *http.Server
+	book           *book
+	hang           atomic.Bool
+
+	mu       sync.Mutex
+	id       string
+	born     int
+	leftAt   time.Time // when it was published as leaving
+	lastWork time.Time // when it last began a client's request
+}
+
+func newWorker(service, stage string, b *book) (*worker, error) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	k := &worker{service: service, stage: stage, book: b}
+	k.server = &http.Server{Handler: k, ReadHeaderTimeout: time.Minute}
+	go func() { _ = k.server.Serve(ln) }() // ends with the run
+	if k.proxy, err = newProxy("127.0.0.1:0", ln.Addr().String()); err != nil {
+		return nil, err
+	}
+	k.renew()
+	return k, nil
+}
+
+// renew makes the next incarnation.
+func (k *worker) renew() {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.born++
+	k.id = fmt.Sprintf("i-%s%s-%s-%d", k.service, k.stage, k.proxy.addr(), k.born)
+	k.leftAt = time.Time{}
+}
+
+// entry is what the store publishes of the worker.
+func (k *worker) entry(state string) (key string, value any) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return "servers/" + k.id, map[string]any{
+		"service": k.service, "address": k.proxy.addr(), "zone": "dc-1", "slots": 16, "state": state, "stage": k.stage,
+	}
+}
+
+func (k *worker) current() string {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.id
+}
+
+// ServeHTTP implements http.Handler.
+func (k *worker) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	_, err := io.ReadAll(r.Body)
+	id := r.Header.Get("Attempt-Id")
+	w.Header().Set("Attempt-Id", id)
+	switch {
+	case err != nil:
+		panic(http.ErrAbortHandler)
+	case r.Header.Get("Expect-Instance") != k.current():
+		w.WriteHeader(http.StatusMisdirectedRequest)
+	case r.URL.Path == "/api/hold-take":
+		_, _ = io.WriteString(w, `{"hold":"h"}`)
+	case r.URL.Path == "/api/kv-list":
+		_, _ = io.WriteString(w, `{"held":[]}`)
+	case strings.HasPrefix(r.URL.Path, "/api/"):
+	case k.hang.Load():
+		<-r.Context().Done()
+	case r.Header.Get("Stage") == "prefill":
+		_, _ = io.WriteString(w, `{"kv_handle":"kv"}`)
+	default:
+		k.run(w, r, id)
+	}
+}
+
+func (k *worker) run(w http.ResponseWriter, r *http.Request, id string) {
+	k.book.begin(id)
+	defer k.book.end(id)
+	k.mu.Lock()
+	k.lastWork = time.Now()
+	k.mu.Unlock()
+	w.Header().Set("Response-Signature", "signed")
+	if k.stage == "" {
+		time.Sleep(callTime)
+		_, _ = io.WriteString(w, "answer to "+id)
+		return
+	}
+	from := 0
+	_, _ = fmt.Sscan(r.Header.Get("Last-Event-Id"), &from)
+	w.Header().Set("Content-Type", "text/event-stream")
+	ctl := http.NewResponseController(w)
+	for i := from + 1; i <= streamEvents; i++ {
+		select {
+		case <-r.Context().Done():
+			return
+		case <-time.After(eventPause):
+		}
+		_, _ = fmt.Fprintf(w, "id: %d\ndata: %s %d\n\n", i, id, i)
+		_ = ctl.Flush()
+	}
+}
+
+// workedAfterLeaving reports whether work began more than grace after the
+// worker was published as leaving.
+func (k *worker) workedAfterLeaving(grace time.Duration) bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return !k.leftAt.IsZero() && k.lastWork.After(k.leftAt.Add(grace))
+}
