A soak of real processes under faults from outside

Ruled out: judging cuts amid faults (they can't be told from the faults': with all faults at all times two of five removed guards stayed unseen).

--- a/soak/processes/faults.go
+++ b/soak/processes/faults.go
@@ -104,10 +104,25 @@
 // harmless are faults that change nothing for requests in progress.
 var harmless = map[string]bool{"hang up": true, "configuration": true, "terminate": true, "worker leaves": true}
 
+// phaseTime is the length of each phase of a run: planned work alone, in which
+// nothing may be cut or late, by turns with all kinds of faults.
+const phaseTime = 5 * time.Second
+
+// draw draws a fault of the present phase.
+func (r *run) draw() fault {
+	planned := int(time.Since(r.playing)/phaseTime)%2 == 0
+	for {
+		f := faults[r.random(len(faults))]
+		if !planned || harmless[f.name] {
+			return f
+		}
+	}
+}
+
 // injure brings faults about, some of them at the same time, until ctx ends.
 func (r *run) injure(ctx context.Context) {
 	for ctx.Err() == nil {
-		f := faults[r.random(len(faults))]
+		f := r.draw()
 		r.faults.Add(1)
 		r.wg.Go(func() {
 			if !harmless[f.name] {
--- a/soak/processes/run.go
+++ b/soak/processes/run.go
@@ -14,6 +14,7 @@
 	"net"
 	"net/http"
 	"os"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -65,6 +66,7 @@
 	// once are the attempts that may run at most once.
 	once    []string
 	began   time.Time
+	playing time.Time // when faults began
 	history *os.File
 }
 
@@ -92,8 +94,9 @@
 	calling, hangUp := context.WithCancel(ctx)
 	defer hangUp()
 	r.callers(calling)
+	r.playing = time.Now()
 	r.injure(playing)
-	for r.busy.Load() > 0 && ctx.Err() == nil {
+	for r.injured() && ctx.Err() == nil {
 		time.Sleep(100 * time.Millisecond)
 	}
 	time.Sleep(settleTime)
@@ -189,6 +192,11 @@
 	}
 }
 
+// injured reports whether a fault or a replacement is under way.
+func (r *run) injured() bool {
+	return r.busy.Load() > 0 || slices.ContainsFunc(r.entries, func(e *entry) bool { return e.replacing.Load() })
+}
+
 // calmSince reports whether no fault that harms requests was under way.
 func (r *run) calmSince(at time.Time) bool {
 	return r.busy.Load() == 0 && r.lastFault.Load() < at.UnixNano()
