inspect: the story of a request and the causes of failures, out of logs

Cause: on call, the lines of a request stand in the logs of several entries; they had to be collected and ordered by hand. Ruled out: a store of logs of our own (nothing of ours lasts).

--- a/cmd/ebonypulley/main.go
+++ b/cmd/ebonypulley/main.go
@@ -56,6 +56,7 @@
 			demoCommand(),
 			loadCommand(),
 			soakCommand(),
+			inspectCommand(),
 		},
 		Flags: []cli.Flag{
 			&cli.StringFlag{Name: "log-level", Value: "info", Usage: "least level logged: debug, info, warn or error"},
--- /dev/null
+++ b/inspect/inspect_test.go
@@ -0,0 +1,43 @@
+package inspect_test
+
+import (
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"ebonypulley/inspect"
+)
+
+const logs = `  5.46 edge-2 {"level":"warn","ts":100.5,"msg":"request given up","entry":"edge-2","request":"a","why":"not-run","took":0.2,"error":"router.not-run.no-endpoint: no engine of llm has room","event":6003}
+{"level":"info","ts":100.1,"msg":"generation placed","entry":"edge-1","request":"a","decode":"i-1","fill":0.98,"event":6004}
+{"level":"warn","ts":101,"msg":"request given up","entry":"edge-1","request":"b","why":"not-run","error":"router.not-run.no-endpoint: no engine of llm has room","event":6003}
+{"level":"warn","ts":102,"msg":"answer broken off: it could not be completed","entry":"edge-1","request":"c","why":"unknown","error":"router.lost: stream of i-1, cause: read tcp 1.2.3.4:5: connection reset by peer","event":4003}
+{"level":"info","ts":103,"msg":"request answered","entry":"edge-1","request":"d","event":6002}
+not a log line
+`
+
+// TestStory: a user complains about a request that met two entries. Its lines
+// are told in order, whichever file and prefix they stand behind.
+func TestStory(t *testing.T) {
+	lines, skipped, err := inspect.Read(strings.NewReader(logs))
+	require.NoError(t, err)
+	assert.Equal(t, 1, skipped)
+	story := inspect.Story(lines, "a")
+	require.Len(t, story, 2)
+	assert.Equal(t, 6004, story[0].Event)
+	assert.Equal(t, "0.98", story[0].Value("fill"))
+	assert.Equal(t, "edge-2", story[1].Process)
+}
+
+func TestSummary(t *testing.T) {
+	lines, _, err := inspect.Read(strings.NewReader(logs))
+	require.NoError(t, err)
+	causes := inspect.Summary(lines)
+	require.Len(t, causes, 2)
+	assert.Equal(t, 2, causes[0].Count)
+	assert.Equal(t, "router.not-run.no-endpoint: no engine of llm has room", causes[0].Error)
+	assert.Equal(t, "router.lost: connection reset by peer", causes[1].Error)
+	assert.Equal(t, "c", causes[1].Example)
+}
