The silence of a run that nothing may follow ends nothing

The entry gives a stream up that is silent for 1.5 s so that it goes on elsewhere; a letter may not, and a draft in its last attempt neither. Change: once such a run has brought an event, only its caller's time limit, its caller or the connection ends it. Before: TestSilentLetterIsAwaited red for a letter and for a draft's last attempt.

--- a/router/fake_test.go
+++ b/router/fake_test.go
@@ -30,6 +30,8 @@
 	// pause is the time between two events; events the number of them.
 	pause  time.Duration
 	events int64
+	// longPause is the time before event 4, once.
+	longPause time.Duration
 }
 
 func (f *fakeEndpoints) note(format string, args ...any) {
@@ -127,8 +129,12 @@
 	if s.next > s.f.events {
 		return router.Event{}, io.EOF
 	}
+	pause := s.f.pause
+	if s.next == 4 && s.f.longPause > 0 {
+		pause, s.f.longPause = s.f.longPause, 0
+	}
 	select {
-	case <-time.After(s.f.pause):
+	case <-time.After(pause):
 	case <-s.ctx.Done():
 		return router.Event{}, router.ErrLost.Wrap(s.ctx.Err(), "stream")
 	}
--- a/router/generate_test.go
+++ b/router/generate_test.go
@@ -347,3 +347,21 @@
 		assert.Zero(t, count(f.notes(), "drop"), "no prompt is computed in vain")
 	})
 }
+
+// TestSilentLetterIsAwaited: a letter is cut in the middle although its engine
+// would have gone on. It was preempted and paused for two seconds; a letter
+// can't go on elsewhere, so that ending it gains nothing. Neither can the last
+// attempt of a draft.
+func TestSilentLetterIsAwaited(t *testing.T) {
+	for _, route := range []router.Route{letterRoute, draftRoute} {
+		synctest.Test(t, func(t *testing.T) {
+			route.MaxAttempts = 1
+			f := &fakeEndpoints{longPause: 2 * time.Second}
+			r := newRouter(f, engine("d1", router.Decode), engine("d2", router.Decode))
+			s := new(fakeSink)
+			_, fail := r.Generate(t.Context(), newCall(route, llm), s)
+			assert.Nil(t, fail)
+			assert.Equal(t, whole, s.got)
+		})
+	}
+}
--- a/router/stream.go
+++ b/router/stream.go
@@ -137,7 +137,11 @@
 		if err != nil {
 			return err
 		}
-		quiet.heard()
+		if g.mayFollow() {
+			quiet.heard()
+		} else {
+			quiet.stop()
+		}
 		prompt.End()
 		work.Grow(Load{KV: g.c.stride()})
 		if err := g.deliver(s, ev, at); err != nil {
@@ -146,6 +150,18 @@
 	}
 }
 
+// mayFollow reports whether the present run may be followed by another.
+//
+// Failure guarded against: an engine preempts an answer for longer than its
+// events are waited for, and the answer may not go on elsewhere. It shows as an
+// answer that is cut although its engine is well. The guard holds because the
+// silence of such a run ends nothing; the caller's time limit does, or the
+// kernel when the engine's VM is gone.
+func (g *generationRun) mayFollow() bool {
+	most := g.c.Route.MaxAttempts
+	return g.c.Route.Resumable && (most == 0 || g.runs+1 < most)
+}
+
 // begin delivers the head once; a resumed answer keeps its first one.
 func (g *generationRun) begin(s Stream) error {
 	if g.begun {
