An idle engine takes any prompt that fits; one that fits nowhere is refused at once

Cause: on small engines the room left for running answers (1,600 tokens, or two in a hundred) kept out prompts that would fit into an idle engine, for ever; a prompt larger than the memory waited for its whole patience. Ruled out: a smaller rest (it is what running answers grow into). Change: with nothing running the whole memory counts; a larger prompt is refused at arrival. Before: TestSmallEngines red for both.

--- a/router/admit.go
+++ b/router/admit.go
@@ -98,6 +98,9 @@
 // look looks for a way once. An error refuses the generation.
 func (g *generationRun) look(now, began time.Time) (placement, bool, error) {
 	g.expireKept(now)
+	if eng := g.c.Service.Engine; eng != nil && g.c.Prompt > eng.KVTokens {
+		return placement{}, false, errNoEndpoint.New("the prompt of %d tokens exceeds an engine's memory", g.c.Prompt)
+	}
 	turn := g.late.turn(now, began)
 	if g.kept != nil {
 		turn.fill = fullFill // its prompt is computed, and the result expires soon
--- a/router/place.go
+++ b/router/place.go
@@ -290,5 +290,8 @@
 		return true
 	}
 	limit := min(int(float64(eng.KVTokens)*fill), eng.KVTokens-headroom)
+	if v.Decodes == 0 {
+		limit = eng.KVTokens // nothing there grows but the call itself
+	}
 	return !v.Full && v.KV+c.need() <= limit && v.Decodes < eng.Slots
 }
--- a/router/place_test.go
+++ b/router/place_test.go
@@ -165,3 +165,27 @@
 		}
 	})
 }
+
+// TestSmallEngines: on a deployment of small engines a long prompt is refused
+// for ever although it fits into an idle one, and one that fits nowhere waits
+// for its whole patience before it is refused.
+func TestSmallEngines(t *testing.T) {
+	for _, tt := range []struct {
+		prompt int
+		served bool
+	}{{5900, true}, {6100, false}} {
+		synctest.Test(t, func(t *testing.T) {
+			small := &router.Service{Name: "llm", Engine: &router.Engine{Slots: 8, KVTokens: 6000, Stride: 1}}
+			f := &fakeEndpoints{}
+			r := newRouter(f, engine("d", router.Decode))
+			c := newCall(draftRoute, small)
+			c.Prompt = tt.prompt
+			_, fail := r.Generate(t.Context(), c, new(fakeSink))
+			assert.Equal(t, tt.served, fail == nil)
+			if fail != nil {
+				assert.Equal(t, router.NotRun, fail.Why)
+				assert.Zero(t, time.Since(c.Began), "refused at once")
+			}
+		})
+	}
+}
