--- a/soak/processes/caller.go
+++ b/soak/processes/caller.go
@@ -7,9 +7,10 @@
 	"fmt"
 	"io"
 	"net/http"
-	"strconv"
 	"strings"
 	"time"
+
+	"ebonypulley/standin"
 )
 
 // kind is a kind of request.
@@ -67,11 +68,9 @@
 		r.mayRunOnce(id)
 	}
 	req.Host = "app.example"
-	req.Header.Set("Attempt-Id", id)
-	req.Header.Set("Deadline-Ms", strconv.FormatInt(callerWait.Milliseconds(), 10))
+	standin.SetClientHeaders(req.Header, id, callerWait)
 	if k.stream {
-		req.Header.Set("Token-Count", "500,400")
-		req.Header.Set("Prompt-Prefix", "c0:100,"+strconv.Itoa(r.random(1<<20))+":400")
+		standin.SetPromptHeaders(req.Header, 500, 400, r.random(1<<20))
 	}
 	resp, err := client.Do(req)
 	if err == nil {
--- a/soak/processes/check.go
+++ b/soak/processes/check.go
@@ -5,6 +5,8 @@
 	"fmt"
 	"net/http"
 	"time"
+
+	"ebonypulley/standin"
 )
 
 // count counts how a request ended.
@@ -77,7 +79,7 @@
 			continue
 		}
 		req.Host = "app.example"
-		req.Header.Set("Attempt-Id", "recovered-"+e.name)
+		standin.SetClientHeaders(req.Header, "recovered-"+e.name, callerWait)
 		resp, err := client.Do(req)
 		if err != nil {
 			r.violation("%s does not answer %s after the last fault: %v", e.name, settleTime, err)
--- a/soak/processes/worker.go
+++ b/soak/processes/worker.go
@@ -5,10 +5,11 @@
 	"io"
 	"net"
 	"net/http"
-	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"ebonypulley/standin"
 )
 
 // streamEvents is the number of events of a whole generation, eventPause the
@@ -111,44 +112,40 @@
 // ServeHTTP implements http.Handler.
 func (k *worker) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	_, err := io.ReadAll(r.Body)
-	id := r.Header.Get("Attempt-Id")
-	w.Header().Set("Attempt-Id", id)
+	c := standin.ReadWorkerCall(r)
 	switch {
 	case err != nil:
 		panic(http.ErrAbortHandler)
-	case r.Header.Get("Expect-Instance") != k.current():
+	case c.Expected != k.current():
+		standin.AnswerHead(w.Header(), c.ID)
 		w.WriteHeader(http.StatusMisdirectedRequest)
-	case r.URL.Path == "/api/hold-take":
-		_, _ = io.WriteString(w, `{"hold":"h"}`)
-	case r.URL.Path == "/api/kv-list":
-		_, _ = io.WriteString(w, `{"held":[]}`)
-	case strings.HasPrefix(r.URL.Path, "/api/"):
+	case standin.AnswerOwn(w, r):
 	case k.hang.Load():
 		<-r.Context().Done()
-	case r.Header.Get("Stage") == "prefill":
-		_, _ = io.WriteString(w, `{"kv_handle":"kv"}`)
+	case c.Prefill:
+		standin.AnswerHead(w.Header(), c.ID)
+		standin.AnswerPrefill(w)
 	default:
-		k.run(w, r, id)
+		k.run(w, r, c)
 	}
 }
 
-func (k *worker) run(w http.ResponseWriter, r *http.Request, id string) {
+func (k *worker) run(w http.ResponseWriter, r *http.Request, c standin.WorkerCall) {
+	id := c.ID
 	k.book.begin(id)
 	defer k.book.end(id)
 	k.mu.Lock()
 	k.lastWork = time.Now()
 	k.mu.Unlock()
-	w.Header().Set("Response-Signature", "signed")
+	standin.AnswerHead(w.Header(), id)
 	if k.stage == "" {
 		time.Sleep(callTime)
 		_, _ = io.WriteString(w, "answer to "+id)
 		return
 	}
-	from := 0
-	_, _ = fmt.Sscan(r.Header.Get("Last-Event-Id"), &from)
 	w.Header().Set("Content-Type", "text/event-stream")
 	ctl := http.NewResponseController(w)
-	for i := from + 1; i <= streamEvents; i++ {
+	for i := c.After + 1; i <= streamEvents; i++ {
 		select {
 		case <-r.Context().Done():
 			return
