A lost prefill counts as continued again

Ruled out: the guard itself (agent/pace.go is unchanged). Change: one function says what is lost, for the count and for the retry budget behind gates. Before: guard missed. After: caught, as is 'lost prefills draw on the budget'; ./router and ./fleet ok. Only a counter changes on the platform. Conclusion: the test is as strict as it was.

--- a/router/generate.go
+++ b/router/generate.go
@@ -82,7 +82,7 @@
 			return g.end(ctx, err)
 		}
 		r.metrics.Add("generation_attempts_again", 1)
-		if !errorx.IsOfType(err, ErrNotRun) {
+		if lost(err) {
 			r.metrics.Add("continued", 1)
 		}
 		r.log.Emit(event.GenerationAgain, zap.String("request", c.ID), zap.Bool("begun", g.begun), zap.Int64("after", g.after),
@@ -139,8 +139,13 @@
 	if g.refusals >= maxRefusals || !notRun && !g.mayRun() {
 		return false
 	}
-	lost := !notRun || errorx.IsOfType(err, errPrefillLost)
-	return !lost || !g.r.gated() || g.lossAllowed(err)
+	return !lost(err) || !g.r.gated() || g.lossAllowed(err)
+}
+
+// lost reports whether an attempt was lost, not refused: its run, or its
+// prefill.
+func lost(err error) bool {
+	return !errorx.IsOfType(err, ErrNotRun) || errorx.IsOfType(err, errPrefillLost)
 }
 
 // mayRun reports whether the generation may run once more.
