Sight: bytes of published entries by where they came from

Cause: logs could not tell whether one transfer from the store or many answers of other entries fill a narrow link. Ruled out: nothing.

--- a/gossip/node.go
+++ b/gossip/node.go
@@ -11,6 +11,7 @@
 	"ebonypulley"
 	"ebonypulley/catalog"
 	"ebonypulley/event"
+	"ebonypulley/metrics"
 	"ebonypulley/router"
 	"ebonypulley/wire"
 )
@@ -67,6 +68,8 @@
 	Heard func(age time.Duration)
 	// Entries is told the number of living entries, this one included.
 	Entries func(n int)
+	// Metrics takes counters of what is handed on.
+	Metrics *metrics.Set
 
 	mu      sync.Mutex
 	members *Members
@@ -81,6 +84,7 @@
 		self: self, inc: wire.NewID(), loads: loads, catalog: cat, log: log, dial: dial.OrTCP(),
 		Behind: func() bool { return false }, Entries: func(int) {},
 		Age: func() time.Duration { return 0 }, Heard: func(time.Duration) {},
+		Metrics: metrics.NewSet(),
 		members: NewMembers(self.Addr, self.DataCentre, seeds), links: make(map[string]context.CancelFunc),
 	}
 }
@@ -137,10 +141,19 @@
 		for _, e := range entries {
 			reply.Entries = append(reply.Entries, wire.Published(e))
 		}
+		n.Metrics.Add("published_answers_out", 1)
+		n.Metrics.Add("published_bytes_out", valueBytes(reply.Entries))
 	}
 	return reply
 }
 
+func valueBytes(entries []wire.Published) (sum int64) {
+	for _, e := range entries {
+		sum += int64(len(e.Value))
+	}
+	return sum
+}
+
 func (n *Node) hear(now time.Time, addr, dataCentre string, members []string) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
@@ -323,6 +336,8 @@
 	if r.UpTo == 0 {
 		return
 	}
+	n.Metrics.Add("published_answers_in", 1)
+	n.Metrics.Add("published_bytes_in", valueBytes(r.Entries))
 	n.Heard(r.Age)
 	entries := make([]catalog.Entry, 0, len(r.Entries))
 	for _, e := range r.Entries {
