A failing test: a large configuration never arrives on narrow links

Cause: not mended yet. A watch of the store is cut after 1.1 s whether bytes come or not, and entries that are behind ask every other one each 100 ms for the whole configuration. Ruled out: processor and store, by figures; one of the two causes alone, by counters of bytes.

--- a/internal/simnet/simnet.go
+++ b/internal/simnet/simnet.go
@@ -18,17 +18,34 @@
 type Net struct {
 	// Latency is one way, for each piece of data.
 	Latency time.Duration
+	// Rate, if set before use, returns the bytes a second that a process's own
+	// link carries in each direction, for all its connections together; 0 is
+	// unlimited.
+	Rate func(process string) float64
 
 	mu        sync.Mutex
 	listeners map[string]*listener
 	links     map[*link]struct{}
 	// split holds the processes of one side of a partition.
 	split map[string]bool
+	// free is when each direction of a limited link has sent what it took.
+	free map[direction]time.Time
+	// carried counts the bytes that each direction of a limited link took.
+	carried map[direction]int64
+}
+
+// direction is one way of a process's own link.
+type direction struct {
+	process string
+	in      bool
 }
 
 // New returns a network without faults.
 func New() *Net {
-	return &Net{listeners: make(map[string]*listener), links: make(map[*link]struct{})}
+	return &Net{
+		listeners: make(map[string]*listener), links: make(map[*link]struct{}),
+		free: make(map[direction]time.Time), carried: make(map[direction]int64),
+	}
 }
 
 var (
@@ -151,21 +168,31 @@
 	n.mu.Lock()
 	n.links[k] = struct{}{}
 	n.mu.Unlock()
-	go n.pump(k, nearPump, farPump)
-	go n.pump(k, farPump, nearPump)
+	go n.pump(k, nearPump, farPump, k.from, k.to)
+	go n.pump(k, farPump, nearPump, k.to, k.from)
 	return near, nil
 }
 
-const pumpBuffer = 32 << 10
+const (
+	pumpBuffer = 32 << 10
+	// limitedBuffer is one turn of a connection on a limited link: small, so
+	// that connections share it evenly.
+	limitedBuffer = 4 << 10
+)
 
-func (n *Net) pump(k *link, from, to net.Conn) {
+func (n *Net) pump(k *link, from, to net.Conn, sender, receiver string) {
 	defer n.end(k)
 	buf := make([]byte, pumpBuffer)
+	if n.Rate != nil {
+		buf = buf[:limitedBuffer]
+	}
 	for {
 		read, err := from.Read(buf)
 		if n.Latency > 0 {
 			time.Sleep(n.Latency)
 		}
+		n.carry(direction{process: sender}, read)
+		n.carry(direction{process: receiver, in: true}, read)
 		if k.isSilent() {
 			if err != nil {
 				return
@@ -183,6 +210,31 @@
 	}
 }
 
+// carry takes the time that bytes need on one way of a process's own link.
+func (n *Net) carry(d direction, bytes int) {
+	if n.Rate == nil || n.Rate(d.process) == 0 || bytes == 0 {
+		return
+	}
+	n.mu.Lock()
+	now := time.Now()
+	began := n.free[d]
+	if began.Before(now) {
+		began = now
+	}
+	done := began.Add(time.Duration(float64(bytes) / n.Rate(d.process) * float64(time.Second)))
+	n.free[d] = done
+	n.carried[d] += int64(bytes)
+	n.mu.Unlock()
+	time.Sleep(done.Sub(now))
+}
+
+// Carried returns the bytes that came in on a process's limited link.
+func (n *Net) Carried(process string) int64 {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.carried[direction{process: process, in: true}]
+}
+
 // end closes a link. The far side of a silent one learns nothing of it.
 func (n *Net) end(k *link) {
 	if k.isSilent() {
--- a/standin/store.go
+++ b/standin/store.go
@@ -40,22 +40,22 @@
 	return &Store{items: make(map[string]StoreItem), changed: make(chan struct{})}
 }
 
-// Put writes v as JSON.
-func (s *Store) Put(key string, v any) {
+// Put writes v as JSON and returns the store's revision.
+func (s *Store) Put(key string, v any) uint64 {
 	text, err := json.Marshal(v)
 	if err != nil {
 		panic(err) // a mistake in the test that calls it
 	}
-	s.PutRaw(key, base64.StdEncoding.EncodeToString(text))
+	return s.PutRaw(key, base64.StdEncoding.EncodeToString(text))
 }
 
 // PutRaw writes a value as it stands in the store's answers.
-func (s *Store) PutRaw(key, value string) { s.write(StoreItem{Key: key, Value: value}) }
+func (s *Store) PutRaw(key, value string) uint64 { return s.write(StoreItem{Key: key, Value: value}) }
 
 // Delete removes a key.
 func (s *Store) Delete(key string) { s.write(StoreItem{Key: key, Deleted: true}) }
 
-func (s *Store) write(item StoreItem) {
+func (s *Store) write(item StoreItem) uint64 {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.revision++
@@ -67,6 +67,7 @@
 	s.history = append(s.history, item)
 	close(s.changed)
 	s.changed = make(chan struct{})
+	return item.Revision
 }
 
 // SetDown begins or ends an outage.
@@ -95,16 +96,24 @@
 const storePage = 3
 
 func (s *Store) list(w http.ResponseWriter, r *http.Request) {
+	page, ok := s.page(r.URL.Query().Get("path_prefix"), r.URL.Query().Get("after"))
+	if !ok {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	writeJSON(w, page)
+}
+
+// page returns the items behind a key, unless the store is down.
+func (s *Store) page(prefix, after string) (page map[string]any, ok bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.down {
-		w.WriteHeader(http.StatusServiceUnavailable)
-		return
+		return nil, false
 	}
-	after := r.URL.Query().Get("after")
 	var keys []string
 	for k := range s.items {
-		if strings.HasPrefix(k, r.URL.Query().Get("path_prefix")) && k > after {
+		if strings.HasPrefix(k, prefix) && k > after {
 			keys = append(keys, k)
 		}
 	}
@@ -115,7 +124,7 @@
 	for _, k := range keys {
 		items = append(items, s.items[k])
 	}
-	writeJSON(w, map[string]any{"items": items, "more_pages": more, "store_revision": s.revision})
+	return map[string]any{"items": items, "more_pages": more, "store_revision": s.revision}, true
 }
 
 func (s *Store) watch(w http.ResponseWriter, r *http.Request) {
