--- a/source/source.go
+++ b/source/source.go
@@ -17,6 +17,7 @@
 	"ebonypulley/config"
 	"ebonypulley/event"
 	"ebonypulley/membership"
+	"ebonypulley/stall"
 )
 
 // VMState is the platform's word about a VM.
@@ -52,10 +53,14 @@
 // Failure guarded against: the connection of a watch goes silent. It shows as
 // a published document that does not come. The guard holds because a watch
 // that is not answered after WatchWait and watchSlack is given up, and the
-// next one uses a fresh connection: within 4 s, of the 5 s allowed.
+// next one uses a fresh connection: within 4 s, of the 5 s allowed. A document
+// that comes slowly is read to its end, up to readMost: maxDocument then needs a
+// twentieth of a link of 10 Mbit/s.
 const (
 	WatchWait   = 3 * time.Second
 	watchSlack  = time.Second
+	readStall   = time.Second
+	readMost    = 15 * time.Second
 	readTimeout = 5 * time.Second
 	vmInterval  = 2 * time.Second
 	minPause    = 200 * time.Millisecond
@@ -118,12 +123,12 @@
 	if tag == "" {
 		wait = 0
 	}
-	ctx, cancel := context.WithTimeout(ctx, wait+watchSlack)
-	defer cancel()
+	read := stall.Start(ctx, stall.Limits{Begin: wait + watchSlack, Idle: readStall, Most: readMost})
+	defer read.End()
 	q := url.Values{"etag": {tag}, "wait": {wait.String()}}
-	resp, err := get(ctx, w.HTTP, w.URL+"/v1/config?"+q.Encode())
+	resp, err := get(read.Context(), w.HTTP, w.URL+"/v1/config?"+q.Encode())
 	if err != nil {
-		return nil, "", err
+		return nil, "", read.Err(err)
 	}
 	defer resp.Body.Close()
 	switch resp.StatusCode {
@@ -133,9 +138,9 @@
 		}
 		return nil, tag, nil
 	case http.StatusOK:
-		text, err := io.ReadAll(io.LimitReader(resp.Body, maxDocument+1))
+		text, err := io.ReadAll(io.LimitReader(read.Body(resp.Body), maxDocument+1))
 		if err != nil || len(text) > maxDocument {
-			return nil, "", ErrUnavailable.New("document not read whole: %d bytes, %v", len(text), err)
+			return nil, "", ErrUnavailable.New("document not read whole: %d bytes, %v", len(text), read.Err(err))
 		}
 		return text, resp.Header.Get("ETag"), nil
 	default:
--- /dev/null
+++ b/source/source_test.go
@@ -0,0 +1,50 @@
+package source_test
+
+import (
+	"bytes"
+	"context"
+	"net/http"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"ebonypulley/config"
+	"ebonypulley/event"
+	"ebonypulley/examples"
+	"ebonypulley/internal/simnet"
+	_ "ebonypulley/plugins"
+	"ebonypulley/source"
+	"ebonypulley/standin"
+)
+
+// TestLargeDocumentOnNarrowLink: an entry never gets the document, because a read
+// of 0.9 MB over the part of a link of 10 Mbit/s that requests leave takes longer
+// than a watch may, is cut and begins again. Only the want of bytes ends a read.
+func TestLargeDocumentOnNarrowLink(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n := simnet.New()
+		n.Rate = func(process string) float64 {
+			if process == "entry" {
+				return 10e6 / 8 / 5
+			}
+			return 0
+		}
+		text := append(bytes.Clone(examples.Almaty), bytes.Repeat([]byte("// A comment of the operators.\n"), 30_000)...)
+		ln, err := n.Listen("service", "service:1")
+		require.NoError(t, err)
+		server := &http.Server{Handler: standin.NewConfigService(text)}
+		go func() { _ = server.Serve(ln) }()
+		ctx, cancel := context.WithCancel(t.Context())
+		w := &source.Watcher{URL: "http://service:1", Store: new(config.Store), Log: event.Nop(), HTTP: n.Dialer("entry").HTTPClient(true)}
+		go func() { _ = w.Run(ctx) }()
+		time.Sleep(5 * time.Second)
+		assert.NotNil(t, w.Store.Current())
+		cancel()
+		_ = server.Close()
+		n.Close()
+		time.Sleep(10 * time.Second)
+	})
+}
--- /dev/null
+++ b/stall/stall_test.go
@@ -0,0 +1,53 @@
+package stall_test
+
+import (
+	"context"
+	"io"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/joomcode/errorx"
+	"github.com/stretchr/testify/assert"
+
+	"ebonypulley/stall"
+)
+
+var limits = stall.Limits{Begin: time.Second, Idle: 500 * time.Millisecond, Most: 10 * time.Second}
+
+// read reads an answer of pieces that come one every pause.
+func read(t *testing.T, ctx context.Context, pieces int, pause time.Duration) (n int, err error) {
+	r := stall.Start(ctx, limits)
+	defer r.End()
+	from, to := io.Pipe()
+	context.AfterFunc(r.Context(), func() { _ = from.CloseWithError(context.Canceled) })
+	go func() {
+		for range pieces {
+			time.Sleep(pause)
+			if _, err := to.Write([]byte("piece")); err != nil {
+				return
+			}
+		}
+		_ = to.Close()
+	}()
+	text, err := io.ReadAll(r.Body(from))
+	return len(text), r.Err(err)
+}
+
+// TestSlowIsNotSilent: a large answer on a narrow link takes many times as long
+// as a small one and is read to its end; one that falls silent, and one that
+// drips, are given up for that reason.
+func TestSlowIsNotSilent(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n, err := read(t, t.Context(), 20, 400*time.Millisecond)
+		assert.NoError(t, err)
+		assert.Equal(t, 100, n)
+		began := time.Now()
+		_, err = read(t, t.Context(), 3, 900*time.Millisecond)
+		assert.True(t, errorx.IsOfType(err, stall.ErrSilent), "%v", err)
+		assert.Equal(t, 1400*time.Millisecond, time.Since(began))
+		_, err = read(t, t.Context(), 100, 400*time.Millisecond)
+		assert.True(t, errorx.IsOfType(err, stall.ErrDrips), "%v", err)
+		time.Sleep(time.Second) // the writers end
+	})
+}
--- a/wire/conn.go
+++ b/wire/conn.go
@@ -25,7 +25,7 @@
 	wake   *sync.Cond
 	out    []byte
 	closed bool
-	last   time.Time // of the last frame read
+	last   time.Time // of the last byte read
 }
 
 // NewConn starts the writing side on nc.
@@ -90,19 +90,36 @@
 	stop := context.AfterFunc(ctx, c.Close)
 	defer stop()
 	defer c.Close()
-	r := NewReader(c.nc)
+	r := NewReader(heardReader{c})
 	for {
 		m, err := r.Next()
 		if err != nil {
 			return err
 		}
-		c.mu.Lock()
-		c.last = time.Now()
-		c.mu.Unlock()
 		handle(m)
 	}
 }
 
+// heardReader notes when bytes come.
+//
+// Failure guarded against: a large frame on a narrow link takes longer than a
+// connection may be silent, so that it is replaced in the middle and the frame
+// sent again from its first byte. It shows as a configuration that never
+// arrives. The guard holds because a part of a frame is a sign of life too.
+type heardReader struct {
+	c *Conn
+}
+
+func (r heardReader) Read(p []byte) (int, error) {
+	n, err := r.c.nc.Read(p)
+	if n > 0 {
+		r.c.mu.Lock()
+		r.c.last = time.Now()
+		r.c.mu.Unlock()
+	}
+	return n, err
+}
+
 func (c *Conn) write() {
 	var batch []byte
 	for {
--- a/wire/wire_test.go
+++ b/wire/wire_test.go
@@ -158,3 +158,29 @@
 	b.ReportMetric(float64(len(ping)), "ping-bytes")
 	b.ReportMetric(float64(len(pong)), "pong-bytes")
 }
+
+// TestSlowFrameIsNoSilence: an agent on a link of 10 Mbit/s never gets a document
+// of 1 MB. The frame takes longer than a connection may be silent, so the entry
+// replaces the connection and sends the document again from its first byte. The
+// bytes of a frame count as signs of life, not only its end.
+func TestSlowFrameIsNoSilence(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		near, far := net.Pipe()
+		c := wire.NewConn(near)
+		got := make(chan wire.Message, 1)
+		go func() { _ = c.Serve(t.Context(), func(m wire.Message) { got <- m }) }()
+		frame, err := wire.AppendFrame(nil, &wire.Config{Text: make([]byte, 1<<20)})
+		require.NoError(t, err)
+		for len(frame) > 0 {
+			n := min(len(frame), 32<<10)
+			_, err := far.Write(frame[:n])
+			require.NoError(t, err)
+			frame = frame[n:]
+			time.Sleep(200 * time.Millisecond)
+			assert.LessOrEqual(t, c.Silence(time.Now()), 200*time.Millisecond)
+		}
+		assert.Len(t, (<-got).(*wire.Config).Text, 1<<20)
+		c.Close()
+		_ = far.Close()
+	})
+}
