What has not changed is not decoded again; routes are found by the lengths of prefixes

Cause: each change of one worker decoded and indexed the whole configuration, and each request looked at every route of its host: costs that grow with the number of routes. Change: platform.decoder keeps what an entry gave at its last change; Directory.WithEndpoints shares the routes; hostRoutes by prefix.

--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -226,6 +226,8 @@
 type Known struct {
 	Entry
 	Since time.Time
+	// Changed is the revision of the last change that matters.
+	Changed uint64
 }
 
 // All returns every entry, removals included. Entries that may only have
@@ -236,7 +238,7 @@
 	defer c.mu.Unlock()
 	list = make([]Known, 0, len(c.slots))
 	for _, s := range c.slots {
-		k := Known{Entry: s.Entry, Since: s.since}
+		k := Known{Entry: s.Entry, Since: s.since, Changed: s.changed}
 		if s.lapsed != nil && now.Before(c.lapsedUntil) {
 			k.Value, k.Removed = s.lapsed, false
 			until = c.lapsedUntil
--- a/router/model.go
+++ b/router/model.go
@@ -118,20 +118,6 @@
 	return e.ID
 }
 
-// Directory is one consistent view of what is published. It is read-only.
-type Directory struct {
-	// Version is that of the configuration; zero means none.
-	Version uint64
-	// MaxBody is the longest request body in bytes.
-	MaxBody  int64
-	routes   map[string][]*Route // by host, longest prefix first
-	services map[string]*Service
-	// endpoints take new work; by service.
-	endpoints map[string][]*Endpoint
-	// firsts holds the rank of each service's most urgent routes.
-	firsts map[string]int
-}
-
 // Call is one request of a caller.
 type Call struct {
 	// ID is the caller's name for this attempt.
@@ -188,81 +174,3 @@
 
 // Left returns the time until the deadline.
 func (c *Call) Left(now time.Time) time.Duration { return c.Deadline.Sub(now) }
-
-// NewDirectory indexes routes, services and the endpoints that take new work.
-func NewDirectory(version uint64, maxBody int64, routes []*Route, services []*Service, endpoints []*Endpoint) *Directory {
-	d := &Directory{
-		Version:   version,
-		MaxBody:   maxBody,
-		routes:    make(map[string][]*Route),
-		services:  make(map[string]*Service, len(services)),
-		endpoints: make(map[string][]*Endpoint),
-		firsts:    make(map[string]int),
-	}
-	for _, r := range routes {
-		d.routes[r.Host] = append(d.routes[r.Host], r)
-		d.rank(r)
-	}
-	for _, s := range services {
-		d.services[s.Name] = s
-	}
-	for _, e := range endpoints {
-		d.endpoints[e.Service] = append(d.endpoints[e.Service], e)
-	}
-	return d
-}
-
-// rank notes the rank of a route at its services.
-func (d *Directory) rank(r *Route) {
-	for _, s := range r.Services {
-		first, ok := d.firsts[s.Service]
-		if !ok || r.Rank < first {
-			d.firsts[s.Service] = r.Rank
-		}
-	}
-}
-
-// Yields reports whether a service has more urgent routes than this one.
-func (d *Directory) Yields(r *Route, service string) bool {
-	first, ok := d.firsts[service]
-	return ok && first < r.Rank
-}
-
-// Route returns the route of the longest prefix of path, or nil.
-func (d *Directory) Route(host, path string) *Route {
-	var best *Route
-	for _, r := range d.routes[host] {
-		if len(path) < len(r.Prefix) || path[:len(r.Prefix)] != r.Prefix {
-			continue
-		}
-		if best == nil || len(r.Prefix) > len(best.Prefix) {
-			best = r
-		}
-	}
-	return best
-}
-
-// Service returns a service by name, or nil.
-func (d *Directory) Service(name string) *Service { return d.services[name] }
-
-// Endpoints returns those of a service and role that take new work.
-func (d *Directory) Endpoints(service string, role Role) []*Endpoint {
-	all := d.endpoints[service]
-	list := make([]*Endpoint, 0, len(all))
-	for _, e := range all {
-		if e.Role == role {
-			list = append(list, e)
-		}
-	}
-	return list
-}
-
-// Has reports whether an endpoint still takes new work.
-func (d *Directory) Has(e *Endpoint) bool {
-	for _, x := range d.endpoints[e.Service] {
-		if x.ID == e.ID {
-			return true
-		}
-	}
-	return false
-}
