An entry that the store turns away does not read for its data centre

Cause: the reader of a data centre was the widest link whether the store served it or not; the others waited 0.9 s for its word, then read themselves. Ruled out: the time that others take to hand on (0.1 s).

--- a/gossip/members.go
+++ b/gossip/members.go
@@ -31,8 +31,8 @@
 	seeds      map[string]bool
 	// where holds the data centres of entries heard.
 	where map[string]string
-	// links holds the capacities of entries' links in Mbit/s.
-	links map[string]float64
+	// ways holds what entries say of their way to the platform.
+	ways map[string]Way
 	// heard holds when each was last heard directly, known when anybody last
 	// named it.
 	heard map[string]time.Time
@@ -45,7 +45,7 @@
 
 // NewMembers returns what an entry knows at its start.
 func NewMembers(self, dataCentre string, seeds []string) *Members {
-	m := &Members{self: self, dataCentre: dataCentre, where: make(map[string]string), links: make(map[string]float64), heard: make(map[string]time.Time), known: make(map[string]time.Time)}
+	m := &Members{self: self, dataCentre: dataCentre, where: make(map[string]string), ways: make(map[string]Way), heard: make(map[string]time.Time), known: make(map[string]time.Time)}
 	m.SetSeeds(seeds)
 	return m
 }
@@ -73,12 +73,19 @@
 	return !ok || now.Sub(last) > heardFor
 }
 
-// SetLink records the capacity of an entry's own link in Mbit/s, this one's
-// included.
-func (m *Members) SetLink(addr string, mbps float64) { m.links[addr] = mbps }
+// Way is what an entry says of its way to the platform.
+type Way struct {
+	// Link is the capacity of its own link in Mbit/s, 0 if unknown.
+	Link float64
+	// NoStore says that its last read of the platform failed.
+	NoStore bool
+}
+
+// SetWay records the way of an entry, this one's included.
+func (m *Members) SetWay(addr string, w Way) { m.ways[addr] = w }
 
 // Link returns the capacity of an entry's own link in Mbit/s, 0 if unknown.
-func (m *Members) Link(addr string) float64 { return m.links[addr] }
+func (m *Members) Link(addr string) float64 { return m.ways[addr].Link }
 
 // Learn records addresses that another entry named.
 func (m *Members) Learn(now time.Time, addrs []string) {
@@ -106,8 +113,9 @@
 const readerFor = 800 * time.Millisecond
 
 // Reader returns the entry that reads the platform for this one's data centre:
-// the one with the widest link there, of these the lowest address. Two readers
-// at a time do no harm, and without one each entry reads itself.
+// one there that reaches it, of these the one with the widest link, then the
+// lowest address. Two readers at a time do no harm, and without one each entry
+// reads itself.
 //
 // Load pattern answered: hundreds of entries watch the store, each heartbeat
 // of a worker ends every watch, and reads grow with the square of the fleet. The
@@ -125,8 +133,12 @@
 
 // before reports whether entry a reads rather than b.
 func (m *Members) before(a, b string) bool {
-	if m.links[a] != m.links[b] {
-		return m.links[a] > m.links[b]
+	wa, wb := m.ways[a], m.ways[b]
+	if wa.NoStore != wb.NoStore {
+		return wb.NoStore
+	}
+	if wa.Link != wb.Link {
+		return wa.Link > wb.Link
 	}
 	return a < b
 }
@@ -173,7 +185,7 @@
 		if now.Sub(at) > heardFor {
 			delete(m.heard, a)
 			delete(m.where, a)
-			delete(m.links, a)
+			delete(m.ways, a)
 			list = append(list, a)
 		}
 	}
--- a/gossip/node.go
+++ b/gossip/node.go
@@ -63,8 +63,10 @@
 	catalog *catalog.Catalog
 	log     *event.Log
 	dial    ebonypulley.Dialer
-	// Behind reports whether this entry can't read the platform itself.
-	Behind func() bool
+	// Behind reports whether this entry's knowledge of the platform is old, and
+	// NoStore whether its own last read failed, however much it knows by others.
+	Behind  func() bool
+	NoStore func() bool
 	// Age is how old this entry's knowledge of the platform is, and Heard is
 	// told the age of what another one handed on.
 	Age   func() time.Duration
@@ -89,14 +91,12 @@
 
 // NewNode returns the node of an entry.
 func NewNode(self Self, seeds []string, loads *router.Loads, cat *catalog.Catalog, log *event.Log, dial ebonypulley.Dialer) *Node {
-	members := NewMembers(self.Addr, self.DataCentre, seeds)
-	members.SetLink(self.Addr, self.Link)
 	return &Node{
 		self: self, inc: wire.NewID(), loads: loads, catalog: cat, log: log, dial: dial.OrTCP(),
-		Behind: func() bool { return false }, Entries: func(int) {},
+		Behind: func() bool { return false }, NoStore: func() bool { return false }, Entries: func(int) {},
 		Age: func() time.Duration { return 0 }, Heard: func(time.Duration) {},
 		Metrics: metrics.NewSet(),
-		members: members, links: make(map[string]context.CancelFunc),
+		members: NewMembers(self.Addr, self.DataCentre, seeds), links: make(map[string]context.CancelFunc),
 		revisions: make(map[string]uint64), index: parts.NewIndex(),
 	}
 }
@@ -136,7 +136,7 @@
 // answer takes a report in.
 func (n *Node) answer(r *wire.Report) *wire.Reply {
 	now := time.Now()
-	n.hear(now, r.From, r.DataCentre, r.Link, r.Members)
+	n.hear(now, r.From, r.DataCentre, Way{Link: r.Link, NoStore: r.NoStore}, r.Members)
 	n.heardRevision(r.From, r.Revision)
 	work := make(map[string]router.Load, len(r.Work))
 	for _, w := range r.Work {
@@ -150,20 +150,20 @@
 	for _, a := range r.Avoided {
 		n.loads.HearAvoided(now, router.Avoided(a))
 	}
-	reply := &wire.Reply{DataCentre: n.self.DataCentre, Link: n.self.Link, Members: n.living(now), Age: n.Age(), Revision: n.catalog.Revision()}
+	reply := &wire.Reply{DataCentre: n.self.DataCentre, Link: n.self.Link, NoStore: n.NoStore(), Members: n.living(now), Age: n.Age(), Revision: n.catalog.Revision()}
 	if r.Behind && reply.Revision >= max(r.Revision, 1) {
 		reply.Entries, reply.UpTo = n.published(r.Revision)
 	}
 	return reply
 }
 
-func (n *Node) hear(now time.Time, addr, dataCentre string, link float64, members []string) {
+func (n *Node) hear(now time.Time, addr, dataCentre string, way Way, members []string) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	if n.members.Hear(now, addr, dataCentre) {
 		n.log.Emit(event.EntryHeard, zap.String("peer", addr))
 	}
-	n.members.SetLink(addr, link)
+	n.members.SetWay(addr, way)
 	n.members.Learn(now, members)
 }
 
@@ -173,13 +173,6 @@
 	return n.members.Living(now)
 }
 
-// Reads reports whether this entry reads the platform for its data centre.
-func (n *Node) Reads() bool {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	return n.members.Reader(time.Now()) == n.self.Addr
-}
-
 // Leads reports whether this entry gives orders.
 func (n *Node) Leads() bool {
 	n.mu.Lock()
@@ -256,7 +249,7 @@
 		_ = c.Serve(ctx, func(m wire.Message) {
 			switch m := m.(type) {
 			case *wire.Reply:
-				n.hear(time.Now(), addr, m.DataCentre, m.Link, m.Members)
+				n.hear(time.Now(), addr, m.DataCentre, Way{Link: m.Link, NoStore: m.NoStore}, m.Members)
 				n.heardRevision(addr, m.Revision)
 				n.takePublished(addr, m, c)
 			case *wire.Parts:
@@ -272,7 +265,7 @@
 		if changed.After(seen) && now.Sub(sent) >= n.interval(now) || now.Sub(sent) >= quietInterval(asks) {
 			sent, seen = now, changed
 			err := c.Send(&wire.Report{
-				From: n.self.Addr, DataCentre: n.self.DataCentre, Link: n.self.Link, Incarnation: n.inc, Members: n.living(now), Work: work, Avoided: n.avoided(now), Demand: n.demand(now),
+				From: n.self.Addr, DataCentre: n.self.DataCentre, Link: n.self.Link, NoStore: n.NoStore(), Incarnation: n.inc, Members: n.living(now), Work: work, Avoided: n.avoided(now), Demand: n.demand(now),
 				Revision: n.catalog.Revision(), Behind: asks,
 			})
 			if err != nil {
--- a/gossip/published.go
+++ b/gossip/published.go
@@ -17,15 +17,27 @@
 	return n.fetch.alive(time.Now())
 }
 
+// Reads reports whether this entry reads the platform for its data centre.
+func (n *Node) Reads() bool { return n.reader(time.Now()) == n.self.Addr }
+
+// reader returns the entry that reads the platform for this one's data centre.
+func (n *Node) reader(now time.Time) string {
+	own := Way{Link: n.self.Link, NoStore: n.NoStore()}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.members.SetWay(n.self.Addr, own)
+	return n.members.Reader(now)
+}
+
 // asks reports whether an entry is to hand on what is published.
 func (n *Node) asks(now time.Time, addr string) bool {
-	behind := n.Behind()
+	behind, reader := n.Behind(), n.reader(now)
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	if n.fetch.alive(now) {
 		return false
 	}
-	return n.source.Choose(now, n.members.Reader(now), behind, func() []Candidate { return n.candidates(now) }) == addr
+	return n.source.Choose(now, reader, behind, func() []Candidate { return n.candidates(now) }) == addr
 }
 
 // candidates returns the living entries; n.mu is held.
--- a/gossip/source_test.go
+++ b/gossip/source_test.go
@@ -36,15 +36,17 @@
 // lowest; the widest link reads, and of equal ones the lowest address.
 func TestWidestLinkReads(t *testing.T) {
 	m := gossip.NewMembers("b", "dc-1", nil)
-	m.SetLink("b", 10)
+	m.SetWay("b", gossip.Way{Link: 10})
 	m.Hear(at(0), "a", "dc-1")
-	m.SetLink("a", 10)
+	m.SetWay("a", gossip.Way{Link: 10})
 	assert.Equal(t, "a", m.Reader(at(0)))
 	m.Hear(at(0), "c", "dc-1")
-	m.SetLink("c", 200)
+	m.SetWay("c", gossip.Way{Link: 200})
 	m.Hear(at(0), "0", "dc-2")
-	m.SetLink("0", 1000)
+	m.SetWay("0", gossip.Way{Link: 1000})
 	assert.Equal(t, "c", m.Reader(at(0)))
+	m.SetWay("c", gossip.Way{Link: 200, NoStore: true})
+	assert.Equal(t, "a", m.Reader(at(0)), "the store turns c away")
 	assert.Equal(t, "b", m.Reader(at(2*time.Second)))
 }
 
@@ -57,6 +59,6 @@
 		m.Hear(at(0), addr, "dc-1")
 	}
 	m.Hear(at(0), "zz", "dc-1")
-	m.SetLink("zz", 200)
+	m.SetWay("zz", gossip.Way{Link: 200})
 	assert.Contains(t, m.Targets(at(0)), "zz")
 }
--- a/wire/message.go
+++ b/wire/message.go
@@ -388,6 +388,8 @@
 	Members []string
 	// Link is the capacity of the sender's own link in Mbit/s, 0 if unknown.
 	Link float64
+	// NoStore says that the sender's last read of the platform failed.
+	NoStore bool
 	// Work is all of the sender's work.
 	Work []EndpointWork
 	// Avoided is what the sender itself found silent or gone, no hearsay.
@@ -424,6 +426,8 @@
 	Members    []string
 	// Link is the capacity of the sender's own link in Mbit/s, 0 if unknown.
 	Link float64
+	// NoStore says that the sender's last read of the platform failed.
+	NoStore bool
 	// Age is how old the sender's knowledge of the platform is, Revision that
 	// of its catalog.
 	Age      time.Duration
