--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -88,6 +88,16 @@
 	return s.Entry, ok && !s.Removed
 }
 
+// Bytes returns the size of all values.
+func (c *Catalog) Bytes() (sum int64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, s := range c.slots {
+		sum += int64(len(s.Value))
+	}
+	return sum
+}
+
 // Merge adds entries that bring the catalog up to the store's revision upTo.
 // It returns those that were news and matter.
 func (c *Catalog) Merge(now time.Time, entries []Entry, upTo uint64) []Entry {
--- a/gossip/node.go
+++ b/gossip/node.go
@@ -262,7 +262,7 @@
 		now := time.Now()
 		work, changed := n.ownWork(now)
 		asks := n.asks(now, addr)
-		if changed.After(seen) && now.Sub(sent) >= n.interval(now) || now.Sub(sent) >= quietInterval(asks) {
+		if changed.After(seen) && now.Sub(sent) >= n.interval(now) || now.Sub(sent) >= n.quietInterval(now, asks) {
 			sent, seen = now, changed
 			err := c.Send(&wire.Report{
 				From: n.self.Addr, DataCentre: n.self.DataCentre, Link: n.self.Link, NoStore: n.NoStore(), Incarnation: n.inc, Members: n.living(now), Work: work, Avoided: n.avoided(now), Demand: n.demand(now),
@@ -278,12 +278,17 @@
 	}
 }
 
-// quietInterval is the pause between two reports while nothing changes.
-func quietInterval(asks bool) time.Duration {
-	if asks {
+// quietInterval is the pause between two reports while nothing changes. An entry
+// that is behind reports more often, because replies tell it who is ahead.
+func (n *Node) quietInterval(now time.Time, asks bool) time.Duration {
+	switch {
+	case asks:
 		return askInterval
+	case n.Behind():
+		return max(askInterval, n.interval(now))
+	default:
+		return idleInterval
 	}
-	return idleInterval
 }
 
 // interval is the pause between two reports to one entry while work changes.
--- a/gossip/source.go
+++ b/gossip/source.go
@@ -44,14 +44,14 @@
 		s.tried = nil
 		return reader
 	}
-	if s.addr != "" && now.Sub(s.progress) <= sourcePatience {
-		return s.addr
-	}
 	list := candidates()
 	if len(list) == 0 {
 		return ""
 	}
 	best := slices.MinFunc(list, s.compare)
+	if s.addr != "" && now.Sub(s.progress) <= sourcePatience && !better(best, s.addr, list) {
+		return s.addr
+	}
 	if s.tried == nil {
 		s.tried = make(map[string]time.Time)
 	}
@@ -60,6 +60,12 @@
 	return s.addr
 }
 
+// better reports whether a candidate is ahead and the one asked now is not, which
+// has nothing to bring then.
+func better(best Candidate, asked string, list []Candidate) bool {
+	return best.Ahead && !slices.ContainsFunc(list, func(c Candidate) bool { return c.Addr == asked && c.Ahead })
+}
+
 // compare orders candidates, the one to ask first as the least.
 func (s *Source) compare(a, b Candidate) int {
 	if a.Ahead != b.Ahead {
--- a/gossip/source_test.go
+++ b/gossip/source_test.go
@@ -27,6 +27,9 @@
 	assert.Equal(t, "c", choose(700*time.Millisecond))
 	assert.Equal(t, "b", choose(800*time.Millisecond), "nothing came any more")
 	assert.Equal(t, "c", choose(1300*time.Millisecond), "a is not ahead")
+	late := []gossip.Candidate{{Addr: "a"}, {Addr: "b"}}
+	assert.Equal(t, "b", s.Choose(at(1350*time.Millisecond), "reader", true, func() []gossip.Candidate { return []gossip.Candidate{{Addr: "b", Ahead: true}, {Addr: "c"}} }), "c has nothing to bring")
+	assert.Equal(t, "b", s.Choose(at(1360*time.Millisecond), "reader", true, func() []gossip.Candidate { return late }))
 	assert.Equal(t, "reader", s.Choose(at(1400*time.Millisecond), "reader", false, candidates))
 	assert.Empty(t, s.Choose(at(1500*time.Millisecond), "reader", true, func() []gossip.Candidate { return nil }))
 }
