--- a/gossip/node.go
+++ b/gossip/node.go
@@ -128,7 +128,7 @@
 		case *wire.Report:
 			_ = c.Send(n.answer(m))
 		case *wire.Wanted:
-			_ = c.Send(n.parts(m))
+			_ = c.Send(n.handOn(m))
 		}
 	})
 }
@@ -150,7 +150,10 @@
 	for _, a := range r.Avoided {
 		n.loads.HearAvoided(now, router.Avoided(a))
 	}
-	reply := &wire.Reply{DataCentre: n.self.DataCentre, Link: n.self.Link, NoStore: n.NoStore(), Members: n.living(now), Age: n.Age(), Revision: n.catalog.Revision()}
+	reply := &wire.Reply{
+		DataCentre: n.self.DataCentre, Members: n.living(now), Age: n.Age(),
+		Link: n.self.Link, NoStore: n.NoStore(), Revision: n.catalog.Revision(),
+	}
 	if r.Behind && reply.Revision >= max(r.Revision, 1) {
 		reply.Entries, reply.UpTo = n.published(r.Revision)
 	}
@@ -265,8 +268,9 @@
 		if changed.After(seen) && now.Sub(sent) >= n.interval(now) || now.Sub(sent) >= n.quietInterval(now, asks) {
 			sent, seen = now, changed
 			err := c.Send(&wire.Report{
-				From: n.self.Addr, DataCentre: n.self.DataCentre, Link: n.self.Link, NoStore: n.NoStore(), Incarnation: n.inc, Members: n.living(now), Work: work, Avoided: n.avoided(now), Demand: n.demand(now),
+				From: n.self.Addr, DataCentre: n.self.DataCentre, Incarnation: n.inc, Members: n.living(now), Work: work, Avoided: n.avoided(now), Demand: n.demand(now),
 				Revision: n.catalog.Revision(), Behind: asks,
+				Link: n.self.Link, NoStore: n.NoStore(),
 			})
 			if err != nil {
 				return
--- a/gossip/published.go
+++ b/gossip/published.go
@@ -76,8 +76,8 @@
 	return list, upTo
 }
 
-// parts answers a question for parts of large values.
-func (n *Node) parts(m *wire.Wanted) *wire.Parts {
+// handOn answers a question for parts of large values.
+func (n *Node) handOn(m *wire.Wanted) *wire.Parts {
 	packed := n.index.Packed(m.Digests, answerBytes)
 	for _, p := range packed {
 		n.Metrics.Add("published_bytes_out", int64(len(p)))
--- a/wire/message.go
+++ b/wire/message.go
@@ -386,10 +386,6 @@
 	Incarnation Incarnation
 	// Members are the entries that the sender has heard lately.
 	Members []string
-	// Link is the capacity of the sender's own link in Mbit/s, 0 if unknown.
-	Link float64
-	// NoStore says that the sender's last read of the platform failed.
-	NoStore bool
 	// Work is all of the sender's work.
 	Work []EndpointWork
 	// Avoided is what the sender itself found silent or gone, no hearsay.
@@ -401,6 +397,10 @@
 	// Behind asks for newer published entries, because the sender can't read
 	// them itself.
 	Behind bool
+	// Link is the capacity of the sender's own link in Mbit/s, 0 if unknown.
+	Link float64
+	// NoStore says that the sender's last read of the platform failed.
+	NoStore bool
 }
 
 // ServiceDemand is what comes for a service's engines in a second.
@@ -412,30 +412,30 @@
 
 // Published is one published entry.
 type Published struct {
-	Key string
-	// Value is empty for a large value, which Manifest stands for.
+	Key      string
 	Value    []byte
-	Manifest *parts.Manifest
 	Revision uint64
 	Removed  bool
+	// Manifest stands for a large value, which is then left out.
+	Manifest *parts.Manifest
 }
 
 // Reply answers each Report.
 type Reply struct {
 	DataCentre string
 	Members    []string
+	// Age is how old the sender's knowledge of the platform is.
+	Age time.Duration
+	// Entries are those newer than the Report's revision, if it asked.
+	Entries []Published
+	// UpTo is the revision up to which Entries are complete; 0 without.
+	UpTo uint64
 	// Link is the capacity of the sender's own link in Mbit/s, 0 if unknown.
 	Link float64
 	// NoStore says that the sender's last read of the platform failed.
 	NoStore bool
-	// Age is how old the sender's knowledge of the platform is, Revision that
-	// of its catalog.
-	Age      time.Duration
+	// Revision is that of the sender's catalog.
 	Revision uint64
-	// Entries are those newer than the Report's revision, if it asked.
-	Entries []Published
-	// UpTo is the revision up to which Entries are complete; 0 without.
-	UpTo uint64
 }
 
 // Wanted asks for parts of large values. The answer is Parts, however few of
