Parts are unpacked with one reader and one buffer

Cause: a reader of 44 kB and a growing buffer for each part of a large value are garbage several times its size, on VMs whose memory is dear. Ruled out: the packing side, which keeps one writer. Change: an assembly keeps both.

--- a/parts/assembly.go
+++ b/parts/assembly.go
@@ -5,6 +5,7 @@
 type Assembly struct {
 	manifest Manifest
 	parts    map[uint64][]byte
+	unpacker unpacker
 }
 
 // NewAssembly begins a value with the parts that are here already.
@@ -44,7 +45,7 @@
 
 // Add takes a part as it was sent and reports whether the value lacked it.
 func (a *Assembly) Add(packed []byte) (bool, error) {
-	part, err := unpack(packed)
+	part, err := a.unpacker.unpack(packed)
 	if err != nil {
 		return false, err
 	}
--- a/parts/pack.go
+++ b/parts/pack.go
@@ -27,15 +27,27 @@
 	return buf.Bytes()
 }
 
+// unpacker inflates parts. Its reader takes 44 kB, which for each part of a large
+// value would be garbage several times the value's size.
+type unpacker struct {
+	r   io.ReadCloser
+	buf bytes.Buffer
+}
+
 // unpack returns a part, whose length is bounded whatever the sender packed.
-func unpack(packed []byte) ([]byte, error) {
-	r := flate.NewReader(bytes.NewReader(packed))
-	part, err := io.ReadAll(io.LimitReader(r, most+1))
-	if err != nil {
+func (u *unpacker) unpack(packed []byte) ([]byte, error) {
+	src := bytes.NewReader(packed)
+	if u.r == nil {
+		u.r = flate.NewReader(src)
+	} else if err := u.r.(flate.Resetter).Reset(src, nil); err != nil {
+		return nil, ErrPart.Wrap(err, "reset")
+	}
+	u.buf.Reset()
+	if _, err := u.buf.ReadFrom(io.LimitReader(u.r, most+1)); err != nil {
 		return nil, ErrPart.Wrap(err, "%d bytes", len(packed))
 	}
-	if len(part) > most {
+	if u.buf.Len() > most {
 		return nil, ErrPart.New("longer than %d bytes", most)
 	}
-	return part, nil
+	return bytes.Clone(u.buf.Bytes()), nil
 }
--- a/parts/parts_test.go
+++ b/parts/parts_test.go
@@ -143,3 +143,24 @@
 		x.Packed(x.Manifest("k", 1, value).Parts, 1<<30)
 	}
 }
+
+// BenchmarkFetch takes a value of 4,240 routes from its parts: 5.5 MB allocated with
+// a reader and a buffer for each part, 2.2 MB with one of each.
+func BenchmarkFetch(b *testing.B) {
+	x := parts.NewIndex()
+	value := routes(1, 4240)
+	m := x.Manifest("k", 1, value)
+	packed := x.Packed(m.Parts, 1<<30)
+	b.SetBytes(int64(len(value)))
+	b.ReportAllocs()
+	for b.Loop() {
+		a, err := parts.NewAssembly(m, func(uint64) ([]byte, bool) { return nil, false })
+		require.NoError(b, err)
+		for _, p := range packed {
+			_, err := a.Add(p)
+			require.NoError(b, err)
+		}
+		_, err = a.Value()
+		require.NoError(b, err)
+	}
+}
