A failing test: agents take a copy of the document from each entry

Cause: whoever has the newer document pushes it on each connection; with links of 10 Mbit/s two entries push at once.

--- a/fleet/change_test.go
+++ b/fleet/change_test.go
@@ -23,13 +23,19 @@
 
 // publish changes a copy of the document and publishes it.
 func (s *sim) publish(generation uint64, change func(*config.Document)) []byte {
+	text := s.published(generation, change)
+	s.Config.Publish(text)
+	return text
+}
+
+// published returns a changed copy of the document.
+func (s *sim) published(generation uint64, change func(*config.Document)) []byte {
 	doc, findings := config.Parse("published", s.Plan.Text)
 	require.NoError(s.t, findings.Err())
 	doc.Generation = generation
 	change(doc)
 	text, err := json.Marshal(doc)
 	require.NoError(s.t, err)
-	s.Config.Publish(text)
 	return text
 }
 
@@ -355,3 +361,34 @@
 		require.NoError(t, <-drained)
 	})
 }
+
+// TestOneCopyOfTheDocument: an operator publishes a large document, and the links
+// of agents carry a copy from each of their entries at once. On a narrow link none
+// is whole in time. Whoever is behind asks one that is ahead, and one at a time.
+func TestOneCopyOfTheDocument(t *testing.T) {
+	simulate(t, func(s *sim) {
+		const (
+			padding = 400_000
+			narrow  = 10e6 / 8 // bytes a second
+		)
+		s.net.Limit(func(process string) float64 {
+			if s.Agents[process] != nil {
+				return narrow
+			}
+			return 0
+		})
+		before := make(map[string]int64)
+		for name := range s.Agents {
+			before[name] = s.net.Carried(name)
+		}
+		const line = "// A comment of the operators.\n"
+		text := s.published(2, func(*config.Document) {})
+		s.Config.Publish(append(append(text, '\n'), bytes.Repeat([]byte(line), padding/len(line))...))
+		time.Sleep(inForce)
+		s.allAt(2)
+		for name := range s.Agents {
+			came := s.net.Carried(name) - before[name]
+			assert.Less(t, came, int64(padding*3/2), name)
+		}
+	})
+}
--- a/gossip/fetch_test.go
+++ b/gossip/fetch_test.go
@@ -31,12 +31,12 @@
 		}
 		const slow = 200_000 // bytes a second, a sixth of a link of 10 Mbit/s
 		n := simnet.New()
-		n.Rate = func(process string) float64 {
+		n.Limit(func(process string) float64 {
 			if process == "asker" {
 				return slow
 			}
 			return 0
-		}
+		})
 		ctx, cancel := context.WithCancel(t.Context())
 		node := func(name string, behind bool) *catalog.Catalog {
 			ln, err := n.Listen(name, name+":1")
--- a/internal/simnet/simnet.go
+++ b/internal/simnet/simnet.go
@@ -18,19 +18,18 @@
 type Net struct {
 	// Latency is one way, for each piece of data.
 	Latency time.Duration
-	// Rate, if set before use, returns the bytes a second that a process's own
-	// link carries in each direction, for all its connections together; 0 is
-	// unlimited.
-	Rate func(process string) float64
 
 	mu        sync.Mutex
 	listeners map[string]*listener
 	links     map[*link]struct{}
 	// split holds the processes of one side of a partition.
 	split map[string]bool
+	// rate returns the bytes a second of a process's own link, if links are
+	// limited.
+	rate func(process string) float64
 	// free is when each direction of a limited link has sent what it took.
 	free map[direction]time.Time
-	// carried counts the bytes that each direction of a limited link took.
+	// carried counts the bytes that each direction of a process's link took.
 	carried map[direction]int64
 }
 
@@ -173,19 +172,13 @@
 	return near, nil
 }
 
-const (
-	pumpBuffer = 32 << 10
-	// limitedBuffer is one turn of a connection on a limited link: small, so
-	// that connections share it evenly.
-	limitedBuffer = 4 << 10
-)
+// pumpBuffer is one turn of a connection on a limited link: small, so that
+// connections share it evenly.
+const pumpBuffer = 4 << 10
 
 func (n *Net) pump(k *link, from, to net.Conn, sender, receiver string) {
 	defer n.end(k)
 	buf := make([]byte, pumpBuffer)
-	if n.Rate != nil {
-		buf = buf[:limitedBuffer]
-	}
 	for {
 		read, err := from.Read(buf)
 		if n.Latency > 0 {
@@ -210,25 +203,36 @@
 	}
 }
 
+// Limit sets the bytes a second that a process's own link carries in each
+// direction, for all its connections together; 0 is unlimited.
+func (n *Net) Limit(rate func(process string) float64) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.rate = rate
+}
+
 // carry takes the time that bytes need on one way of a process's own link.
-func (n *Net) carry(d direction, bytes int) {
-	if n.Rate == nil || n.Rate(d.process) == 0 || bytes == 0 {
-		return
-	}
+func (n *Net) carry(d direction, bytes int) { time.Sleep(n.take(d, bytes)) }
+
+// take returns how long bytes need on one way, behind those before them.
+func (n *Net) take(d direction, bytes int) time.Duration {
 	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.carried[d] += int64(bytes)
+	if n.rate == nil || n.rate(d.process) == 0 {
+		return 0
+	}
 	now := time.Now()
 	began := n.free[d]
 	if began.Before(now) {
 		began = now
 	}
-	done := began.Add(time.Duration(float64(bytes) / n.Rate(d.process) * float64(time.Second)))
+	done := began.Add(time.Duration(float64(bytes) / n.rate(d.process) * float64(time.Second)))
 	n.free[d] = done
-	n.carried[d] += int64(bytes)
-	n.mu.Unlock()
-	time.Sleep(done.Sub(now))
+	return done.Sub(now)
 }
 
-// Carried returns the bytes that came in on a process's limited link.
+// Carried returns the bytes that came in on a process's own link.
 func (n *Net) Carried(process string) int64 {
 	n.mu.Lock()
 	defer n.mu.Unlock()
--- a/source/source_test.go
+++ b/source/source_test.go
@@ -26,12 +26,12 @@
 func TestLargeDocumentOnNarrowLink(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		n := simnet.New()
-		n.Rate = func(process string) float64 {
+		n.Limit(func(process string) float64 {
 			if process == "entry" {
 				return 10e6 / 8 / 5
 			}
 			return 0
-		}
+		})
 		text := append(bytes.Clone(examples.Almaty), bytes.Repeat([]byte("// A comment of the operators.\n"), 30_000)...)
 		ln, err := n.Listen("service", "service:1")
 		require.NoError(t, err)
