Whoever is behind asks one peer for the document

Cause: an entry and an agent pushed their newer document on each connection whose other end was older, so that an agent took one copy from each of its entries at once, and an entry one from each agent. Ruled out: heartbeats, which carry versions only. Change: ConfigWanted; config.Ask chooses one peer at a time, shared by all connections of a process; a peer that is gone is not awaited, a document that can't be put in force is asked for once.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -79,6 +79,8 @@
 	// fence is the fencing number of all orders of this incarnation.
 	fence uint64
 	store *config.Store
+	// ask chooses the entry that is asked for a newer document.
+	ask   config.Ask
 	dial  ebonypulley.Dialer
 	group *ebonypulley.Group
 
--- a/agent/session.go
+++ b/agent/session.go
@@ -18,7 +18,6 @@
 	holder wire.Incarnation
 	number uint64 // among the holder's connections
 	name   string
-	pushed config.Version
 }
 
 func (s *session) send(m wire.Message) {
@@ -43,6 +42,7 @@
 	if wireFault(err) {
 		a.log.Emit(event.PeerRefused, zap.String("remote", s.conn.Remote()), event.Err(err))
 	}
+	a.ask.Lost(s)
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	delete(a.sessions, s)
@@ -120,6 +120,7 @@
 func (a *Agent) handle(s *session, m wire.Message) {
 	if c, ok := m.(*wire.Config); ok {
 		verdict, findings := a.store.Offer("peer "+s.name, c.Text)
+		a.ask.Came(s, verdict)
 		config.LogVerdict(a.log, verdict, a.store.Generation(), findings)
 		return
 	}
@@ -130,21 +131,19 @@
 		a.renew(s)
 		s.send(a.pong(m.Seq))
 		a.compare(s, config.Version{Generation: m.Generation, Digest: m.Digest})
+	case *wire.ConfigWanted:
+		if cur := a.store.Current(); cur != nil {
+			s.send(&wire.Config{Text: cur.Text})
+		}
 	case wire.Attempted:
 		a.attempt(s, m)
 	}
 }
 
-// compare sends this agent's document to an entry that has an older one.
+// compare asks an entry that has a newer document for it.
 func (a *Agent) compare(s *session, theirs config.Version) {
-	cur := a.store.Current()
-	if cur == nil {
-		return
-	}
-	mine := a.store.Version()
-	if mine.Newer(theirs) && s.pushed != mine {
-		s.pushed = mine
-		s.send(&wire.Config{Text: cur.Text})
+	if theirs.Newer(a.store.Version()) && a.ask.Begin(time.Now(), s, theirs) {
+		s.send(&wire.ConfigWanted{})
 	}
 }
 
--- a/peer/fetch.go
+++ b/peer/fetch.go
@@ -32,6 +32,7 @@
 		// that carry the entry's attempts.
 		Incarnation: wire.NewID(),
 	})
+	_ = conn.Send(&wire.ConfigWanted{})
 	var text []byte
 	err = conn.Serve(ctx, func(m wire.Message) {
 		if c, ok := m.(*wire.Config); ok {
--- a/peer/manager.go
+++ b/peer/manager.go
@@ -22,6 +22,8 @@
 	// acknowledgement: until then the endpoint may hold memory.
 	Freed func(time.Duration)
 
+	// ask is shared by all peers: one of them is asked for a document at a time.
+	ask   config.Ask
 	mu    sync.Mutex
 	wg    sync.WaitGroup
 	peers map[string]*Peer
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -44,6 +44,7 @@
 	endpoint config.Endpoint
 	self     Self
 	store    *config.Store
+	ask      *config.Ask
 	view     *membership.View
 	log      *event.Log
 	dial     ebonypulley.Dialer
@@ -60,7 +61,6 @@
 	begun   int // attempts opened since load was reported
 	streams map[wire.ID]*Stream
 	cancels map[wire.ID]time.Time
-	pushed  config.Version // document last sent on this connection
 	theirs  config.Version // document that the agent last said to have
 	removed time.Time      // since when no document declares the endpoint
 }
@@ -70,6 +70,7 @@
 		endpoint: e,
 		self:     m.self,
 		store:    m.store,
+		ask:      &m.ask,
 		view:     m.view,
 		log:      m.log.With(zap.String("endpoint", e.Name)),
 		dial:     m.dial,
@@ -251,8 +252,12 @@
 	case *wire.Pong:
 		p.report(m.Load)
 		p.syncConfig(conn, config.Version{Generation: m.Generation, Digest: m.Digest})
+	case *wire.ConfigWanted:
+		if cur := p.store.Current(); cur != nil {
+			_ = conn.Send(&wire.Config{Text: cur.Text})
+		}
 	case *wire.Config:
-		p.offer(m.Text)
+		p.offer(conn, m.Text)
 	case *wire.Cancelled:
 		p.cancelled(m.ID)
 	case wire.Attempted:
@@ -272,7 +277,6 @@
 	p.inc = m.Incarnation
 	p.role = m.Role
 	p.begun = 0
-	p.pushed = config.Version{}
 	streams := p.openStreams()
 	p.mu.Unlock()
 	p.view.Hear(p.endpoint.Name, membership.Word{Incarnation: m.Incarnation})
@@ -292,6 +296,7 @@
 }
 
 func (p *Peer) linkDown(conn *wire.Conn) {
+	p.ask.Lost(conn)
 	p.mu.Lock()
 	if p.conn != conn {
 		p.mu.Unlock()
@@ -351,27 +356,19 @@
 	}
 }
 
-// syncConfig sends the document in force to an agent that has an older one;
-// an agent with a newer one sends its own on the next ping.
+// syncConfig asks an agent that has a newer document for it; one with an older
+// document asks for this entry's on the next ping.
 func (p *Peer) syncConfig(conn *wire.Conn, theirs config.Version) {
-	cur := p.store.Current()
-	if cur == nil {
-		return
-	}
-	mine := p.store.Version()
 	p.mu.Lock()
 	p.theirs = theirs
-	send := mine.Newer(theirs) && p.pushed != mine
-	if send {
-		p.pushed = mine
-	}
 	p.mu.Unlock()
-	if send {
-		_ = conn.Send(&wire.Config{Text: cur.Text})
+	if theirs.Newer(p.store.Version()) && p.ask.Begin(time.Now(), conn, theirs) {
+		_ = conn.Send(&wire.ConfigWanted{})
 	}
 }
 
-func (p *Peer) offer(text []byte) {
+func (p *Peer) offer(conn *wire.Conn, text []byte) {
 	verdict, findings := p.store.Offer("peer "+p.endpoint.Name, text)
+	p.ask.Came(conn, verdict)
 	config.LogVerdict(p.log, verdict, p.store.Generation(), findings)
 }
--- a/wire/kinds.go
+++ b/wire/kinds.go
@@ -72,6 +72,9 @@
 // Kind implements Message.
 func (*Parts) Kind() Kind { return KindParts }
 
+// Kind implements Message.
+func (*ConfigWanted) Kind() Kind { return KindConfigWanted }
+
 // Attempt implements Attempted.
 func (m *Reserve) Attempt() ID { return m.ID }
 
@@ -170,6 +173,8 @@
 		return new(Wanted)
 	case KindParts:
 		return new(Parts)
+	case KindConfigWanted:
+		return new(ConfigWanted)
 	default:
 		return nil
 	}
--- a/wire/message.go
+++ b/wire/message.go
@@ -61,6 +61,7 @@
 	KindReply
 	KindWanted
 	KindParts
+	KindConfigWanted
 	kindEnd
 )
 
@@ -122,7 +123,10 @@
 	Load       Load
 }
 
-// Config carries a configuration document to a peer with an older one.
+// ConfigWanted asks a peer that has a newer configuration document for it.
+type ConfigWanted struct{}
+
+// Config answers ConfigWanted.
 type Config struct {
 	Text []byte
 }
--- a/wire/wire_test.go
+++ b/wire/wire_test.go
@@ -23,6 +23,7 @@
 		&wire.Hello{Version: wire.Version, Role: "entry", Name: "alm-a-entry-1", DataCentre: "alm-a", Incarnation: id, Generation: 3},
 		&wire.Ping{Seq: 7, Generation: 3},
 		&wire.Pong{Seq: 7, Load: wire.Load{Active: 3, Capacity: 20, Draining: true}},
+		&wire.ConfigWanted{},
 		&wire.Config{Text: []byte("{}")},
 		&wire.Reserve{ID: id, Tokens: 900, Spare: true, Wait: time.Second, Model: "drafting"},
 		&wire.Granted{ID: id},
