A letter is not cut by a busy entry's own delay; nothing begins after the verdict

Supposed: the entry asks a silent engine whether it lives and gives up after 0.25 s; while routes come into force on 0.144 of a core its own answer is late, and the first event comes in the moment of the verdict. Ruled out: silence of a stream that has begun (ends nothing for letters since before), an end of the process. Change: a run that neither the entry nor the caller may follow is not watched once it is connected; an event that comes after the verdict begins no answer. Figures: TestBusyEntryKeepsLetter, TestNothingBeginsAfterTheVerdict fail before, pass now.

--- a/router/answer.go
+++ b/router/answer.go
@@ -134,6 +134,9 @@
 	Reservation *Reservation
 	// After is the number of the last event that the caller has, or NoNumber.
 	After int64
+	// Connected, if set, is to be called once the connection to the endpoint
+	// stands, before anything is sent.
+	Connected func()
 }
 
 // NoNumber stands for no event.
--- a/router/fake_test.go
+++ b/router/fake_test.go
@@ -39,6 +39,9 @@
 	events int64
 	// longPause is the time before event 4, once.
 	longPause time.Duration
+	// firstAfter, if set, is when the first event comes, even to an attempt that
+	// was ended meanwhile.
+	firstAfter time.Duration
 }
 
 func (f *fakeEndpoints) note(format string, args ...any) {
@@ -132,6 +135,9 @@
 			return nil, err
 		}
 	}
+	if s.Connected != nil {
+		s.Connected()
+	}
 	if f.generateCall != nil {
 		if err := f.generateCall(c); err != nil {
 			return nil, err
@@ -159,7 +165,14 @@
 	if s.next > s.f.events {
 		return router.Event{}, io.EOF
 	}
+	if s.next == 1 && s.f.firstAfter > 0 {
+		time.Sleep(s.f.firstAfter) // it is on its way, whatever the router decides
+	}
 	pause := s.f.pause
+	if s.next == 1 && s.f.firstAfter > 0 {
+		s.next++
+		return router.Event{Number: 1}, nil
+	}
 	if s.next == 4 && s.f.longPause > 0 {
 		pause, s.f.longPause = s.f.longPause, 0
 	}
--- a/router/run.go
+++ b/router/run.go
@@ -43,6 +43,9 @@
 		if err != nil {
 			return err
 		}
+		if u.givenUp() {
+			return ErrLost.New("the first event came after the attempt was given up")
+		}
 		u.heard()
 		if err := g.deliver(s, ev, u.at); err != nil {
 			return err
@@ -50,6 +53,14 @@
 	}
 }
 
+// givenUp reports whether the attempt was ended before the caller got anything.
+//
+// Failure guarded against: an event is read that was on its way when the attempt
+// was ended, and the answer begins for want of anything more to come. It shows as
+// an answer that is cut in the middle instead of a failure or another attempt. The
+// guard holds because nothing begins after the verdict.
+func (u *run) givenUp() bool { return !u.g.begun && u.w.verdict() != undecided }
+
 // heard notes an event.
 func (u *run) heard() {
 	u.first()
--- a/router/stream.go
+++ b/router/stream.go
@@ -22,6 +22,7 @@
 	defer cancel()
 	w := g.r.watch(p.decode, usual(g.untilFirst(p, start), g.callerLeft(time.Now())), cancel)
 	defer w.stop()
+	start.Connected = func() { g.connected(w) }
 	err := unsent(w.verdict, g.exchange(attempt, p, start, w, work))
 	g.arrived(err)
 	if !errorx.IsOfType(err, ErrNotRun) {
@@ -34,6 +35,21 @@
 	return nil
 }
 
+// connected ends the watch of a run that neither this entry nor the caller may
+// follow by another.
+//
+// Failure guarded against: thousands of routes come into force on a small VM, and
+// the process is so busy that an engine's answer to the question whether it lives
+// comes too late to be read in time. It shows as a letter that is cut although its
+// engine goes on. The guard holds because ending such a run gains nothing; an
+// engine that takes no connection is still left for another, and one whose VM is
+// gone is found by the kernel.
+func (g *generationRun) connected(w *watch) {
+	if !g.c.Route.Resumable {
+		w.stop()
+	}
+}
+
 // untilFirst estimates the time from sending a generation to its first event.
 func (g *generationRun) untilFirst(p placement, start Start) estimate.Time {
 	if start.Result == nil {
--- a/router/watch_test.go
+++ b/router/watch_test.go
@@ -123,3 +123,39 @@
 		assert.NotEmpty(t, dead)
 	})
 }
+
+// TestBusyEntryKeepsLetter: a letter is cut in the middle while thousands of routes
+// come into force at a small entry. The process is so busy that the engine's answer
+// to the question whether it lives is not read in time, and the letter is ended in
+// the moment in which its first event comes. Nothing may follow a letter, so that
+// ending it gains nothing: it ran for 0.16 s when it was cut.
+func TestBusyEntryKeepsLetter(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := &fakeEndpoints{firstAfter: 1500 * time.Millisecond, alive: func(context.Context, *router.Endpoint) error {
+			return router.ErrUnreachable.New("not answered in time")
+		}}
+		r := newRouter(f, engine("d1", router.Decode), engine("d2", router.Decode))
+		s := new(fakeSink)
+		_, fail := r.Generate(t.Context(), newCall(letterRoute, llm), s)
+		assert.Nil(t, fail)
+		assert.Equal(t, whole, s.got)
+	})
+}
+
+// TestNothingBeginsAfterTheVerdict: the last attempt of a draft is given up before
+// its first event, which is on its way. Handed on, it would begin an answer that is
+// cut in the middle; the caller gets a failure, after which it may ask again.
+func TestNothingBeginsAfterTheVerdict(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := &fakeEndpoints{firstAfter: 1500 * time.Millisecond, alive: func(context.Context, *router.Endpoint) error {
+			return router.ErrUnreachable.New("not answered in time")
+		}}
+		r := newRouter(f, engine("d1", router.Decode))
+		route := draftRoute
+		route.MaxAttempts = 1
+		s := new(fakeSink)
+		_, fail := r.Generate(t.Context(), newCall(route, llm), s)
+		assert.NotNil(t, fail)
+		assert.Zero(t, s.heads)
+	})
+}
--- a/upstream/exchange.go
+++ b/upstream/exchange.go
@@ -25,6 +25,9 @@
 	// header. Nil takes any. First is set for the first answer on a new
 	// connection.
 	Matches func(h http.Header, first bool) bool
+	// Connected, if set, is called once the connection stands, before anything
+	// is sent.
+	Connected func()
 }
 
 // maxStale is the number of answers to earlier requests that are skipped on
@@ -68,6 +71,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if req.Connected != nil {
+		req.Connected()
+	}
 	r := &Response{pool: p, target: t, conn: c}
 	r.stop = context.AfterFunc(ctx, func() { _ = c.nc.Close() })
 	hr := req.http(t)
