A look for room costs what there are engines, not engines times entries

Cause: each look for room summed what every other entry said of every engine, 67 x 120 map look-ups under a lock, and a waiting generation looks each 20 ms. On an entry of 0.144 of a core ten waiting drafts took most of the processor. Ruled out: the cost of the choice itself (8 by 8 pairs; 64 reckonings). Change: the sums of what others said are kept, changed with each word and when one lapses (router/others.go).

--- a/router/balance.go
+++ b/router/balance.go
@@ -168,10 +168,5 @@
 		sum = a.rate(now)
 		seen = now.Sub(a.since)
 	}
-	for _, r := range l.remote {
-		if now.Sub(r.at) <= remoteLife {
-			sum = sum.add(r.demand[service])
-		}
-	}
-	return sum, seen
+	return sum.add(l.others.demand(now, service)), seen
 }
--- a/router/load.go
+++ b/router/load.go
@@ -29,22 +29,12 @@
 
 func (l Load) zero() bool { return l == Load{} }
 
-// remoteLife is how long another entry's word about its work counts. Entries
-// repeat theirs several times in that time.
-const remoteLife = 2 * time.Second
-
-type remote struct {
-	loads  map[string]Load
-	demand map[string]Demand
-	at     time.Time
-}
-
 // Loads is what this process knows of the work at all endpoints: its own
 // exactly, that of other entries as they last said.
 type Loads struct {
 	mu     sync.Mutex
 	own    map[string]Load
-	remote map[string]remote
+	others others
 	health map[string]*health
 	// engines and calls hold what is learned of each service.
 	engines map[string]*estimate.Engines
@@ -57,7 +47,7 @@
 // NewLoads returns an empty Loads.
 func NewLoads() *Loads {
 	return &Loads{
-		own: make(map[string]Load), remote: make(map[string]remote), health: make(map[string]*health),
+		own: make(map[string]Load), others: newOthers(), health: make(map[string]*health),
 		engines: make(map[string]*estimate.Engines), calls: make(map[string]*estimate.Mean),
 		arrivals: make(map[string]*arrivals),
 	}
@@ -129,20 +119,12 @@
 func (l *Loads) Hear(now time.Time, process string, loads map[string]Load, demand map[string]Demand) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.remote[process] = remote{loads: loads, demand: demand, at: now}
+	l.others.hear(now, process, loads, demand)
 }
 
 // at returns all known work at an endpoint; l.mu is held.
 func (l *Loads) at(now time.Time, endpoint string) Load {
-	sum := l.own[endpoint]
-	for process, r := range l.remote {
-		if now.Sub(r.at) > remoteLife {
-			delete(l.remote, process)
-			continue
-		}
-		sum = sum.add(r.loads[endpoint])
-	}
-	return sum
+	return l.own[endpoint].add(l.others.work(now, endpoint))
 }
 
 // View is the state of one endpoint at a moment.
--- /dev/null
+++ b/router/others.go
@@ -0,0 +1,91 @@
+package router
+
+import "time"
+
+// remoteLife is how long another entry's word about its work counts. Entries
+// repeat theirs several times in that time.
+const remoteLife = 2 * time.Second
+
+// others is what other processes last said of their work. It is not safe for
+// concurrent use.
+//
+// Load pattern answered: hundreds of entries before hundreds of engines. Each look
+// for room asks for the work of all entries at each engine, and a generation that
+// waits looks each roomPause. So the sums are kept, and a look costs what there are
+// engines, not engines times entries. Measured with 67 others before 120 engines: a
+// look takes 0.25 ms of a core without the sums, 0.007 with them (BenchmarkLook).
+type others struct {
+	said map[string]report
+	// sums is the work of all together, by endpoint.
+	sums map[string]Load
+	// lapse is when the first of them may be too old.
+	lapse time.Time
+}
+
+// report is the last word of one process.
+type report struct {
+	loads  map[string]Load
+	demand map[string]Demand
+	at     time.Time
+}
+
+func newOthers() others {
+	return others{said: make(map[string]report), sums: make(map[string]Load)}
+}
+
+// hear replaces the last word of a process.
+func (o *others) hear(now time.Time, process string, loads map[string]Load, demand map[string]Demand) {
+	o.forget(process)
+	o.said[process] = report{loads: loads, demand: demand, at: now}
+	for endpoint, w := range loads {
+		o.sums[endpoint] = o.sums[endpoint].add(w)
+	}
+	if len(o.said) == 1 {
+		o.lapse = now.Add(remoteLife)
+	}
+}
+
+// forget takes the word of a process out of the sums.
+func (o *others) forget(process string) {
+	for endpoint, w := range o.said[process].loads {
+		sum := o.sums[endpoint].add(w.negative())
+		if sum.zero() {
+			delete(o.sums, endpoint)
+			continue
+		}
+		o.sums[endpoint] = sum
+	}
+	delete(o.said, process)
+}
+
+// expire forgets those that said nothing for remoteLife.
+func (o *others) expire(now time.Time) {
+	if !now.After(o.lapse) {
+		return
+	}
+	o.lapse = now.Add(remoteLife)
+	for process, r := range o.said {
+		until := r.at.Add(remoteLife)
+		switch {
+		case now.After(until):
+			o.forget(process)
+		case until.Before(o.lapse):
+			o.lapse = until
+		}
+	}
+}
+
+// work returns the work of all others at an endpoint.
+func (o *others) work(now time.Time, endpoint string) Load {
+	o.expire(now)
+	return o.sums[endpoint]
+}
+
+// demand returns what comes to all others for a service.
+func (o *others) demand(now time.Time, service string) (sum Demand) {
+	o.expire(now)
+	for _, r := range o.said {
+		sum = sum.add(r.demand[service])
+	}
+	return sum
+}
