--- a/emulator/fleet.go
+++ b/emulator/fleet.go
@@ -10,6 +10,11 @@
 	"ebonypulley/router"
 )
 
+// dataCentres is the number of data centres of engines.
+const dataCentres = 3
+
+func dataCentre(n int) string { return fmt.Sprintf("dc-%d", n) }
+
 // roundTrip is the time of a question to an engine and its answer.
 const roundTrip = 2 * time.Millisecond
 
@@ -26,6 +31,9 @@
 	list    []*router.Endpoint
 	// Computed counts prompt tokens that engines were asked for.
 	Computed int
+	// Refused counts generations that engines had no room for, those that came
+	// with a computed prompt.
+	Refused int
 }
 
 var _ router.Endpoints = (*Fleet)(nil)
@@ -52,7 +60,7 @@
 		}
 		id := fmt.Sprintf("e%02d", i)
 		f.engines[id] = e
-		f.list = append(f.list, &router.Endpoint{ID: id, Addr: id, Service: "llm", DataCentre: fmt.Sprintf("dc-%d", i%3), Slots: sheet.Slots})
+		f.list = append(f.list, &router.Endpoint{ID: id, Addr: id, Service: "llm", DataCentre: dataCentre(i % dataCentres), Slots: sheet.Slots})
 	}
 	return f
 }
@@ -144,11 +152,21 @@
 	}
 	time.Sleep(f.sheet.First)
 	if !f.engines[e.ID].add(j, router.Decode, reservation) {
+		f.refused(s.Result != nil)
 		return nil, router.ErrNotRun.New("%s is full", e.ID)
 	}
 	return &stream{j}, nil
 }
 
+func (f *Fleet) refused(computed bool) {
+	if !computed {
+		return
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.Refused++
+}
+
 // stream implements router.Stream.
 type stream struct{ *job }
 
--- a/emulator/sheets_test.go
+++ b/emulator/sheets_test.go
@@ -67,6 +67,7 @@
 	ctx     context.Context
 	fleet   *emulator.Fleet
 	routers []*router.Router
+	work    emulator.Work
 	rnd     *rand.Rand
 	mu      sync.Mutex
 	drafts  []draft
@@ -76,7 +77,7 @@
 }
 
 func newDay(ctx context.Context, s *emulator.Sheet, slow map[int]float64, seed uint64) *day {
-	d := &day{ctx: ctx, fleet: emulator.NewFleet(s, engines, 4, slow), rnd: rand.New(rand.NewPCG(seed, 1)), metrics: metrics.NewSet()}
+	d := &day{ctx: ctx, fleet: emulator.NewFleet(s, engines, 4, slow), work: emulator.Work{Prompt: meanPrompt, Answer: meanAnswer}, rnd: rand.New(rand.NewPCG(seed, 1)), metrics: metrics.NewSet()}
 	for range entries {
 		d.routers = append(d.routers, router.New(router.Settings{RetryRatio: 0.2, RetryWindow: 10 * time.Second, RetrySlack: 54}, d.fleet, event.Nop(), d.metrics))
 	}
@@ -117,9 +118,9 @@
 func (d *day) play(rate float64, lasting time.Duration) {
 	for end := time.Now().Add(lasting); time.Now().Before(end); {
 		time.Sleep(time.Duration(d.rnd.ExpFloat64() / rate * float64(time.Second)))
-		prompt := meanPrompt/2 + d.rnd.IntN(meanPrompt)
-		answer := meanAnswer/4 + d.rnd.IntN(meanAnswer*3/2)
-		r := d.routers[d.rnd.IntN(entries)]
+		prompt := d.work.Prompt/2 + d.rnd.IntN(d.work.Prompt)
+		answer := d.work.Answer/4 + d.rnd.IntN(d.work.Answer*3/2)
+		r := d.routers[d.rnd.IntN(len(d.routers))]
 		d.tokens += prompt
 		d.wg.Go(func() { d.send(r, prompt, answer) })
 	}
@@ -133,7 +134,7 @@
 	for try := range 2 {
 		now := time.Now()
 		c := &router.Call{ID: "c", Route: route, Service: d.fleet.Service, Began: now, Deadline: out.at.Add(wait), Wait: out.at.Add(wait).Sub(now),
-			Prompt: prompt, Output: 2 * meanAnswer, Hint: answer, Resume: router.NoNumber}
+			Prompt: prompt, Output: 2 * d.work.Answer, Hint: answer, Resume: router.NoNumber}
 		s := &sink{}
 		_, fail := r.Generate(d.ctx, c, s)
 		out.failed = fail != nil
