No prompt is computed once more without an arrival left for its answer

Cause: while engines lose answers the retry budget is used up all the time. A generation drew one arrival for a second prefill and found none left for the decode engine: the prompt was computed in vain and its caller refused all the same. Ruled out: refusals for want of memory (21 in all). Change: before a prefill that will count, the arrival of the answer is paid too, or nothing is sent (generationRun.payAhead). Figures: TestNoPromptWithoutAnArrival failed before (three prefills for two arrivals).

--- a/router/budget_test.go
+++ b/router/budget_test.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
 
 	"ebonypulley/event"
 	"ebonypulley/metrics"
@@ -198,3 +199,29 @@
 		return count(f.notes(), "generate") - before - drafts
 	}
 }
+
+// TestNoPromptWithoutAnArrival: in seconds in which engines lose answers, callers are
+// refused for want of retries right after their prompt was computed once more. The
+// second prefill took the last retry, and none was left for the answer.
+//
+// 513 of 829 requests given up on in a day failed with "the retry budget is used up",
+// and 700 computed prompts were wasted.
+func TestNoPromptWithoutAnArrival(t *testing.T) {
+	for slack, want := range map[int]int{1: 1, 2: 2, 3: 2, 4: 3} {
+		synctest.Test(t, func(t *testing.T) {
+			f := &fakeEndpoints{generate: func(*router.Endpoint, router.Start) error { return router.ErrLost.New("reset") }}
+			r := router.New(router.Settings{RetryWindow: slackWindow, RetrySlack: slack, Alone: true}, f, event.Nop(), metrics.NewSet())
+			list := []*router.Endpoint{engine("d1", router.Decode), engine("d2", router.Decode), engine("d3", router.Decode), engine("d4", router.Decode)}
+			for _, id := range []string{"p1", "p2", "p3", "p4"} {
+				list = append(list, engine(id, router.Prefill))
+			}
+			r.SetDirectory(router.NewDirectory(1, 0, nil, []*router.Service{llm}, list))
+			route := draftRoute
+			route.MaxAttempts = 3
+			_, fail := r.Generate(t.Context(), newCall(route, llm), new(fakeSink))
+			require.NotNil(t, fail)
+			assert.Equal(t, want, count(f.notes(), "prefill"), "slack %d", slack)
+			assert.Equal(t, want, count(f.notes(), "generate"), "slack %d", slack)
+		})
+	}
+}
--- a/router/generate.go
+++ b/router/generate.go
@@ -41,6 +41,8 @@
 	// prefilled says that a prefill was accepted, the first of which is free.
 	sent      int
 	prefilled bool
+	// paid says that the budget was drawn on for the next arrival already.
+	paid bool
 	// kept is a result whose decode endpoint refused it.
 	kept *Result
 	// warm is the engine of an answer that broke off while the engine lived.
@@ -179,13 +181,41 @@
 // lost, as more arrivals than the platform allows. The guard holds because what
 // is free is only known, and only given back, when it was accepted.
 func (g *generationRun) spend() error {
-	if g.sent > 0 && !g.r.gated() && !g.r.budget(g.c.Service.Name).Retry(time.Now()) {
+	if g.sent > 0 && !g.pay() {
 		return errBudget.New("the retry budget is used up")
 	}
 	g.sent++
 	return nil
 }
 
+// pay pays for one arrival beyond the first, with what was paid ahead if there is
+// anything.
+func (g *generationRun) pay() bool {
+	switch {
+	case g.r.gated():
+		return true
+	case g.paid:
+		g.paid = false
+		return true
+	}
+	return g.r.budget(g.c.Service.Name).Retry(time.Now())
+}
+
+// payAhead pays for the decode endpoint's arrival before a prompt is computed for
+// it, if that arrival will not be the first. What is not used in the end is lost:
+// given back late it would count in another window.
+//
+// Load pattern answered: many answers are lost, so that the retry budget is used
+// up all the time. A prompt that is computed again and then has no arrival left is
+// computed in vain, and its caller is refused all the same.
+func (g *generationRun) payAhead() bool {
+	if g.r.gated() || !g.prefilled {
+		return true // the first accepted prefill is free and gives back what it drew
+	}
+	g.paid = g.paid || g.r.budget(g.c.Service.Name).Retry(time.Now())
+	return g.paid
+}
+
 // arrived takes back what spend drew for an endpoint that took no connection.
 //
 // Load pattern answered: a third of the engines crash in the same second and
--- a/router/prefill.go
+++ b/router/prefill.go
@@ -21,6 +21,10 @@
 	if err := g.spend(); err != nil {
 		return nil, err
 	}
+	if !g.payAhead() {
+		g.giveBack()
+		return nil, errBudget.New("the retry budget is used up for the answer")
+	}
 	began := time.Now()
 	tokens := r.loads.View(began, p.prefill.ID).Prefill + c.Prompt
 	work := r.loads.Begin(p.prefill.ID, Load{Prefill: c.Prompt})
