--- a/emulator/site.go
+++ b/emulator/site.go
@@ -75,12 +75,6 @@
 	_ = ln.Close()
 }
 
-// Stop ends an entry without a word to the others.
-func (s *Site) Stop(e *Entry) {
-	e.end()
-	s.Net.Vanish(e.Name)
-}
-
 // Close ends all entries and the network; what runs ends within a minute.
 func (s *Site) Close(ctx context.Context) {
 	for _, e := range s.Entries {
