--- a/emulator/sheets_test.go
+++ b/emulator/sheets_test.go
@@ -234,6 +234,7 @@
 // the capacity they are again within five more, because callers that come back
 // late leave room for those that can still be on time.
 func TestAnyEngines(t *testing.T) {
+	t.Parallel()
 	for _, c := range sheetCases() {
 		if !possible(&c.sheet) {
 			continue
