--- a/gossip/gossip_test.go
+++ b/gossip/gossip_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net"
 	"testing"
 	"time"
@@ -105,6 +106,29 @@
 	assert.Equal(t, []string{"seed"}, m.Targets(at(30*time.Second)))
 }
 
+// TestNobodyIsLeftOut: in a fleet of more entries than one reports to, those that all
+// leave out know no work of others. Each entry draws its own: about as many report to
+// each as it reports to.
+func TestNobodyIsLeftOut(t *testing.T) {
+	const entries, most = 300, 96
+	name := func(i int) string { return fmt.Sprintf("10.0.%d.%d:1", i/100, i%100) }
+	told := make(map[string]int)
+	for i := range entries {
+		m := gossip.NewMembers(name(i), "dc", nil)
+		for j := range entries {
+			m.Hear(at(0), name(j), "dc")
+		}
+		targets := m.Targets(at(0))
+		assert.LessOrEqual(t, len(targets), most+1) // and the reader
+		for _, addr := range targets {
+			told[addr]++
+		}
+	}
+	for i := range entries {
+		assert.Greater(t, told[name(i)], most/2, name(i))
+	}
+}
+
 type testNode struct {
 	node    *gossip.Node
 	loads   *router.Loads
