Logs tell which attempts ask for the same content

Ruled out: reading it off the client's path, which many requests share; off the caller's address, which a balancer hides. Conclusion: sight only; no decision uses it yet.

--- a/router/generate.go
+++ b/router/generate.go
@@ -95,7 +95,7 @@
 		if lost(err) {
 			r.metrics.Add("continued", 1)
 		}
-		r.log.Emit(event.GenerationAgain, zap.String("request", c.ID), zap.Bool("begun", g.begun), zap.Int64("after", g.after),
+		r.log.Emit(event.GenerationAgain, zap.String("request", c.ID), c.ContentField(), zap.Bool("begun", g.begun), zap.Int64("after", g.after),
 			zap.Int("runs", g.runs), zap.Int("refusals", g.refusals), event.Err(err))
 	}
 }
--- a/router/model.go
+++ b/router/model.go
@@ -5,7 +5,10 @@
 package router
 
 import (
+	"strconv"
 	"time"
+
+	"go.uber.org/zap"
 )
 
 // Kind says what may be repeated.
@@ -133,6 +136,9 @@
 	Wait time.Duration
 	// Message is the request itself, opaque to decisions.
 	Message any
+	// Content is the digest of what is asked for, the same in each attempt that a
+	// caller makes again; zero if nothing is known of it.
+	Content uint64
 	// Prompt is the number of prompt tokens, and Output the most that may be
 	// generated; both zero for plain calls.
 	Prompt, Output int
@@ -162,6 +168,11 @@
 	return c.Service.Name
 }
 
+// ContentField is the call's content as it stands in logs.
+func (c *Call) ContentField() zap.Field {
+	return zap.String("content", strconv.FormatUint(c.Content, 16))
+}
+
 // Patience is how long the call may queue at a gate now: its MaxWait before
 // its answer has begun, and all the time there is after.
 func (c *Call) Patience(now time.Time, begun bool) time.Duration {
--- a/router/plain.go
+++ b/router/plain.go
@@ -107,7 +107,7 @@
 	a, err := r.endpoints.Call(ctx, e, c)
 	work.End()
 	r.learn(ctx, e, a, err, time.Since(began))
-	r.log.Emit(event.AttemptEnded, zap.String("request", c.ID), zap.String("endpoint", e.ID),
+	r.log.Emit(event.AttemptEnded, zap.String("request", c.ID), c.ContentField(), zap.String("endpoint", e.ID),
 		zap.Duration("took", time.Since(began)), zap.Bool("failed", a != nil && a.Failed), event.Err(err))
 	return a, err
 }
