--- a/emulator/engine.go
+++ b/emulator/engine.go
@@ -12,6 +12,10 @@
 // engine is one emulated engine. Its work runs in steps, as real ones do.
 type engine struct {
 	sheet *Sheet
+	// crash is called, without a lock, when a job starts that crashes the engine; down
+	// is closed then.
+	crash func(content uint64)
+	down  chan struct{}
 	// slow stretches all that it does.
 	slow float64
 
@@ -30,14 +34,17 @@
 
 // job is a prefill or a stream.
 type job struct {
-	ctx    context.Context
-	prompt int
-	left   int // prompt tokens to compute
-	answer int
-	made   int
-	after  int64
-	events chan int64 // closed at the whole end
-	done   chan error // the end of a prefill
+	ctx context.Context
+	// content is that of the call, crashes that it crashes the engine which starts it.
+	content uint64
+	crashes bool
+	prompt  int
+	left    int // prompt tokens to compute
+	answer  int
+	made    int
+	after   int64
+	events  chan int64 // closed at the whole end
+	done    chan error // the end of a prefill
 }
 
 func (j *job) memory() int { return j.prompt + j.made }
@@ -114,10 +121,24 @@
 			return
 		}
 		time.Sleep(time.Duration(float64(d) * e.slow))
+		if j := e.fatal(); j != nil {
+			e.crash(j.content)
+			return
+		}
 		e.finish()
 	}
 }
 
+// fatal returns a stream that crashes the engine with its first token, or nil.
+func (e *engine) fatal() *job {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if i := slices.IndexFunc(e.streams, func(j *job) bool { return j.crashes }); i >= 0 {
+		return e.streams[i]
+	}
+	return nil
+}
+
 // plan drops what nobody waits for and returns the time of the next step.
 func (e *engine) plan() (time.Duration, bool) {
 	e.mu.Lock()
--- a/emulator/fleet.go
+++ b/emulator/fleet.go
@@ -25,10 +25,19 @@
 	// Changed is called when an engine has another stage.
 	Changed func()
 
-	sheet   *Sheet
-	mu      sync.Mutex
+	sheet *Sheet
+	mu    sync.Mutex
+	// engines are those that run, by the ID of their incarnation.
 	engines map[string]*engine
-	list    []*router.Endpoint
+	// list holds an endpoint for each place of an engine; one that crashed stays
+	// there until another runs in its place.
+	list []*router.Endpoint
+	// poison are the contents that crash engines.
+	poison map[uint64]bool
+	// Crashes are the engines that crashed, Reached the arrivals of calls that crash
+	// them, in order.
+	Crashes []Crash
+	Reached []Reach
 	// Computed counts prompt tokens that engines were asked for.
 	Computed int
 	// Refused counts generations that engines had no room for, those that came
@@ -49,28 +58,33 @@
 		Changed: func() {},
 		sheet:   sheet,
 		engines: make(map[string]*engine),
+		poison:  make(map[uint64]bool),
 	}
 	for i := range engines {
-		e := &engine{sheet: sheet, slow: 1, role: router.Decode, held: make(map[int]int)}
+		role, pace := router.Decode, 1.0
 		if i < prefills {
-			e.role = router.Prefill
+			role = router.Prefill
 		}
 		if factor := slow[i]; factor > 0 {
-			e.slow = factor
+			pace = factor
 		}
 		id := fmt.Sprintf("e%02d", i)
-		f.engines[id] = e
 		f.list = append(f.list, &router.Endpoint{ID: id, Addr: id, Service: "llm", DataCentre: dataCentre(i % dataCentres), Slots: sheet.Slots})
+		f.run(i, role, pace)
 	}
 	return f
 }
 
 // Endpoints returns the engines with their present stages.
 func (f *Fleet) Endpoints() []*router.Endpoint {
+	f.mu.Lock()
+	defer f.mu.Unlock()
 	list := make([]*router.Endpoint, 0, len(f.list))
 	for _, e := range f.list {
 		now := *e
-		now.Role = f.engines[e.ID].stage()
+		if engine := f.engines[e.ID]; engine != nil {
+			now.Role = engine.stage()
+		}
 		list = append(list, &now)
 	}
 	return list
@@ -90,7 +104,11 @@
 // Reserve implements router.Endpoints.
 func (f *Fleet) Reserve(_ context.Context, e *router.Endpoint, _ *router.Call, ask router.Ask) (*router.Reservation, error) {
 	time.Sleep(roundTrip)
-	id := f.engines[e.ID].reserve(ask.Tokens, ask.Hold)
+	engine, err := f.at(e)
+	if err != nil {
+		return nil, err
+	}
+	id := engine.reserve(ask.Tokens, ask.Hold)
 	if id == 0 {
 		return nil, router.ErrNotRun.New("%s has no memory", e.ID)
 	}
@@ -98,21 +116,32 @@
 }
 
 // Release implements router.Endpoints.
-func (f *Fleet) Release(r *router.Reservation) { f.engines[r.Endpoint.ID].release(r.Handle.(int)) }
+func (f *Fleet) Release(r *router.Reservation) {
+	if engine, err := f.at(r.Endpoint); err == nil {
+		engine.release(r.Handle.(int))
+	}
+}
 
 // Prefill implements router.Endpoints.
 func (f *Fleet) Prefill(ctx context.Context, e *router.Endpoint, c *router.Call) (*router.Result, error) {
+	engine, err := f.at(e)
+	if err != nil {
+		return nil, err
+	}
 	f.mu.Lock()
 	f.Computed += c.Prompt
 	f.mu.Unlock()
+	f.reached(c, e)
 	j := &job{ctx: ctx, prompt: c.Prompt, left: c.Prompt, done: make(chan error, 1)}
-	if !f.engines[e.ID].add(j, router.Prefill, 0) {
+	if !engine.add(j, router.Prefill, 0) {
 		return nil, router.ErrNotRun.New("%s refuses", e.ID)
 	}
 	select {
 	case <-j.done:
 		time.Sleep(roundTrip)
 		return &router.Result{Endpoint: e, Expiry: time.Now().Add(f.sheet.ResultLife)}, nil
+	case <-engine.down:
+		return nil, router.ErrLost.New("%s crashed", e.ID)
 	case <-ctx.Done():
 		return nil, router.ErrLost.Wrap(ctx.Err(), "prefill at %s", e.ID)
 	}
@@ -125,20 +154,29 @@
 func (f *Fleet) Cached(context.Context, *router.Endpoint) (map[string]bool, error) { return nil, nil }
 
 // Alive implements router.Endpoints.
-func (f *Fleet) Alive(context.Context, *router.Endpoint) error {
+func (f *Fleet) Alive(_ context.Context, e *router.Endpoint) error {
 	time.Sleep(roundTrip)
-	return nil
+	_, err := f.at(e)
+	return err
 }
 
 // Order implements router.Endpoints.
 func (f *Fleet) Order(_ context.Context, e *router.Endpoint, to router.Role, _ uint64) error {
-	f.engines[e.ID].change(to, func() { f.Changed() })
-	return nil
+	engine, err := f.at(e)
+	if err == nil {
+		engine.change(to, func() { f.Changed() })
+	}
+	return err
 }
 
 // Generate implements router.Endpoints.
 func (f *Fleet) Generate(ctx context.Context, e *router.Endpoint, c *router.Call, s router.Start) (router.Stream, error) {
-	j := &job{ctx: ctx, prompt: c.Prompt, left: c.Prompt, answer: c.Hint, events: make(chan int64, c.Hint/f.sheet.Stride+2)}
+	engine, err := f.at(e)
+	if err != nil {
+		return nil, err
+	}
+	f.reached(c, e)
+	j := &job{ctx: ctx, content: c.Content, crashes: f.crashes(c.Content), prompt: c.Prompt, left: c.Prompt, answer: c.Hint, events: make(chan int64, c.Hint/f.sheet.Stride+2)}
 	if s.Result != nil {
 		if time.Now().After(s.Result.Expiry) {
 			return nil, router.ErrNotRun.New("the result is gone")
@@ -151,11 +189,11 @@
 		reservation = s.Reservation.Handle.(int)
 	}
 	time.Sleep(f.sheet.First)
-	if !f.engines[e.ID].add(j, router.Decode, reservation) {
+	if !engine.add(j, router.Decode, reservation) {
 		f.refused(s.Result != nil)
 		return nil, router.ErrNotRun.New("%s is full", e.ID)
 	}
-	return &stream{j}, nil
+	return &stream{job: j, down: engine.down}, nil
 }
 
 func (f *Fleet) refused(computed bool) {
@@ -168,7 +206,10 @@
 }
 
 // stream implements router.Stream.
-type stream struct{ *job }
+type stream struct {
+	*job
+	down chan struct{}
+}
 
 func (s *stream) Head() any              { return nil }
 func (s *stream) Failed() *router.Answer { return nil }
@@ -181,6 +222,8 @@
 			return router.Event{}, io.EOF
 		}
 		return router.Event{Number: n}, nil
+	case <-s.down:
+		return router.Event{}, router.ErrLost.New("unexpected EOF")
 	case <-s.ctx.Done():
 		return router.Event{}, router.ErrLost.Wrap(s.ctx.Err(), "stream")
 	}
--- a/emulator/sheets_test.go
+++ b/emulator/sheets_test.go
@@ -131,10 +131,11 @@
 	route := &router.Route{Name: "draft", Kind: router.Generation, MaxAttempts: 2, Resumable: true, Target: target, Gap: gap, Patience: 4 * target}
 	out := draft{at: time.Now()}
 	const wait = 14 * time.Second
+	content := rand.Uint64()
 	for try := range 2 {
 		now := time.Now()
 		c := &router.Call{ID: "c", Route: route, Service: d.fleet.Service, Began: now, Deadline: out.at.Add(wait), Wait: out.at.Add(wait).Sub(now),
-			Prompt: prompt, Output: 2 * d.work.Answer, Hint: answer, Resume: router.NoNumber}
+			Content: content, Prompt: prompt, Output: 2 * d.work.Answer, Hint: answer, Resume: router.NoNumber}
 		s := &sink{}
 		_, fail := r.Generate(d.ctx, c, s)
 		out.failed = fail != nil
--- a/emulator/site_test.go
+++ b/emulator/site_test.go
@@ -38,6 +38,7 @@
 // siteDay is a day of a site.
 type siteDay struct {
 	*day
+	t    *testing.T
 	site *emulator.Site
 }
 
@@ -63,7 +64,7 @@
 			d.routers = append(d.routers, e.Router)
 		}
 		time.Sleep(3 * time.Second) // entries hear of each other, engines take their first stages
-		fn(&siteDay{day: d, site: site})
+		fn(&siteDay{day: d, t: t, site: site})
 		d.wg.Wait()
 		site.Close(context.Background())
 	})
