Requests that crash the endpoints that run them are turned away by all entries

What callers saw: no drafts for minutes, answers broken off in the middle. 17 and 22 engines ended under one request that its client sent again and again. Cause: nothing outlived one attempt. Each attempt of a caller has a name of its own, so each entry met the request as a new one, ran it at an engine, saw the connection end, and ran it at a second one. Ruled out: engines that crash for other reasons (they crashed 34 to 114 ms after the same request had started each time); repeats of the entry alone (with one endpoint an attempt the same goes on at half the pace); silent connections (68 of 70 were closed, the next connection was refused). Change: package poison. Entries tie crashes together by the digest of what was asked for, tell each other (own message, once per link, handed on when a second crash corroborates it, all of it to entries that start), and refuse what has crashed endpoints more often than chance explains: three crashes right at the start, five behind waiting work, eight whatever else crashes. A lost attempt counts only if the endpoint refuses connections or another has its place; a whole answer anywhere clears all crashes before it. The verdict is asked before each arrival, prompts included. Why it holds: the content is the same at every entry; what is told ends by age only; memory is 2,048 contents.

--- a/emulator/crash_test.go
+++ b/emulator/crash_test.go
@@ -99,3 +99,48 @@
 		assert.GreaterOrEqual(t, onTime, quietLeast)
 	})
 }
+
+// TestInnocentWhenEnginesCrash: engines crash one after the other for reasons of their
+// own, and drafts come back to be there at the next crash too. None of them is turned
+// away as a request that crashes engines.
+func TestInnocentWhenEnginesCrash(t *testing.T) {
+	t.Parallel()
+	playSite(t, 5, 9, 1, func(d *siteDay) {
+		sheet := smallBatches()
+		most, _ := sheet.Capacity(9, d.work)
+		rate := 0.4 * most
+		d.play(rate, 3*time.Second)
+		d.wg.Go(func() {
+			for i := range 40 {
+				time.Sleep(500 * time.Millisecond)
+				d.fleet.Crash(i * 4 % 9)
+			}
+		})
+		d.play(rate, 20*time.Second)
+		d.wg.Wait()
+		refused := int64(0)
+		for _, e := range d.site.Entries {
+			refused += e.Metrics.Count("poison_refused")
+		}
+		t.Logf("%d engines crashed, %d drafts, %d attempts turned away", len(d.fleet.Crashes), len(d.drafts), refused)
+		assert.Zero(t, refused)
+	})
+}
+
+// TestNewcomerKnowsPoison: an entry that is killed forgets which request crashes engines,
+// and another one may have seen none of the crashes. It learns it from the others before
+// the request comes there.
+func TestNewcomerKnowsPoison(t *testing.T) {
+	t.Parallel()
+	playSite(t, 5, 9, 1, func(d *siteDay) {
+		d.fleet.Poison(poison)
+		d.repeat(6 * time.Second)
+		d.wg.Wait()
+		e, err := d.site.Start(d.ctx, "dc-0", wideLink)
+		require.NoError(t, err)
+		time.Sleep(toldWithin)
+		before := len(d.fleet.Reached)
+		d.sendPoison(e.Router, "newcomer")
+		assert.Len(t, d.fleet.Reached, before)
+	})
+}
--- a/emulator/fleet.go
+++ b/emulator/fleet.go
@@ -141,7 +141,7 @@
 		time.Sleep(roundTrip)
 		return &router.Result{Endpoint: e, Expiry: time.Now().Add(f.sheet.ResultLife)}, nil
 	case <-engine.down:
-		return nil, router.ErrLost.New("%s crashed", e.ID)
+		return nil, router.ErrBroken.New("%s crashed", e.ID)
 	case <-ctx.Done():
 		return nil, router.ErrLost.Wrap(ctx.Err(), "prefill at %s", e.ID)
 	}
@@ -223,7 +223,7 @@
 		}
 		return router.Event{Number: n}, nil
 	case <-s.down:
-		return router.Event{}, router.ErrLost.New("unexpected EOF")
+		return router.Event{}, router.ErrBroken.New("unexpected EOF")
 	case <-s.ctx.Done():
 		return router.Event{}, router.ErrLost.Wrap(s.ctx.Err(), "stream")
 	}
--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -77,6 +77,8 @@
 	OrderedToPrefill   = define(6016, zap.InfoLevel, "decode engine ordered to prefill")
 	FetchFailed        = define(6017, zap.WarnLevel, "published value from another entry is wrong")
 	ReportUnsent       = define(6018, zap.ErrorLevel, "report to other entries can't be encoded")
+	EndpointCrashed    = define(6019, zap.WarnLevel, "endpoint crashed in the middle of an attempt")
+	PoisonFound        = define(6020, zap.ErrorLevel, "a request crashes the endpoints that run it and is turned away")
 	DirectoryChanged   = define(6006, zap.InfoLevel, "published directory changed")
 )
 
--- a/gossip/node.go
+++ b/gossip/node.go
@@ -13,6 +13,7 @@
 	"ebonypulley/event"
 	"ebonypulley/metrics"
 	"ebonypulley/parts"
+	"ebonypulley/poison"
 	"ebonypulley/router"
 	"ebonypulley/wire"
 )
@@ -47,6 +48,8 @@
 	Entries func(n int)
 	// Metrics takes counters of what is handed on.
 	Metrics *metrics.Set
+	// Crashes is what entries tell each other of requests that crash endpoints.
+	Crashes *poison.Ledger
 
 	mu      sync.Mutex
 	members *Members
@@ -67,7 +70,7 @@
 		self: self, inc: wire.NewID(), loads: loads, catalog: cat, log: log, dial: dial.OrTCP(),
 		Behind: func() bool { return false }, NoStore: func() bool { return false }, Entries: func(int) {},
 		Age: func() time.Duration { return 0 }, Heard: func(time.Duration) {},
-		Metrics: metrics.NewSet(),
+		Metrics: metrics.NewSet(), Crashes: poison.NewLedger(),
 		members: NewMembers(self.Addr, self.DataCentre, seeds), links: make(map[string]*link),
 		revisions: make(map[string]uint64), index: parts.NewIndex(),
 	}
@@ -102,6 +105,8 @@
 			_ = c.Send(n.answer(m))
 		case *wire.Wanted:
 			_ = c.Send(n.handOn(m))
+		case *wire.Crashes:
+			n.hearCrashes(time.Now(), m)
 		}
 	})
 }
--- a/gossip/report.go
+++ b/gossip/report.go
@@ -36,6 +36,7 @@
 func (n *Node) tell(ctx context.Context) error {
 	for ebonypulley.Sleep(ctx, roundInterval) {
 		n.round(time.Now())
+		n.tellCrashes(time.Now())
 	}
 	return nil
 }
--- a/router/answer.go
+++ b/router/answer.go
@@ -22,6 +22,8 @@
 	// ErrLost is returned when a request may have run and no whole answer
 	// came.
 	ErrLost = routerErrors.NewType("lost")
+	// ErrBroken is an ErrLost whose connection ended before the whole answer came.
+	ErrBroken = ErrLost.NewSubtype("broken")
 	// ErrWaited is an ErrNotRun of a request that queued at an endpoint for as
 	// long as it may: asking another one can't help.
 	ErrWaited = ErrNotRun.NewSubtype("waited")
@@ -180,7 +182,8 @@
 	Drop(r *Result)
 	// Cached returns the sessions whose prompts an engine keeps, by Session.
 	Cached(ctx context.Context, e *Endpoint) (map[string]bool, error)
-	// Alive returns nil if the endpoint answers anything at all.
+	// Alive returns nil if the endpoint answers well, and ErrAbsent or ErrMoved if it
+	// runs no more.
 	Alive(ctx context.Context, e *Endpoint) error
 	// Order changes an engine's stage. Fence is a fencing number.
 	Order(ctx context.Context, e *Endpoint, to Role, fence uint64) error
--- a/router/fake_test.go
+++ b/router/fake_test.go
@@ -228,6 +228,11 @@
 	if f.events == 0 {
 		f.events, f.pause = 6, 50*time.Millisecond
 	}
+	return newRouterOf(f, endpoints...)
+}
+
+// newRouterOf is newRouter for endpoints that do more than the fake ones.
+func newRouterOf(f router.Endpoints, endpoints ...*router.Endpoint) *router.Router {
 	r := router.New(router.Settings{DataCentre: "dc-1", RetryRatio: 0.2, RetryWindow: 10 * time.Second, RetrySlack: ownSlack, Alone: true}, f, event.Nop(), metrics.NewSet())
 	r.SetDirectory(router.NewDirectory(1, 0, nil, []*router.Service{llm, app}, endpoints))
 	return r
--- a/router/generate.go
+++ b/router/generate.go
@@ -102,6 +102,7 @@
 
 // answered records a generation that the caller has whole.
 func (g *generationRun) answered() {
+	g.r.crashes.Served(time.Now(), g.c.Content)
 	took := time.Since(g.c.Began)
 	g.r.metrics.Histogram("whole." + g.c.class()).Record(took)
 	if g.runs == 1 && g.c.Resume == NoNumber && g.events > 1 {
@@ -136,7 +137,7 @@
 func (g *generationRun) again(ctx context.Context, err error) bool {
 	now := time.Now()
 	if ctx.Err() != nil || g.c.Left(now) <= 0 || errorx.IsOfType(err, ErrCaller) ||
-		errorx.IsOfType(err, errNoEndpoint) || errorx.IsOfType(err, errBudget) || errorx.IsOfType(err, ErrWaited) {
+		errorx.IsOfType(err, errPoison) || errorx.IsOfType(err, errNoEndpoint) || errorx.IsOfType(err, errBudget) || errorx.IsOfType(err, ErrWaited) {
 		return false
 	}
 	if g.progress {
@@ -181,6 +182,9 @@
 // lost, as more arrivals than the platform allows. The guard holds because what
 // is free is only known, and only given back, when it was accepted.
 func (g *generationRun) spend() error {
+	if err := g.r.refusePoison(g.c); err != nil {
+		return err
+	}
 	if g.sent > 0 && !g.pay() {
 		return errBudget.New("the retry budget is used up")
 	}
@@ -247,6 +251,9 @@
 
 // attempt makes one try: choose, reserve, prefill, decode.
 func (g *generationRun) attempt(ctx context.Context) error {
+	if err := g.r.refusePoison(g.c); err != nil {
+		return err // before it waits for room
+	}
 	a, err := g.admit(ctx)
 	if err != nil {
 		return err
--- a/router/plain.go
+++ b/router/plain.go
@@ -9,6 +9,7 @@
 	"go.uber.org/zap"
 
 	"ebonypulley/event"
+	"ebonypulley/poison"
 )
 
 const (
@@ -70,7 +71,7 @@
 // repeatable reports whether an attempt that ended with err may be followed
 // by another.
 func (p *plainRun) repeatable(err error) bool {
-	if errorx.IsOfType(err, errNoEndpoint) {
+	if errorx.IsOfType(err, errNoEndpoint) || errorx.IsOfType(err, errPoison) {
 		return false
 	}
 	return p.c.Route.Kind == Idempotent || errorx.IsOfType(err, ErrNotRun)
@@ -94,6 +95,9 @@
 
 func (p *plainRun) attempt(ctx context.Context) (*Answer, error) {
 	r, c := p.r, p.c
+	if err := r.refusePoison(c); err != nil {
+		return nil, err
+	}
 	began := time.Now()
 	e, err := p.choose(ctx, began)
 	if err != nil {
@@ -107,6 +111,12 @@
 	a, err := r.endpoints.Call(ctx, e, c)
 	work.End()
 	r.learn(ctx, e, a, err, time.Since(began))
+	switch {
+	case err == nil:
+		r.crashes.Served(time.Now(), c.Content)
+	case ctx.Err() == nil:
+		r.lostAt(c, poison.Attempt{Lasted: time.Since(began)}, e, err)
+	}
 	r.log.Emit(event.AttemptEnded, zap.String("request", c.ID), c.ContentField(), zap.String("endpoint", e.ID),
 		zap.Duration("took", time.Since(began)), zap.Bool("failed", a != nil && a.Failed), event.Err(err))
 	return a, err
--- a/router/prefill.go
+++ b/router/prefill.go
@@ -9,6 +9,7 @@
 
 	"ebonypulley/estimate"
 	"ebonypulley/event"
+	"ebonypulley/poison"
 )
 
 // resultMargin is the life that a prefill result must have left to be sent on:
@@ -64,6 +65,7 @@
 		g.r.avoid(now, e, err)
 	default:
 		g.r.loads.Failed(now, e.ID)
+		g.r.lostAt(g.c, poison.Attempt{Lasted: took}, e, err)
 	}
 }
 
--- a/router/router.go
+++ b/router/router.go
@@ -1,7 +1,9 @@
 package router
 
 import (
+	"maps"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -9,6 +11,7 @@
 	"ebonypulley/event"
 	"ebonypulley/limit"
 	"ebonypulley/metrics"
+	"ebonypulley/poison"
 )
 
 // Settings are the bounds that the deployment sets.
@@ -37,6 +40,7 @@
 	set       Settings
 	endpoints Endpoints
 	loads     *Loads
+	crashes   *poison.Ledger
 	log       *event.Log
 	metrics   *metrics.Set
 	directory atomic.Pointer[Directory]
@@ -48,6 +52,8 @@
 	entries int
 	started time.Time
 	rnd     *rand.Rand
+	// questions are those under way, by the endpoint's ID.
+	questions map[string]*question
 	// waits are the longest time limits that callers named, by route.
 	waits map[string]time.Duration
 }
@@ -58,13 +64,16 @@
 		set:       set,
 		endpoints: endpoints,
 		loads:     NewLoads(),
+		crashes:   poison.NewLedger(),
 		log:       log,
 		metrics:   m,
 		budgets:   make(map[string]*limit.SharedBudget),
 		started:   time.Now(),
+		questions: make(map[string]*question),
 		waits:     make(map[string]time.Duration),
 		rnd:       rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 	}
+	r.crashes.Found = r.poisonFound
 	r.directory.Store(NewDirectory(0, 0, nil, nil, nil))
 	return r
 }
@@ -81,6 +90,7 @@
 			known[e.ID] = true
 		}
 	}
+	r.crashes.SetEndpoints(slices.Collect(maps.Keys(known)))
 	r.loads.Keep(func(id string) bool { return known[id] })
 }
 
--- a/router/stream.go
+++ b/router/stream.go
@@ -7,6 +7,7 @@
 	"github.com/joomcode/errorx"
 
 	"ebonypulley/estimate"
+	"ebonypulley/poison"
 )
 
 // decode streams the answer from the decode endpoint.
@@ -104,13 +105,16 @@
 	}
 	defer run.prompt.End()
 	s, err := g.r.endpoints.Generate(ctx, p.decode, g.c, start)
-	if err != nil {
-		run.lost()
-		return err
+	at, events := run.sent, g.events
+	if err == nil {
+		defer s.Close()
+		at = time.Now() // the head tells that it runs
+		err = run.stream(s)
 	}
-	defer s.Close()
-	err = run.stream(s)
 	run.lost()
+	if ctx.Err() == nil || w.verdict() == gone {
+		g.r.lostAt(g.c, poison.Attempt{Lasted: time.Since(at), Ran: g.events-events > startEvents}, p.decode, err)
+	}
 	return err
 }
 
--- a/router/watch.go
+++ b/router/watch.go
@@ -5,6 +5,8 @@
 	"sync"
 	"time"
 
+	"github.com/joomcode/errorx"
+
 	"ebonypulley/estimate"
 )
 
@@ -182,8 +184,9 @@
 		go func() { answers <- r.endpoints.Alive(ctx, e) }()
 	}
 	for range aliveAsks {
-		if <-answers == nil {
-			return true
+		err := <-answers
+		if err == nil || errorx.IsOfType(err, ErrLost) && ctx.Err() == nil {
+			return true // a connection that was reset was reset by somebody
 		}
 	}
 	return false
--- a/wire/message.go
+++ b/wire/message.go
@@ -62,6 +62,7 @@
 	KindWanted
 	KindParts
 	KindConfigWanted
+	KindCrashes
 	kindEnd
 )
 
@@ -443,6 +444,24 @@
 	Revision uint64
 }
 
+// Crash tells of one content that an endpoint crashed under it, or that it was answered
+// whole.
+type Crash struct {
+	// Content is the digest of what a caller asked for.
+	Content uint64
+	// Endpoint crashed; empty for a whole answer.
+	Endpoint string
+	// Age is how long ago that was, Lasted how long the request had been there.
+	Age, Lasted time.Duration
+	// Ran: it had brought events there for a while.
+	Ran bool
+}
+
+// Crashes tells another entry which requests ran where endpoints crashed.
+type Crashes struct {
+	List []Crash
+}
+
 // Wanted asks for parts of large values. The answer is Parts, however few of
 // them the receiver still has.
 type Wanted struct {
