--- a/standin/worker.go
+++ b/standin/worker.go
@@ -31,6 +31,8 @@
 	// BreakAfter, if above 0, breaks the stream off in the middle of the event
 	// after that many, once.
 	BreakAfter int
+	// Leaving makes it say in each answer that it leaves.
+	Leaving bool
 	// RefuseResults makes it refuse prompts that were computed elsewhere.
 	RefuseResults bool
 
@@ -52,6 +54,9 @@
 	k.requests = append(k.requests, WorkerRequest{Method: r.Method, URI: r.RequestURI, Stage: r.Header.Get("Stage"), Header: r.Header.Clone(), Body: string(body)})
 	k.mu.Unlock()
 	w.Header().Set("Attempt-Id", r.Header.Get("Attempt-Id"))
+	if k.Leaving {
+		w.Header().Set("Server-Leaving", "1")
+	}
 	switch {
 	case r.Header.Get("Expect-Instance") != k.ID:
 		w.Header().Set("Instance-Id", k.ID)
