What workers say of themselves beside an answer counts at once

What callers saw: look-ups sent to a worker that ended with them, 2.6 and 3.1 s after one of its answers had told the entry that it leaves; the rule allows 2 s. An entry knew leaving workers by the store only, and the store was down from second 7 to 20; the worker's word came with each answer. Ruled out: requests under way (they were sent by their clients 2 s later), a directory that came back (no 6006 between), entries out of touch with the worker (they got its answers). While all of a service want nothing, callers hear when the first takes work again. Why it holds: the directory has one place where endpoints come in; each look for an endpoint and each send asks for quiet.

--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -79,6 +79,7 @@
 	ReportUnsent       = define(6018, zap.ErrorLevel, "report to other entries can't be encoded")
 	EndpointCrashed    = define(6019, zap.WarnLevel, "endpoint crashed in the middle of an attempt")
 	PoisonFound        = define(6020, zap.ErrorLevel, "a request crashes the endpoints that run it and is turned away")
+	EndpointLeaving    = define(6021, zap.InfoLevel, "endpoint says that it leaves")
 	DirectoryChanged   = define(6006, zap.InfoLevel, "published directory changed")
 )
 
--- a/router/directory.go
+++ b/router/directory.go
@@ -1,6 +1,9 @@
 package router
 
-import "slices"
+import (
+	"slices"
+	"time"
+)
 
 // Directory is one consistent view of what is published. It is read-only.
 type Directory struct {
@@ -52,6 +55,19 @@
 	return &out
 }
 
+// without returns a directory without some endpoints that shares the rest.
+func (d *Directory) without(ids map[string]time.Time) *Directory {
+	var kept []*Endpoint
+	for _, list := range d.endpoints {
+		for _, e := range list {
+			if _, out := ids[e.ID]; !out {
+				kept = append(kept, e)
+			}
+		}
+	}
+	return d.WithEndpoints(kept)
+}
+
 // hostRoutes are the routes of one host.
 type hostRoutes struct {
 	byPrefix map[string]*Route
--- a/router/gated.go
+++ b/router/gated.go
@@ -46,7 +46,7 @@
 	if r.gated() {
 		return r.set.Chooser.Usable(e)
 	}
-	return r.Directory().Has(e)
+	return r.Directory().Has(e) && r.loads.quietLeft(time.Now(), e.ID) == 0
 }
 
 // choose asks the chooser; without an endpoint the call is refused.
--- a/router/health.go
+++ b/router/health.go
@@ -49,6 +49,8 @@
 	heardUntil time.Time
 	goodAt     time.Time
 	fullUntil  time.Time
+	// quietUntil is when it takes work from this process again.
+	quietUntil time.Time
 	at         time.Time
 	// failedAt are the last failures, for others.
 	failedAt []time.Time
@@ -221,12 +223,32 @@
 	l.healthOf(now, endpoint).fullUntil = now.Add(until)
 }
 
+// Quiet records that an endpoint wants nothing from this process for a time.
+func (l *Loads) Quiet(now time.Time, endpoint string, lasting time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	h := l.healthOf(now, endpoint)
+	if until := now.Add(lasting); until.After(h.quietUntil) {
+		h.quietUntil = until
+	}
+}
+
+// quietLeft is how long an endpoint still wants nothing from this process.
+func (l *Loads) quietLeft(now time.Time, endpoint string) time.Duration {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if h := l.health[endpoint]; h != nil {
+		return max(h.quietUntil.Sub(now), 0)
+	}
+	return 0
+}
+
 // Keep forgets the records of endpoints that are not published any more.
 func (l *Loads) Keep(published func(endpoint string) bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for id := range l.health {
-		if !published(id) {
+		if !published(id) && !time.Now().Before(l.health[id].quietUntil) {
 			delete(l.health, id)
 		}
 	}
--- a/router/late.go
+++ b/router/late.go
@@ -114,7 +114,8 @@
 	if least+spread > most {
 		least, spread = max(most-spread, most/2), min(spread, most/2)
 	}
-	return g.r.jitter(least, max(spread, time.Millisecond))
+	quiet := g.r.quietLeft(time.Now(), g.c.Service.Name, Decode)
+	return quiet + g.r.jitter(least, max(spread, time.Millisecond))
 }
 
 // lateness reckons with the time that the caller has spent before, and with the
--- a/router/load.go
+++ b/router/load.go
@@ -139,6 +139,8 @@
 	Pace float64
 	// Full says that the endpoint just refused a reservation.
 	Full bool
+	// Quiet says that the endpoint wants nothing from this process.
+	Quiet bool
 	// Avoid says that the endpoint gets work only if no other can take it.
 	Avoid bool
 }
@@ -156,6 +158,7 @@
 	v.FailShare = h.fail
 	v.Slow = h.slow
 	v.Pace = h.pace
+	v.Quiet = now.Before(h.quietUntil)
 	v.Full = now.Before(h.fullUntil)
 	v.Avoid = now.Before(h.avoidUntil) || now.Before(h.heardUntil)
 	return v
--- /dev/null
+++ b/router/notice.go
@@ -0,0 +1,88 @@
+package router
+
+import (
+	"time"
+
+	"go.uber.org/zap"
+
+	"ebonypulley/event"
+)
+
+// leavingMemory is how long after it was last published an endpoint that leaves is
+// remembered: a store that was away may list it again.
+const leavingMemory = 10 * time.Minute
+
+// Notice is what an endpoint says of itself beside an answer.
+type Notice struct {
+	// Leaving: it ends soon.
+	Leaving bool
+	// Quiet is how long it wants nothing from this process.
+	Quiet time.Duration
+}
+
+// Notice takes what an endpoint says of itself.
+//
+// Failure guarded against: a worker leaves while the store is down, so that its entry goes
+// on saying that it is ready. It shows as requests that come to it for seconds and end with
+// it. The guard holds because its own word counts from the answer on, for its incarnation,
+// whatever is published.
+func (r *Router) Notice(e *Endpoint, n Notice) {
+	now := time.Now()
+	if n.Quiet > 0 {
+		r.metrics.Add("endpoints_quiet", 1)
+		r.loads.Quiet(now, e.ID, n.Quiet)
+	}
+	if n.Leaving && r.leaves(now, e.ID) {
+		r.log.Emit(event.EndpointLeaving, zap.String("endpoint", e.ID))
+	}
+}
+
+// leaves takes an endpoint out of the directory; it returns false if that was done before.
+func (r *Router) leaves(now time.Time, id string) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	_, known := r.leaving[id]
+	r.leaving[id] = now
+	if !known {
+		d := r.directory.Load()
+		r.directory.Store(d.without(r.leaving))
+	}
+	return !known
+}
+
+// staying returns a directory without the endpoints that said that they leave; r.mu is
+// held.
+func (r *Router) staying(now time.Time, d *Directory) *Directory {
+	if len(r.leaving) == 0 {
+		return d
+	}
+	for _, list := range d.endpoints {
+		for _, e := range list {
+			if _, leaves := r.leaving[e.ID]; leaves {
+				r.leaving[e.ID] = now
+			}
+		}
+	}
+	for id, at := range r.leaving {
+		if now.Sub(at) > leavingMemory {
+			delete(r.leaving, id)
+		}
+	}
+	return d.without(r.leaving)
+}
+
+// quietLeft is how long all endpoints of a service and role still want nothing, zero if
+// one takes work.
+func (r *Router) quietLeft(now time.Time, service string, role Role) time.Duration {
+	var least time.Duration
+	for _, e := range r.Directory().Endpoints(service, role) {
+		left := r.loads.quietLeft(now, e.ID)
+		if left <= 0 {
+			return 0
+		}
+		if least == 0 || left < least {
+			least = left
+		}
+	}
+	return least
+}
--- a/router/place.go
+++ b/router/place.go
@@ -260,7 +260,7 @@
 	return float64(s.view.KV+c.need()) / float64(max(c.Service.Engine.KVTokens, 1))
 }
 
-// views returns endpoints with what is known of them.
+// views returns the endpoints that take work with what is known of them.
 func (r *Router) views(now time.Time, list []*Endpoint, tried map[string]bool) []side {
 	if len(list) == 0 {
 		return nil
@@ -272,6 +272,9 @@
 			continue
 		}
 		v := r.loads.View(now, e.ID)
+		if v.Quiet {
+			continue
+		}
 		v.FailShare = max(v.FailShare, r.loads.failShare(now, e.ID, attempts))
 		sides = append(sides, side{e: e, view: v})
 	}
--- a/router/plain.go
+++ b/router/plain.go
@@ -200,7 +200,8 @@
 // retry is when a refused call may come back.
 func (p *plainRun) retry() time.Duration {
 	call := float64(p.r.loads.CallTime(p.c.Service.Name, p.c.Route.Target).Mean)
-	return p.r.jitter(time.Duration(plainRetry*call), max(time.Duration(plainRetrySpread*call), time.Millisecond))
+	quiet := p.r.quietLeft(time.Now(), p.c.Service.Name, Plain)
+	return quiet + p.r.jitter(time.Duration(plainRetry*call), max(time.Duration(plainRetrySpread*call), time.Millisecond))
 }
 
 // failCalls is the delay that a certain failure is worth in the choice of an
@@ -222,7 +223,7 @@
 	var bestCost float64
 	usual := float64(r.loads.CallTime(c.Service.Name, c.Route.Target).Mean)
 	for _, e := range r.Directory().Endpoints(c.Service.Name, Plain) {
-		if tried[e.ID] {
+		if tried[e.ID] || r.loads.quietLeft(now, e.ID) > 0 {
 			continue
 		}
 		cost := r.plainCost(now, e, usual)
--- a/router/router.go
+++ b/router/router.go
@@ -52,6 +52,9 @@
 	entries int
 	started time.Time
 	rnd     *rand.Rand
+	// leaving are the endpoints that said that they leave, with when they were last
+	// published.
+	leaving map[string]time.Time
 	// questions are those under way, by the endpoint's ID.
 	questions map[string]*question
 	// waits are the longest time limits that callers named, by route.
@@ -69,6 +72,7 @@
 		metrics:   m,
 		budgets:   make(map[string]*limit.SharedBudget),
 		started:   time.Now(),
+		leaving:   make(map[string]time.Time),
 		questions: make(map[string]*question),
 		waits:     make(map[string]time.Duration),
 		rnd:       rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
@@ -83,7 +87,9 @@
 
 // SetDirectory puts a view in force.
 func (r *Router) SetDirectory(d *Directory) {
-	r.directory.Store(d)
+	r.mu.Lock()
+	r.directory.Store(r.staying(time.Now(), d))
+	r.mu.Unlock()
 	known := make(map[string]bool)
 	for _, list := range d.endpoints {
 		for _, e := range list {
