--- a/gossip/link.go
+++ b/gossip/link.go
@@ -38,12 +38,8 @@
 	sent, told time.Time
 	// named is when a report on conn last named the members.
 	named time.Time
-	// crashes is the number up to which the news of crashes went on conn, and crashesAt
-	// when the last did; mutedUntil is when they may go again.
-	crashes               uint64
-	crashesAt, mutedUntil time.Time
-	// refusals counts the connections in a row that ended right after such news.
-	refusals int
+	// crashes is the number up to which the news of crashes went on conn.
+	crashes uint64
 }
 
 // manage keeps a link to each target.
@@ -133,7 +129,4 @@
 	l.conn = c
 	l.sent, l.told, l.named = time.Time{}, time.Time{}, time.Time{}
 	l.crashes = 0
-	if c == nil {
-		l.mute(time.Now())
-	}
 }
--- a/gossip/node.go
+++ b/gossip/node.go
@@ -105,8 +105,6 @@
 			_ = c.Send(n.answer(m))
 		case *wire.Wanted:
 			_ = c.Send(n.handOn(m))
-		case *wire.Crashes:
-			n.hearCrashes(time.Now(), m)
 		}
 	})
 }
@@ -130,6 +128,7 @@
 		avoided = append(avoided, router.Avoided(a))
 	}
 	n.loads.HearAvoided(now, r.From, avoided)
+	n.hearCrashes(now, r.Crashes)
 	reply := &wire.Reply{
 		DataCentre: n.self.DataCentre, Age: n.Age(),
 		Link: n.self.Link, NoStore: n.NoStore(), Revision: n.catalog.Revision(),
--- a/gossip/report.go
+++ b/gossip/report.go
@@ -36,7 +36,6 @@
 func (n *Node) tell(ctx context.Context) error {
 	for ebonypulley.Sleep(ctx, roundInterval) {
 		n.round(time.Now())
-		n.tellCrashes(time.Now())
 	}
 	return nil
 }
@@ -51,13 +50,20 @@
 	work, changed := n.ownWork(now)
 	asked := n.asked(now)
 	frames := make(map[variant][]byte)
-	for _, l := range n.due(now, changed, asked) {
-		v := variant{asks: l.addr == asked, names: l.names}
+	news := make(map[uint64]crashNews)
+	for _, s := range n.due(now, changed, asked) {
+		crashes, ok := news[s.crashes]
+		if !ok {
+			crashes = n.crashNews(now, s.crashes)
+			news[s.crashes] = crashes
+		}
+		v := variant{asks: s.addr == asked, names: s.names, crashes: s.crashes}
 		if frames[v] == nil {
-			frames[v] = n.frame(now, work, v)
+			frames[v] = n.frame(now, work, v, crashes.list)
 		}
 		// A connection that has ended is replaced by its own loop.
-		_ = l.conn.SendFrame(frames[v])
+		_ = s.conn.SendFrame(frames[v])
+		n.toldCrashes(s, crashes.upTo)
 	}
 }
 
@@ -65,13 +71,16 @@
 type variant struct {
 	// asks for what is published, names the members.
 	asks, names bool
+	// crashes is the number up to which its receiver knows them.
+	crashes uint64
 }
 
 // sending is one report that is due.
 type sending struct {
-	addr  string
-	conn  *wire.Conn
-	names bool
+	addr    string
+	conn    *wire.Conn
+	names   bool
+	crashes uint64
 }
 
 // due returns the reports to send now, and notes them as sent. Each round takes
@@ -79,6 +88,7 @@
 // holds up requests for long; the entry that is asked is not left out.
 func (n *Node) due(now, changed time.Time, asked string) []sending {
 	interval, quiet := n.interval(now), n.quietInterval(now)
+	newest := n.Crashes.Seq()
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	var list []*link
@@ -90,7 +100,7 @@
 			l.conn.Close()
 			continue
 		}
-		if l.due(now, changed, interval, quiet, l.addr == asked) {
+		if l.due(now, changed, interval, quiet, l.addr == asked) || newest > l.crashes && now.Sub(l.sent) >= interval {
 			list = append(list, l)
 		}
 	}
@@ -106,7 +116,7 @@
 		if names {
 			l.named = now
 		}
-		sendings = append(sendings, sending{addr: l.addr, conn: l.conn, names: names})
+		sendings = append(sendings, sending{addr: l.addr, conn: l.conn, names: names, crashes: l.crashes})
 	}
 	return sendings
 }
@@ -118,11 +128,11 @@
 }
 
 // frame returns an encoded report.
-func (n *Node) frame(now time.Time, work []wire.EndpointWork, v variant) []byte {
+func (n *Node) frame(now time.Time, work []wire.EndpointWork, v variant, crashes []wire.Crash) []byte {
 	r := &wire.Report{
 		From: n.self.Addr, DataCentre: n.self.DataCentre, Incarnation: n.inc, Work: work, Avoided: n.avoided(now), Demand: n.demand(now),
 		Revision: n.catalog.Revision(), Behind: v.asks,
-		Link: n.self.Link, NoStore: n.NoStore(),
+		Link: n.self.Link, NoStore: n.NoStore(), Crashes: crashes,
 	}
 	if v.names {
 		r.Members = n.living(now)
--- a/wire/kinds.go
+++ b/wire/kinds.go
@@ -72,9 +72,6 @@
 // Kind implements Message.
 func (*Parts) Kind() Kind { return KindParts }
 
-// Kind implements Message.
-func (*Crashes) Kind() Kind { return KindCrashes }
-
 // Kind implements Message.
 func (*ConfigWanted) Kind() Kind { return KindConfigWanted }
 
@@ -176,8 +173,6 @@
 		return new(Wanted)
 	case KindParts:
 		return new(Parts)
-	case KindCrashes:
-		return new(Crashes)
 	case KindConfigWanted:
 		return new(ConfigWanted)
 	default:
--- a/wire/message.go
+++ b/wire/message.go
@@ -62,7 +62,6 @@
 	KindWanted
 	KindParts
 	KindConfigWanted
-	KindCrashes
 	kindEnd
 )
 
@@ -383,8 +382,8 @@
 	Age, Left time.Duration
 }
 
-// Report is what one entry tells another; each is whole, so that any of them
-// may be lost.
+// Report is what one entry tells another; but for Crashes each is whole, so that any
+// of them may be lost.
 type Report struct {
 	// From is where the sender listens for other entries.
 	From        string
@@ -407,6 +406,9 @@
 	Link float64
 	// NoStore says that the sender's last read of the platform failed.
 	NoStore bool
+	// Crashes are news of requests that ran where endpoints crashed, each told once on a
+	// connection; unlike the rest of a report they do not replace what was told before.
+	Crashes []Crash
 }
 
 // ServiceDemand is what comes for a service's engines in a second.
@@ -457,11 +459,6 @@
 	Ran bool
 }
 
-// Crashes tells another entry which requests ran where endpoints crashed.
-type Crashes struct {
-	List []Crash
-}
-
 // Wanted asks for parts of large values. The answer is Parts, however few of
 // them the receiver still has.
 type Wanted struct {
