--- /dev/null
+++ b/gossip/count_test.go
@@ -0,0 +1,65 @@
+package gossip_test
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"ebonypulley/catalog"
+	"ebonypulley/event"
+	"ebonypulley/gossip"
+	"ebonypulley/internal/simnet"
+	"ebonypulley/router"
+)
+
+// TestNewcomerAmongFew: more requests are repeated than the platform allows while a part of
+// the entries is cut off. One of that part is restarted meanwhile. It hears only the few
+// others there, and takes its part of the slack for one among few, though those it cannot
+// hear use theirs too. The others there remember how many there were and tell it, for an
+// hour.
+func TestNewcomerAmongFew(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const all, left = 6, 1
+		n := simnet.New()
+		start := func(i int) (counted *atomic.Int64, end func()) {
+			ctx, cancel := context.WithCancel(t.Context())
+			name := fmt.Sprint("entry-", i)
+			ln, err := n.Listen(name, name+":1")
+			require.NoError(t, err)
+			node := gossip.NewNode(gossip.Self{Addr: name + ":1", DataCentre: "dc"}, []string{"entry-0:1"}, router.NewLoads(), catalog.New(), event.Nop(), n.Dialer(name))
+			counted = new(atomic.Int64)
+			node.Entries = func(n int) { counted.Store(int64(n)) }
+			go func(ln net.Listener) { _ = node.Serve(ctx, ln) }(ln)
+			return counted, cancel
+		}
+		var ends []func()
+		for i := range all {
+			_, end := start(i)
+			ends = append(ends, end)
+		}
+		time.Sleep(5 * time.Second)
+		for _, end := range ends[left:] {
+			end()
+		}
+		time.Sleep(time.Minute)
+		newcomer, endNewcomer := start(all)
+		time.Sleep(10 * time.Second)
+		assert.GreaterOrEqual(t, newcomer.Load(), int64(all))
+		time.Sleep(time.Hour)
+		late, endLate := start(all + 1)
+		time.Sleep(10 * time.Second)
+		assert.Equal(t, int64(left+2), late.Load(), "those that are gone for good count no more")
+		ends[0]()
+		endNewcomer()
+		endLate()
+		n.Close()
+		time.Sleep(time.Minute)
+	})
+}
