Entries tell a newcomer how many there were

What callers saw: nothing yet; more repeats than the platform allows would be turned into refusals by it. Cause: a newcomer counts those that are named to it. One that starts while cut off with few is named only these, and takes 1/2 of the slack where 1/6 is its part. Change: reports that name members also say the most entries that the sender knew at a time within the last hour, and how long ago. It is a later field, so that the version before passes over it. Why it holds: whoever was there before the cut tells the number; it ends by its age, also when handed on, so that a fleet that shrank for good counts those that are there. If all of the part were started in the cut, nobody there knows; that stays open.

--- a/gossip/link.go
+++ b/gossip/link.go
@@ -64,7 +64,8 @@
 		delete(n.revisions, addr)
 	}
 	if len(n.members.Living(now)) > 0 || len(n.members.seeds) == 0 {
-		n.Entries(n.members.Count())
+		most, _ := n.members.Most(now)
+		n.Entries(most)
 	}
 	return lost
 }
--- a/gossip/members.go
+++ b/gossip/members.go
@@ -45,6 +45,9 @@
 	// is when this entry became the one to lead.
 	peak       int
 	firstSince time.Time
+	// most is the most entries that anybody named, and mostAt when.
+	most   int
+	mostAt time.Time
 }
 
 // NewMembers returns what an entry knows at its start.
@@ -245,6 +248,27 @@
 	return xxhash.Sum64String(min(m.self, addr) + " " + max(m.self, addr))
 }
 
-// Count returns the number of entries that anybody named lately, this one
-// included: no fewer than live, whoever was heard here.
-func (m *Members) Count() int { return len(m.known) + 1 }
+// mostFor is how long the most entries that there were are remembered: longer than any cut
+// that entries are restarted in, and shorter than a fleet takes to shrink for good.
+const mostFor = time.Hour
+
+// Most returns the most entries that anybody named at a time lately, this one included,
+// and how long ago that was.
+//
+// Failure guarded against: an entry starts while it is cut off with few others. It shows as
+// more repeats than are allowed, because it takes its part of them for one among few. The
+// guard holds because the others there tell it how many there were.
+func (m *Members) Most(now time.Time) (n int, age time.Duration) {
+	count := len(m.known) + 1
+	if count >= m.most || now.Sub(m.mostAt) > mostFor {
+		m.most, m.mostAt = count, now
+	}
+	return m.most, now.Sub(m.mostAt)
+}
+
+// LearnMost takes what another entry says of the most entries.
+func (m *Members) LearnMost(now time.Time, n int, age time.Duration) {
+	if n > m.most && age >= 0 && age <= mostFor {
+		m.most, m.mostAt = n, now.Add(-age)
+	}
+}
--- a/gossip/node.go
+++ b/gossip/node.go
@@ -43,7 +43,7 @@
 	// told the age of what another one handed on.
 	Age   func() time.Duration
 	Heard func(age time.Duration)
-	// Entries is told the number of entries that anybody named lately, this one
+	// Entries is told the most entries that anybody named at a time lately, this one
 	// included.
 	Entries func(n int)
 	// Metrics takes counters of what is handed on.
@@ -129,6 +129,7 @@
 	}
 	n.loads.HearAvoided(now, r.From, avoided)
 	n.hearCrashes(now, r.Crashes)
+	n.hearMost(now, r.Most, r.MostAge)
 	reply := &wire.Reply{
 		DataCentre: n.self.DataCentre, Age: n.Age(),
 		Link: n.self.Link, NoStore: n.NoStore(), Revision: n.catalog.Revision(),
@@ -156,6 +157,20 @@
 	return fresh
 }
 
+// hearMost takes what another entry says of the most entries that there were.
+func (n *Node) hearMost(now time.Time, most int, age time.Duration) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.members.LearnMost(now, most, age)
+}
+
+// most returns the most entries that there were lately, and how long ago.
+func (n *Node) most(now time.Time) (int, time.Duration) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.members.Most(now)
+}
+
 func (n *Node) living(now time.Time) []string {
 	n.mu.Lock()
 	defer n.mu.Unlock()
--- a/gossip/report.go
+++ b/gossip/report.go
@@ -136,6 +136,7 @@
 	}
 	if v.names {
 		r.Members = n.living(now)
+		r.Most, r.MostAge = n.most(now)
 	}
 	frame, err := wire.AppendFrame(nil, r)
 	if err != nil {
--- a/router/router.go
+++ b/router/router.go
@@ -140,7 +140,7 @@
 // It shows as more repeats than are allowed when all entries start together, or
 // after all were killed under load. The guard holds because a process that knows
 // of no other one, though there are some, has no part, and a new one has none for
-// one window, in which it hears of all.
+// one window, in which it hears how many there are, also of those that it does not hear.
 func (r *Router) slackPart() float64 {
 	newcomer := time.Since(r.started) < r.set.RetryWindow
 	alone := r.set.Alone && r.entries <= 1
--- a/wire/grow_test.go
+++ b/wire/grow_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"encoding/binary"
+	"reflect"
 	"testing"
 	"time"
 
@@ -43,11 +44,15 @@
 	Added  []string
 }
 
-// list returns its fields in their order, with that of crashes, which is nil, before the
-// one that was added.
+// list returns its fields in their order: those of the first version, those of today, which
+// are not set, and the one that was added.
 func (r laterReport) list() any {
 	f := r.Former
-	return []any{f.From, f.DataCentre, f.Incarnation, f.Members, f.Work, f.Avoided, f.Demand, f.Revision, f.Behind, f.Link, f.NoStore, nil, r.Added}
+	list := []any{f.From, f.DataCentre, f.Incarnation, f.Members, f.Work, f.Avoided, f.Demand, f.Revision, f.Behind, f.Link, f.NoStore}
+	for len(list) < reflect.TypeFor[wire.Report]().NumField() {
+		list = append(list, nil)
+	}
+	return append(list, r.Added)
 }
 
 // TestVersionsReadEachOther: while a release is rolled out, half of the entries do not hear
--- a/wire/message.go
+++ b/wire/message.go
@@ -409,6 +409,10 @@
 	// Crashes are news of requests that ran where endpoints crashed, each told once on a
 	// connection; unlike the rest of a report they do not replace what was told before.
 	Crashes []Crash
+	// Most is the most entries that the sender knew at a time lately, MostAge how long
+	// ago that was; zero says nothing.
+	Most    int
+	MostAge time.Duration
 }
 
 // ServiceDemand is what comes for a service's engines in a second.
