--- a/gossip/report.go
+++ b/gossip/report.go
@@ -16,10 +16,8 @@
 	// between two to one entry: work moves within tens of milliseconds.
 	roundInterval = 50 * time.Millisecond
 	// reportsPerSecond bounds the reports to all entries together, so that
-	// their cost does not grow with the square of the fleet: 29 entries then
-	// get one each 97 ms. Measured with 30 entries on a day of high load: 0.62
-	// GB between data centres without the bound, 0.35 with it; at 100 a second
-	// 0.16 GB, but worth fell from 0.66 to 0.59 for want of news.
+	// their cost does not grow with the square of the fleet; with fewer, entries
+	// choose engines by news that is too old.
 	reportsPerSecond = 300
 	// idleInterval is the pause while nothing changes.
 	idleInterval = 500 * time.Millisecond
@@ -44,8 +42,7 @@
 //
 // Load pattern answered: work changes all the time on hundreds of entries. With a
 // loop and an encoding for each other entry, an entry of a seventh of a core spends
-// a third of it on telling. Measured on a calm day of 68 entries, see
-// docs/CAPACITY.md.
+// a third of it on telling.
 func (n *Node) round(now time.Time) {
 	work, changed := n.ownWork(now)
 	asked := n.asked(now)
--- a/router/admit.go
+++ b/router/admit.go
@@ -49,7 +49,7 @@
 // reckon of each other is some tens of milliseconds old. A refusal after the
 // prefill costs the whole prompt; a reservation costs a round trip. A warm
 // engine is not asked: what is reserved there may push out the cached prompt
-// itself. Measured with it: mean worth 0.772 to 0.765 over 30 days.
+// itself.
 func (g *generationRun) take(ctx context.Context, p placement) (admission, bool) {
 	a := admission{placement: p, work: g.r.loads.Begin(p.decode.ID, Load{Decodes: 1, KV: g.c.need()})}
 	if p.warm || p.fill < reserveAbove {
--- a/router/cached.go
+++ b/router/cached.go
@@ -14,8 +14,7 @@
 // in progress, and their callers ask for the rest at once, at entries that
 // know nothing. Each prompt is still cached at the engine that made the first
 // part of the answer; elsewhere it would be computed anew, which costs about
-// as much as the answer is worth. Measured on a day that ends with a kill of all
-// entries: 65 thousand prompt tokens found cached before, 120 thousand with it.
+// as much as the answer is worth.
 const (
 	// cachedFor is how long an engine's list of cached prompts is used.
 	cachedFor = 700 * time.Millisecond
--- a/router/generate.go
+++ b/router/generate.go
@@ -211,9 +211,7 @@
 //
 // Load pattern answered: many answers are lost, so that the retry budget is used
 // up all the time. A prompt that is computed again and then has no arrival left is
-// computed in vain, and its caller is refused all the same. Measured on the day named
-// at HearAvoided, together with fewer reads of the store: worth 0.585 to 0.625, prompts
-// in vain 4.02 to 3.45 million tokens.
+// computed in vain, and its caller is refused all the same.
 func (g *generationRun) payAhead() bool {
 	if g.r.gated() || !g.prefilled {
 		return true // the first accepted prefill is free and gives back what it drew
--- a/router/health.go
+++ b/router/health.go
@@ -176,9 +176,7 @@
 // second and stay published for seconds, or a tenth of them fail each attempt while
 // they answer all questions well. Each entry would find out about each of them by
 // itself, at the cost of a generation that is late; of hundreds of entries each meets
-// an engine twice a minute, and forgets in between. Measured on a day of 68 entries with
-// 13 of 120 engines that reset connections: worth 0.625 to 0.670, generations given up
-// for want of retries 413 to 77.
+// an engine twice a minute, and forgets in between.
 func (l *Loads) HearAvoided(now time.Time, process string, list []Avoided) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/router/late.go
+++ b/router/late.go
@@ -10,14 +10,10 @@
 // goes to those that can still be on time; those that can't be leave room for
 // them and come when the burst is over. Nobody starves: four fifths of the memory
 // are for whoever comes, and the rest of an answer that has begun goes with those
-// on time. Measured together with going on at the
-// engine of a reset answer: mean worth 0.710 to 0.728 over five days with trouble
-// of a deployment of 18 engines, each played once.
+// on time.
 const (
 	// lateFill is the part of an engine's memory that a late generation may
-	// fill, also when it has waited. Measured on 52 kinds of emulated engines at
-	// 0.6 of their capacity: from five seconds after a burst on, 0.991 of the
-	// drafts are on time, 0.937 where late ones may fill all after 1.2 s.
+	// fill, also when it has waited.
 	lateFill = 0.80
 	// minWait is the least time that a generation waits before it is refused:
 	// a few looks for room.
@@ -82,8 +78,7 @@
 // first served, each waits behind all others, and nobody's answer begins on
 // time. So a prompt that would be late does not wait before an engine: one that
 // came first is told so at once, one that came back takes idle engines only. Where
-// no engine could keep the target, nobody stands back. Measured over four calm days
-// of engines at half the usual speed: mean worth 0.529 to 0.701.
+// no engine could keep the target, nobody stands back.
 func (l lateness) standsBack(now time.Time, p placement, t turn) bool {
 	if l.hopeless || t.behind || p.ahead == 0 {
 		return false
--- a/router/others.go
+++ b/router/others.go
@@ -12,8 +12,7 @@
 // Load pattern answered: hundreds of entries before hundreds of engines. Each look
 // for room asks for the work of all entries at each engine, and a generation that
 // waits looks each roomPause. So the sums are kept, and a look costs what there are
-// engines, not engines times entries. Measured with 67 others before 120 engines: a
-// look takes 0.25 ms of a core without the sums, 0.007 with them (BenchmarkLook).
+// engines, not engines times entries (BenchmarkLook).
 type others struct {
 	said map[string]report
 	// sums is the work of all together, by endpoint.
--- a/router/place.go
+++ b/router/place.go
@@ -21,8 +21,7 @@
 	// more, and a first event that is probably late.
 	failPromptShare = 0.67
 	// disturbShare is the part of the time that a prompt takes at a decode
-	// engine which each stream there loses. Measured over 20 days of 9 and of
-	// 18 engines: 0.05 to 0.5 of it lie within 0.015 of mean worth.
+	// engine which each stream there loses; a few times more or less decide the same.
 	disturbShare = 0.2
 	// crowdEvents is over how many of its events a stream that is added slows
 	// the others down: only the order of crowded engines matters, see
@@ -81,8 +80,6 @@
 }
 
 // growthEvents is how many events of an answer are reckoned with from its start.
-// Measured over 20 days of 9 engines: mean worth 0.569 and 0.687 with one event,
-// 0.573 and 0.692 with six.
 const growthEvents = 6
 
 // need is the memory in tokens that a call takes at a decode endpoint when it
@@ -213,8 +210,6 @@
 // know of each other is a tenth of a second old. When an engine has room again,
 // all see it at once and a dozen send their prompts there in the same 60 ms. The
 // best of a few drawn by chance is nearly as good, and differs between entries.
-// Measured on two days of 30 entries and 55 engines, three seeds each: mean worth
-// 0.708 to 0.723; the best of 4 gave 0.719.
 func (r *Router) some(list []side, wanted *Endpoint) []side {
 	if len(list) <= someOf {
 		return list
@@ -235,8 +230,7 @@
 // Load pattern answered: long prompts come while streams run. Each step waits
 // for a chunk of the prompt, so that an event takes five times as long; at an
 // engine that is slower than others that is too long, and all its streams are
-// late although none began late. Measured over 20 days of 9 and of 18 engines:
-// mean worth 0.645 to 0.685 and 0.775 to 0.782.
+// late although none began late.
 func (ch *choice) disturbance(v View, alone time.Duration) time.Duration {
 	cost := time.Duration(float64(alone) * disturbShare)
 	if gap := ch.promise.Gap; gap > 0 && ch.stretchedPause(v, alone) > gap-time.Duration(gapMargin*float64(gap)) {
@@ -303,10 +297,7 @@
 //
 // Load pattern answered: engines crash in a burst. They lose their work, so that
 // they seem to have all the room that the others lack, and would draw each
-// prompt that is computed. Measured together with what entries tell each other
-// of silent engines and with full use for computed prompts: mean worth 0.685 to
-// 0.692 and 0.782 to 0.786 over 20 days of 9 and of 18 engines, 0.773 to 0.778
-// over 6 days each of 40 and 55 engines.
+// prompt that is computed.
 func answering(list []side) []side {
 	if !slices.ContainsFunc(list, func(s side) bool { return !s.view.Avoid }) {
 		return list
--- a/router/stages.go
+++ b/router/stages.go
@@ -17,9 +17,7 @@
 	// switchDefault is the time of a change where none is published.
 	switchDefault = 6 * time.Second
 	// startShare is the part of a service's engines, rounded up, that are left to
-	// prefill until demand was observed; what is observed corrects it. Measured on
-	// 9 engines, mean worth over 20 days: 0.527 to 0.569 against the 4 that the
-	// operators declare; on 18 over 20 days 0.784 with 0.3, 0.789 with 0.25.
+	// prefill until demand was observed; what is observed corrects it.
 	startShare = 0.25
 	// answerWait is how long an engine's answers may take to end before it
 	// changes: the time limit of a patient caller.
