--- a/gossip/report.go
+++ b/gossip/report.go
@@ -97,7 +97,8 @@
 			l.conn.Close()
 			continue
 		}
-		if l.due(now, changed, interval, quiet, l.addr == asked) || newest > l.crashes && now.Sub(l.sent) >= interval {
+		news := newest > l.crashes && now.Sub(l.sent) >= interval
+		if news || l.due(now, changed, interval, quiet, l.addr == asked) {
 			list = append(list, l)
 		}
 	}
--- a/poison/ledger.go
+++ b/poison/ledger.go
@@ -119,10 +119,10 @@
 		return // nothing is known of it
 	}
 	l.mu.Lock()
-	var found *record
+	found := 0
 	if r := l.add(now, content, crash{Attempt: a, at: now}); r != nil {
 		l.number(r, 1)
-		found = l.judge(now, r)
+		found = l.judge(r)
 	}
 	l.mu.Unlock()
 	l.tell(content, found)
@@ -149,7 +149,7 @@
 // add records a crash unless it is known or refuted. It returns the record if it is new
 // there; l.mu is held.
 func (l *Ledger) add(now time.Time, content uint64, c crash) *record {
-	l.end(now, c)
+	l.countEnd(now, c)
 	r := l.contents[content]
 	if r == nil {
 		r = &record{}
@@ -178,8 +178,8 @@
 	return b
 }
 
-// end counts the end of an endpoint; l.mu is held.
-func (l *Ledger) end(now time.Time, c crash) {
+// countEnd counts the end of an endpoint; l.mu is held.
+func (l *Ledger) countEnd(now time.Time, c crash) {
 	for id, at := range l.ended {
 		if now.Sub(at) > rateWindow {
 			delete(l.ended, id)
@@ -206,15 +206,15 @@
 	return true
 }
 
-// judge decides whether a content is turned away, and returns its record if it is from
-// now on; l.mu is held.
+// judge decides whether a content is turned away, and returns the number of its crashes
+// if it is from now on, else zero; l.mu is held.
 //
 // What crashes each endpoint at its start ends them soon; what is innocent has run for
 // any time. So the chance of coincidence is that any endpoint crashes within the time
 // that the request had been there, by how often endpoints crash now.
-func (l *Ledger) judge(now time.Time, r *record) *record {
+func (l *Ledger) judge(r *record) int {
 	if r.poison {
-		return nil
+		return 0
 	}
 	rate := l.rate()
 	chance := 1.0
@@ -230,9 +230,9 @@
 		r.poison = chance <= chanceMany
 	}
 	if r.poison {
-		return r
+		return len(r.crashes)
 	}
-	return nil
+	return 0
 }
 
 // chance is that of coincidence if endpoints crash at a rate.
@@ -280,9 +280,9 @@
 	}
 }
 
-// tell tells Found of a record, if there is one.
-func (l *Ledger) tell(content uint64, r *record) {
-	if r != nil && l.Found != nil {
-		l.Found(content, len(r.crashes))
+// tell tells Found what judge returned, if anything; l.mu is not held.
+func (l *Ledger) tell(content uint64, crashes int) {
+	if crashes > 0 && l.Found != nil {
+		l.Found(content, crashes)
 	}
 }
--- a/poison/news.go
+++ b/poison/news.go
@@ -88,11 +88,11 @@
 
 func (l *Ledger) hearCrash(now time.Time, w Word) {
 	l.mu.Lock()
-	var found *record
+	found := 0
 	r := l.add(now, w.Content, crash{Attempt: w.Attempt, at: now.Add(-w.Age)})
 	if r != nil {
 		l.number(r, corroborated)
-		found = l.judge(now, r)
+		found = l.judge(r)
 	}
 	l.mu.Unlock()
 	l.tell(w.Content, found)
--- a/poison/served.go
+++ b/poison/served.go
@@ -3,7 +3,7 @@
 import "time"
 
 // servedSlots is the number of contents answered lately that are remembered, of those
-// with the same slot the last one: 50 kB.
+// with the same slot the last one: 64 kB.
 const servedSlots = 2048
 
 // servedLately remembers contents answered lately in bounded memory.
