--- /dev/null
+++ b/wire/report.go
@@ -0,0 +1,115 @@
+package wire
+
+import (
+	"time"
+
+	"ebonypulley/parts"
+)
+
+// EndpointWork is an entry's own work at one endpoint.
+type EndpointWork struct {
+	Endpoint string
+	// Calls, Prefill, Decodes and KV are as in router.Load.
+	Calls, Prefill, Decodes, KV int
+}
+
+// AvoidedEndpoint is an endpoint that an entry found silent or gone, or an attempt
+// that failed there.
+type AvoidedEndpoint struct {
+	Endpoint string
+	// Age is how old that evidence is, Left how long the entry still avoids
+	// the endpoint for it: zero for a failed attempt.
+	Age, Left time.Duration
+}
+
+// Report is what one entry tells another; but for Crashes each is whole, so that any
+// of them may be lost.
+type Report struct {
+	// From is where the sender listens for other entries.
+	From        string
+	DataCentre  string
+	Incarnation Incarnation
+	// Members are the entries that the sender has heard lately.
+	Members []string
+	// Work is all of the sender's work.
+	Work []EndpointWork
+	// Avoided is what the sender itself found silent, gone or failing, no hearsay.
+	Avoided []AvoidedEndpoint
+	// Demand is what comes to the sender for model engines.
+	Demand []ServiceDemand
+	// Revision is that of the sender's catalog.
+	Revision uint64
+	// Behind asks for newer published entries, because the sender can't read
+	// them itself.
+	Behind bool
+	// Link is the capacity of the sender's own link in Mbit/s, 0 if unknown.
+	Link float64
+	// NoStore says that the sender's last read of the platform failed.
+	NoStore bool
+	// Crashes are news of requests that ran where endpoints crashed, each told once on a
+	// connection; unlike the rest of a report they do not replace what was told before.
+	Crashes []Crash
+	// Most is the most entries that the sender knew at a time lately, MostAge how long
+	// ago that was; zero says nothing.
+	Most    int
+	MostAge time.Duration
+}
+
+// ServiceDemand is what comes for a service's engines in a second.
+type ServiceDemand struct {
+	Service string
+	// Calls are generations, Tokens those of their prompts.
+	Calls, Tokens float64
+}
+
+// Published is one published entry.
+type Published struct {
+	Key      string
+	Value    []byte
+	Revision uint64
+	Removed  bool
+	// Manifest stands for a large value, which is then left out.
+	Manifest *parts.Manifest
+}
+
+// Reply answers each Report.
+type Reply struct {
+	DataCentre string
+	Members    []string
+	// Age is how old the sender's knowledge of the platform is.
+	Age time.Duration
+	// Entries are those newer than the Report's revision, if it asked.
+	Entries []Published
+	// UpTo is the revision up to which Entries are complete; 0 without.
+	UpTo uint64
+	// Link is the capacity of the sender's own link in Mbit/s, 0 if unknown.
+	Link float64
+	// NoStore says that the sender's last read of the platform failed.
+	NoStore bool
+	// Revision is that of the sender's catalog.
+	Revision uint64
+}
+
+// Crash tells of one content that an endpoint crashed under it, or that it was answered
+// whole.
+type Crash struct {
+	// Content is the digest of what a caller asked for.
+	Content uint64
+	// Endpoint crashed; empty for a whole answer.
+	Endpoint string
+	// Age is how long ago that was, Lasted how long the request had been there.
+	Age, Lasted time.Duration
+	// Ran: it had brought events there for a while.
+	Ran bool
+}
+
+// Wanted asks for parts of large values. The answer is Parts, however few of
+// them the receiver still has.
+type Wanted struct {
+	Digests []uint64
+}
+
+// Parts answers Wanted with some of the parts, packed.
+type Parts struct {
+	Packed [][]byte
+}
