A failing test: an entry judges an earlier storm by a calm rate

Cause of the test: on reading. judge takes the crash rate of the moment; what is told of a storm a minute later meets a rate without it. Ruled out: the entries that were there (the same request is not turned away by them). Figures: three crashes under a request that had run a second each among twelve others: chance above 1e-5 there, at the floor of 0.02 each (8e-6) at the newcomer, which turns it away.

--- a/poison/ledger_test.go
+++ b/poison/ledger_test.go
@@ -176,3 +176,25 @@
 	assert.LessOrEqual(t, told, 2048+3)
 	assert.True(t, l.Turned(at(10*time.Second), bad))
 }
+
+// TestInnocentOfAnEarlierStorm: engines crash one after the other, and a draft that comes
+// back is there three times; nobody turns it away. An entry that starts when the storm is
+// over is told its crashes, and must not take them for those of a calm time.
+func TestInnocentOfAnEarlierStorm(t *testing.T) {
+	const innocent = 1
+	there := newLedger()
+	now := at(0)
+	for i := range 12 {
+		now = at(time.Duration(i) * 700 * time.Millisecond)
+		there.Crashed(now, uint64(100+i), poison.Attempt{Endpoint: name(i), Lasted: time.Second})
+	}
+	for i := range 3 {
+		there.Crashed(now, innocent, poison.Attempt{Endpoint: name(i), Lasted: time.Second})
+	}
+	assert.False(t, there.Turned(now, innocent))
+	later := now.Add(time.Minute)
+	newcomer := newLedger()
+	words, _ := there.News(later, 0)
+	newcomer.Hear(later, words)
+	assert.False(t, newcomer.Turned(later, innocent))
+}
