Daemons take signals before they read their settings

Callers saw: an entry that was just starting was gone, and came back only with the next start. Cause: the handlers were set when the process began to serve; until then the runtime ends it on SIGHUP and SIGTERM. Ruled out: the soak's own faults (the history has the SIGHUP 40 ms after the start). Change: each daemon's command catches both kinds before anything else; a SIGHUP that comes before serving is a reload right after the start, a SIGTERM ends the process with 0 before it listens. Why it holds: a caught signal waits in its channel until serve looks at it. What remains is the time until the program's own first lines, in which no program can catch anything.

--- a/cmd/ebonypulley/daemon.go
+++ b/cmd/ebonypulley/daemon.go
@@ -41,18 +41,40 @@
 	return log, nil
 }
 
+// caught are the signals that a daemon takes, from before it reads its settings.
+//
+// A signal that no handler takes ends the process at once. It shows as every request in
+// progress cut off, or as an entry that does not come back after a start.
+type caught struct {
+	hangups, drains chan os.Signal
+}
+
+// catchSignals begins to take signals; one of each kind waits until it is looked at.
+func catchSignals() *caught {
+	c := &caught{hangups: make(chan os.Signal, 1), drains: make(chan os.Signal, 1)}
+	signal.Notify(c.hangups, syscall.SIGHUP)
+	signal.Notify(c.drains, drainSignals...)
+	return c
+}
+
+func (c *caught) stop() {
+	signal.Stop(c.hangups)
+	signal.Stop(c.drains)
+}
+
 // serve runs a daemon until it ends; SIGTERM drains it, and it reads its
 // settings file again on SIGHUP or when the file has changed.
-//
-// A SIGHUP that no handler takes ends the process at
-// once. It shows as every request in progress cut off.
-func serve(ctx context.Context, d ebonypulley.Daemon, log *event.Log, debug, file string) error {
+func serve(ctx context.Context, d ebonypulley.Daemon, log *event.Log, signals *caught, debug, file string) error {
 	defer log.Sync()
+	defer signals.stop()
+	select {
+	case <-signals.drains:
+		log.Emit(event.Stopped)
+		return nil
+	default:
+	}
 	g := ebonypulley.NewGroup(ctx)
-	hangups := make(chan os.Signal, 1)
-	signal.Notify(hangups, syscall.SIGHUP)
-	defer signal.Stop(hangups)
-	g.Go(func(ctx context.Context) error { return reloadLoop(ctx, d, log, hangups, file) })
+	g.Go(func(ctx context.Context) error { return reloadLoop(ctx, d, log, signals.hangups, file) })
 	if debug != "" {
 		g.Go(func(ctx context.Context) error {
 			if err := serveDebug(ctx, debug); err != nil {
@@ -61,14 +83,11 @@
 			return nil
 		})
 	}
-	signals := make(chan os.Signal, 1)
-	signal.Notify(signals, drainSignals...)
-	defer signal.Stop(signals)
 	g.Go(func(ctx context.Context) error {
 		select {
 		case <-ctx.Done():
 			return nil
-		case <-signals:
+		case <-signals.drains:
 			return d.Drain(ctx)
 		}
 	})
@@ -166,7 +185,7 @@
 }
 
 // daemonCommand makes the command of one role.
-func daemonCommand(name, usage string, defaults func() any, run func(ctx context.Context, file string, log *event.Log) error) *cli.Command {
+func daemonCommand(name, usage string, defaults func() any, run func(ctx context.Context, file string, log *event.Log, signals *caught) error) *cli.Command {
 	return &cli.Command{
 		Name:        name,
 		Usage:       usage,
@@ -180,11 +199,12 @@
 			if file == "" {
 				return errorx.IllegalArgument.New("--settings FILE is needed; see --print-defaults")
 			}
+			signals := catchSignals()
 			log, err := newLog(cmd)
 			if err != nil {
 				return err
 			}
-			return run(ctx, file, log)
+			return run(ctx, file, log, signals)
 		},
 	}
 }
@@ -201,7 +221,7 @@
 func entryCommand() *cli.Command {
 	return daemonCommand("entry", "serve callers on an entry VM",
 		func() any { return settings.DefaultEntry() },
-		func(ctx context.Context, file string, log *event.Log) error {
+		func(ctx context.Context, file string, log *event.Log, signals *caught) error {
 			set, err := settings.Entry(file)
 			if err != nil {
 				return err
@@ -209,14 +229,14 @@
 			warnPlainText(log, set.Listen)
 			e := entry.New(set, log, nil)
 			metrics.Publish("entry", func() any { return e.Stats() })
-			return serve(ctx, e, log, set.Debug, file)
+			return serve(ctx, e, log, signals, set.Debug, file)
 		})
 }
 
 func agentCommand() *cli.Command {
 	return daemonCommand("agent", "gate the endpoint on this VM",
 		func() any { return settings.DefaultAgent() },
-		func(ctx context.Context, file string, log *event.Log) error {
+		func(ctx context.Context, file string, log *event.Log, signals *caught) error {
 			set, err := settings.Agent(file)
 			if err != nil {
 				return err
@@ -224,14 +244,14 @@
 			warnPlainText(log, set.Listen)
 			a := agent.New(set, log, nil)
 			metrics.Publish("agent", func() any { return a.Stats() })
-			return serve(ctx, a, log, set.Debug, file)
+			return serve(ctx, a, log, signals, set.Debug, file)
 		})
 }
 
 func standinCommand() *cli.Command {
 	return daemonCommand("standin", "stand in for an engine, a plain service or a service of the platform",
 		func() any { return settings.DefaultStandin() },
-		func(ctx context.Context, file string, log *event.Log) error {
+		func(ctx context.Context, file string, log *event.Log, signals *caught) error {
 			set, err := settings.Standin(file)
 			if err != nil {
 				return err
@@ -240,6 +260,6 @@
 			if err != nil {
 				return err
 			}
-			return serve(ctx, &standin.Server{Listen: set.Listen, Handler: h}, log, "", file)
+			return serve(ctx, &standin.Server{Listen: set.Listen, Handler: h}, log, signals, "", file)
 		})
 }
--- a/cmd/ebonypulley/daemon_test.go
+++ b/cmd/ebonypulley/daemon_test.go
@@ -41,7 +41,7 @@
 	file := filepath.Join(t.TempDir(), "settings.jsonc")
 	require.NoError(t, os.WriteFile(file, []byte("{}"), 0o600))
 	ended := make(chan error, 1)
-	go func() { ended <- serve(ctx, d, event.Nop(), "", file) }()
+	go func() { ended <- serve(ctx, d, event.Nop(), catchSignals(), "", file) }()
 	time.Sleep(50 * time.Millisecond) // the handler stands
 	require.NoError(t, syscall.Kill(os.Getpid(), syscall.SIGHUP))
 	reloaded(t, d)
@@ -61,7 +61,7 @@
 	defer func() { _ = ln.Close() }()
 	ctx, cancel := context.WithCancel(t.Context())
 	ended := make(chan error, 1)
-	go func() { ended <- serve(ctx, &reloadable{}, event.Nop(), ln.Addr().String(), "") }()
+	go func() { ended <- serve(ctx, &reloadable{}, event.Nop(), catchSignals(), ln.Addr().String(), "") }()
 	select {
 	case err := <-ended:
 		t.Fatalf("it ended: %v", err)
--- a/cmd/ebonypulley/platform.go
+++ b/cmd/ebonypulley/platform.go
@@ -34,6 +34,7 @@
 	if file == "" {
 		return errorx.IllegalArgument.New("--settings FILE or --settings-env NAME is needed; see --print-defaults")
 	}
+	signals := catchSignals()
 	log, err := newLog(cmd)
 	if err != nil {
 		return err
@@ -45,5 +46,5 @@
 	e := platform.New(set, log)
 	e.ReadSettings = func() (platform.Settings, error) { return settings.PlatformEntry(file) }
 	metrics.Publish("entry", func() any { return e.Metrics().Snapshot() })
-	return serve(ctx, e, log, set.Metrics, file)
+	return serve(ctx, e, log, signals, set.Metrics, file)
 }
