--- /dev/null
+++ b/router/limit_test.go
@@ -0,0 +1,43 @@
+package router_test
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"ebonypulley/quota"
+	"ebonypulley/router"
+)
+
+// TestGenerationAtTheLimit: all engines are at the limit that they name, and a caller that is
+// refused for it alone is told to come back before any of them takes a request.
+func TestGenerationAtTheLimit(t *testing.T) {
+	for range 10 { // some are admitted by chance
+		synctest.Test(t, refuseAtTheLimit)
+	}
+}
+
+func refuseAtTheLimit(t *testing.T) {
+	list := []*router.Endpoint{engine("d1", router.Decode), engine("d2", router.Decode)}
+	r := newRouter(&fakeEndpoints{}, list...)
+	r.SetEntries(1)
+	for _, e := range list {
+		r.Notice(e, router.Notice{Asked: time.Now(), Limit: router.RequestLimit{Named: true, PerSecond: 0.01}})
+	}
+	var fail *router.Failure
+	for range 10 {
+		if _, fail = r.Generate(t.Context(), newCall(draftRoute, llm), new(fakeSink)); fail != nil {
+			break
+		}
+	}
+	require.NotNil(t, fail)
+	assert.Equal(t, router.NotRun, fail.Why)
+	room := time.Hour
+	for _, e := range list {
+		room = min(room, r.Quotas().Take(time.Now(), quota.EndpointID(e.ID), 0).Wait)
+	}
+	assert.GreaterOrEqual(t, fail.Retry, room)
+}
