A generation refused for limits hears when one of them has room

Callers saw: Retry-After of 2 to 4 s though no engine takes anything for tens of seconds, so that they come back to be refused again. Cause: plain calls kept the wait of endpoints at their limit, generations did not; two places knew how long a service is closed. Ruled out: the wait that the ledger reckons (plain calls used it). Change: closedLeft, one function for both: zero if any endpoint takes work, else until the first does, by its own word or its limit. A plain call that finds one endpoint full and another at its limit hears the usual time now. Why it holds: what is left out of a choice for its limit is the very list that the answer is reckoned from.

--- a/router/generate.go
+++ b/router/generate.go
@@ -23,12 +23,11 @@
 
 // generationRun is one generation, over as many attempts as are safe.
 type generationRun struct {
-	r     *Router
-	c     *Call
-	sink  Sink
-	tried map[string]bool
-	// limited are endpoints at the limit that they name, with until when.
-	limited map[string]time.Time
+	r       *Router
+	c       *Call
+	sink    Sink
+	tried   map[string]bool
+	limited atLimit
 	// after is the number of the last event delivered, or that the caller
 	// came with.
 	after int64
@@ -81,7 +80,7 @@
 }
 
 func (r *Router) generate(ctx context.Context, c *Call, sink Sink) (*Answer, *Failure) {
-	g := &generationRun{r: r, c: c, sink: sink, tried: make(map[string]bool), limited: make(map[string]time.Time), after: c.Resume}
+	g := &generationRun{r: r, c: c, sink: sink, tried: make(map[string]bool), limited: make(atLimit), after: c.Resume}
 	g.late = g.lateness()
 	if !g.late.again && !g.late.begun {
 		r.loads.Arrived(c.Began, c.Service, c) // those that come back came before
--- a/router/late.go
+++ b/router/late.go
@@ -109,8 +109,8 @@
 	if least+spread > most {
 		least, spread = max(most-spread, most/2), min(spread, most/2)
 	}
-	quiet := g.r.quietLeft(time.Now(), g.c.Service.Name, Decode)
-	return quiet + g.r.jitter(least, max(spread, time.Millisecond))
+	closed := g.r.closedLeft(time.Now(), g.c.Service.Name, Decode, g.limited)
+	return closed + g.r.jitter(least, max(spread, time.Millisecond))
 }
 
 // lateness reckons with the time that the caller has spent before, and with the
--- a/router/notice.go
+++ b/router/notice.go
@@ -91,19 +91,3 @@
 	}
 	return d.without(r.leaving)
 }
-
-// quietLeft is how long all endpoints of a service and role still want nothing, zero if
-// one takes work.
-func (r *Router) quietLeft(now time.Time, service string, role Role) time.Duration {
-	var least time.Duration
-	for _, e := range r.Directory().Endpoints(service, role) {
-		left := r.loads.quietLeft(now, e.ID)
-		if left <= 0 {
-			return 0
-		}
-		if least == 0 || left < least {
-			least = left
-		}
-	}
-	return least
-}
--- a/router/permit.go
+++ b/router/permit.go
@@ -32,6 +32,25 @@
 	return &permit{quotas: r.quotas, id: id, open: v.Counted}, 0
 }
 
+// atLimit holds endpoints that take no request within the limit that they name, with until when.
+type atLimit map[string]time.Time
+
+// closedLeft is how long all endpoints of a service and role still take nothing, because they
+// said so or are at their limits; zero if one takes work.
+func (r *Router) closedLeft(now time.Time, service string, role Role, limited atLimit) time.Duration {
+	var least time.Duration
+	for _, e := range r.Directory().Endpoints(service, role) {
+		left := max(r.loads.quietLeft(now, e.ID), limited[e.ID].Sub(now))
+		if left <= 0 {
+			return 0
+		}
+		if least == 0 || left < least {
+			least = left
+		}
+	}
+	return least
+}
+
 // sent uses the permit, unless an attempt that ended with err did not reach the endpoint.
 func (p *permit) sent(err error) {
 	if p != nil && !errorx.IsOfType(err, ErrUnreachable) {
--- a/router/place.go
+++ b/router/place.go
@@ -72,7 +72,7 @@
 	// tried endpoints are left out.
 	tried map[string]bool
 	// limited endpoints are left out until a time.
-	limited map[string]time.Time
+	limited atLimit
 	// kept is a result that only needs a decode endpoint; or nil.
 	kept *Result
 	// warm is an engine that probably still caches the prompt; or nil.
--- a/router/plain.go
+++ b/router/plain.go
@@ -36,11 +36,9 @@
 	ran    bool    // an attempt may have run
 	failed *Answer // an endpoint's own failure, delivered if nothing better comes
 	// next is the endpoint of the next attempt with its permit, if it is chosen already.
-	next   *Endpoint
-	permit *permit
-	// limitWait is how long until an endpoint that was left out for its limit takes a
-	// request; zero if there was none.
-	limitWait time.Duration
+	next    *Endpoint
+	permit  *permit
+	limited atLimit
 }
 
 // Call serves a plain call: it returns the answer, or why it was given up.
@@ -54,7 +52,7 @@
 }
 
 func (r *Router) call(ctx context.Context, c *Call) (*Answer, *Failure) {
-	run := &plainRun{r: r, c: c, tried: make(map[string]bool)}
+	run := &plainRun{r: r, c: c, tried: make(map[string]bool), limited: make(atLimit)}
 	r.budget(c.Service.Name).First(c.Began)
 	for unreachable := 0; ; {
 		a, err := run.attempt(ctx)
@@ -112,11 +110,10 @@
 	return true
 }
 
-// pick returns an endpoint that takes the call within its limit, or nil. One that does not
-// is left out for the rest of the call.
+// pick returns an endpoint that takes the call within its limit, or nil.
 func (p *plainRun) pick(now time.Time) *Endpoint {
 	for {
-		e := p.r.pickPlain(now, p.c, p.tried)
+		e := p.r.pickPlain(now, p.c, p.tried, p.limited)
 		if e == nil {
 			return nil
 		}
@@ -125,10 +122,7 @@
 			p.permit = permit
 			return e
 		}
-		p.tried[e.ID] = true
-		if p.limitWait == 0 || wait < p.limitWait {
-			p.limitWait = wait
-		}
+		p.limited[e.ID] = now.Add(wait)
 	}
 }
 
@@ -250,8 +244,8 @@
 // retry is when a refused call may come back.
 func (p *plainRun) retry() time.Duration {
 	call := float64(p.r.loads.CallTime(p.c.Service.Name, p.c.Route.Target).Mean)
-	quiet := p.r.quietLeft(time.Now(), p.c.Service.Name, Plain)
-	return max(quiet, p.limitWait) + p.r.jitter(time.Duration(plainRetry*call), max(time.Duration(plainRetrySpread*call), time.Millisecond))
+	closed := p.r.closedLeft(time.Now(), p.c.Service.Name, Plain, p.limited)
+	return closed + p.r.jitter(time.Duration(plainRetry*call), max(time.Duration(plainRetrySpread*call), time.Millisecond))
 }
 
 // failCalls is the delay that a certain failure is worth in the choice of an
@@ -268,12 +262,12 @@
 // A few slots before many callers, with endpoints that
 // are slow, fail a part or hang. Expected time counts work under way of all
 // entries, so that a slow endpoint gets its share and no more.
-func (r *Router) pickPlain(now time.Time, c *Call, tried map[string]bool) *Endpoint {
+func (r *Router) pickPlain(now time.Time, c *Call, tried map[string]bool, limited atLimit) *Endpoint {
 	var best *Endpoint
 	var bestCost float64
 	usual := float64(r.loads.CallTime(c.Service.Name, c.Route.Target).Mean)
 	for _, e := range r.Directory().Endpoints(c.Service.Name, Plain) {
-		if tried[e.ID] || r.loads.quietLeft(now, e.ID) > 0 {
+		if tried[e.ID] || now.Before(limited[e.ID]) || r.loads.quietLeft(now, e.ID) > 0 {
 			continue
 		}
 		cost := r.plainCost(now, e, usual)
