Answers wait in the entry for callers that read slowly

Callers saw: an answer that begins late or ends in the middle, since the entry gave its engine up while the caller itself took nothing; engines saw a question every second, a second generation of the same prompt, and blame. Cause: events were handed to the caller by the goroutine that reads the engine, and the watch of the engine ran on meanwhile. Ruled out: stopping the watch alone: the engine's answer would still remain unread. Change: up to 64 kB of events wait for a caller while its engine is read on; the watch rests while a full caller is waited for; an answer counts as given when the caller has it. Behind gates of our own the agent holds the tokens, as before. Why it holds: reading an engine no longer depends on its caller within the bound; beyond it nothing is concluded from a silence that is ours. 300 slow callers hold 19 MB at most.

--- a/router/generate.go
+++ b/router/generate.go
@@ -31,8 +31,9 @@
 	// after is the number of the last event delivered, or that the caller
 	// came with.
 	after int64
-	// begun: the caller has the head.
+	// begun: the caller has the head; out hands it the events from then on.
 	begun bool
+	out   *delivery
 	// runs counts the attempts that may have run.
 	runs     int
 	refusals int
@@ -93,12 +94,16 @@
 	for {
 		before := g.after
 		err := g.attempt(ctx)
+		if err == nil {
+			err = g.delivered()
+		}
 		if err == nil {
 			g.answered()
 			return nil, nil
 		}
 		g.progress = g.after != before
 		if !g.again(ctx, err) {
+			_ = g.delivered() // what broke the answer says why it ends
 			return g.end(ctx, err)
 		}
 		r.metrics.Add("generation_attempts_again", 1)
@@ -110,6 +115,14 @@
 	}
 }
 
+// delivered waits until the caller has what came so far.
+func (g *generationRun) delivered() error {
+	if g.out == nil {
+		return nil
+	}
+	return g.out.finish()
+}
+
 // answered records a generation that the caller has whole.
 func (g *generationRun) answered() {
 	g.r.crashes.Served(time.Now(), g.c.Content)
--- a/router/run.go
+++ b/router/run.go
@@ -1,6 +1,7 @@
 package router
 
 import (
+	"context"
 	"io"
 	"time"
 
@@ -29,7 +30,7 @@
 }
 
 // stream delivers events until the whole end.
-func (u *run) stream(s Stream) error {
+func (u *run) stream(ctx context.Context, s Stream) error {
 	g := u.g
 	if a := s.Failed(); a != nil {
 		g.failed = a
@@ -46,10 +47,12 @@
 		if u.givenUp() {
 			return ErrLost.New("the first event came after the attempt was given up")
 		}
-		u.heard()
-		if err := g.deliver(s, ev, u.at); err != nil {
+		u.first()
+		u.w.rest()
+		if err := g.deliver(ctx, s, ev, u.at); err != nil {
 			return err
 		}
+		u.heard()
 	}
 }
 
@@ -63,7 +66,6 @@
 
 // heard notes an event.
 func (u *run) heard() {
-	u.first()
 	u.prompt.End()
 	u.work.Grow(Load{KV: u.g.c.stride()})
 	if u.g.mayFollow() {
--- a/router/stream.go
+++ b/router/stream.go
@@ -111,7 +111,7 @@
 	if err == nil {
 		defer s.Close()
 		at = time.Now() // the head tells that it runs
-		err = run.stream(s)
+		err = run.stream(ctx, s)
 	}
 	run.lost()
 	if ctx.Err() == nil || w.verdict() == gone {
@@ -179,14 +179,14 @@
 
 // deliver hands on an event that the caller does not have: numbers decide,
 // never arrival, because an endpoint may repeat some after a resume.
-func (g *generationRun) deliver(s Stream, ev Event, at *Endpoint) error {
+func (g *generationRun) deliver(ctx context.Context, s Stream, ev Event, at *Endpoint) error {
 	if ev.Number != NoNumber && ev.Number <= g.after {
 		return nil
 	}
 	if err := g.begin(s); err != nil {
 		return err
 	}
-	if err := g.sink.Event(ev); err != nil {
+	if err := g.put(ctx, ev); err != nil {
 		return err
 	}
 	g.paced(ev, at)
@@ -196,6 +196,17 @@
 	return nil
 }
 
+// put hands an event to the caller. Behind gates it waits there while the caller is slow.
+func (g *generationRun) put(ctx context.Context, ev Event) error {
+	if g.r.gated() {
+		return g.sink.Event(ev)
+	}
+	if g.out == nil {
+		g.out = newDelivery(g.sink)
+	}
+	return g.out.put(ctx, ev)
+}
+
 // paced records the time between two events, for each number that they are
 // apart: the time between tokens where events are numbered by them.
 func (g *generationRun) paced(ev Event, at *Endpoint) {
--- a/router/watch.go
+++ b/router/watch.go
@@ -111,6 +111,17 @@
 	w.timer.Reset(l.suspect)
 }
 
+// rest stops the watch until the next sign of life is told.
+func (w *watch) rest() {
+	if w == nil {
+		return
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.turn++
+	w.timer.Stop()
+}
+
 // stop ends the watch.
 func (w *watch) stop() {
 	if w == nil {
