Callers that come back are sought at a few engines, drawn by what they ask for

Cause: after a start of all, each entry that gets a caller who goes on asked every decode engine what it caches: entries times workers. Ruled out: sharing lists among entries (nothing is known yet), asking all more slowly. Callers without such a digest are drawn at random as before.

--- a/router/place.go
+++ b/router/place.go
@@ -125,13 +125,13 @@
 func (r *Router) place(now time.Time, c *Call, o options) (placement, bool) {
 	d := r.Directory()
 	ch := choice{c: c, m: r.loads.Engines(c.Service), promise: c.promise()}
-	decodes := r.some(ch.roomy(ch.sides(r.views(now, d.Endpoints(c.Service.Name, Decode), o)), o.fill), o.warm)
+	decodes := r.some(ch.roomy(ch.sides(r.views(now, d.Endpoints(c.Service.Name, Decode), o)), o.fill), c.Content, o.warm)
 	if len(decodes) == 0 {
 		return placement{}, false
 	}
 	var prefills []side
 	if o.kept == nil {
-		prefills = r.some(answering(ch.sides(r.views(now, d.Endpoints(c.Service.Name, Prefill), o))), nil)
+		prefills = r.some(answering(ch.sides(r.views(now, d.Endpoints(c.Service.Name, Prefill), o))), 0, nil)
 	}
 	var best way
 	for i := range decodes {
@@ -205,27 +205,44 @@
 // someOf is the number of engines of a stage that one choice looks at.
 const someOf = 8
 
-// some returns a few of the engines, drawn by chance, and the one that is
-// wanted in any case if it is there.
+// some returns a few of the engines, the first that are drawn for a content or any without one,
+// and the one that is wanted in any case if it is there.
 //
 // Many entries wait for room in a burst, and what they
 // know of each other is a tenth of a second old. When an engine has room again,
 // all see it at once and a dozen send their prompts there in the same 60 ms. The
-// best of a few drawn by chance is nearly as good, and differs between entries.
-func (r *Router) some(list []side, wanted *Endpoint) []side {
+// best of a few drawn by chance is nearly as good, and differs between callers.
+func (r *Router) some(list []side, content uint64, wanted *Endpoint) []side {
 	if len(list) <= someOf {
 		return list
 	}
-	for i := range someOf {
-		j := i + r.random(len(list)-i)
-		if wanted != nil && i == 0 {
-			j = max(slices.IndexFunc(list, func(s side) bool { return s.e.ID == wanted.ID }), 0)
+	place := 0
+	if wanted != nil {
+		if i := slices.IndexFunc(list, func(s side) bool { return s.e.ID == wanted.ID }); i >= 0 {
+			list[0], list[i] = list[i], list[0]
+			place = 1
 		}
+	}
+	if content != 0 {
+		return append(list[:place:place], firstDrawn(content, list[place:], someOf-place)...)
+	}
+	for i := place; i < someOf; i++ {
+		j := i + r.random(len(list)-i)
 		list[i], list[j] = list[j], list[i]
 	}
 	return list[:someOf]
 }
 
+// firstDrawn returns so many of the engines that are drawn first for a content.
+func firstDrawn(content uint64, list []side, n int) []side {
+	order := drawn(content, len(list), func(i int) string { return list[i].e.ID })
+	first := make([]side, 0, n)
+	for _, i := range order[:n] {
+		first = append(first, list[i])
+	}
+	return first
+}
+
 // disturbance is what a prompt that a decode engine computes itself costs the
 // streams there.
 //
