--- a/gossip/published.go
+++ b/gossip/published.go
@@ -47,7 +47,7 @@
 	living := n.members.Living(now)
 	list := make([]Candidate, 0, len(living))
 	for _, addr := range living {
-		list = append(list, Candidate{Addr: addr, Link: n.members.Link(addr), Ahead: n.revisions[addr].After(own)})
+		list = append(list, Candidate{Addr: addr, Near: n.members.where[addr] == n.self.DataCentre, Link: n.members.Link(addr), Ahead: n.revisions[addr].After(own)})
 	}
 	return list
 }
--- a/gossip/source.go
+++ b/gossip/source.go
@@ -14,6 +14,8 @@
 // Candidate is an entry that may know more than this one.
 type Candidate struct {
 	Addr string
+	// Near says that it is in the same data centre.
+	Near bool
 	// Link is the capacity of its link in Mbit/s.
 	Link float64
 	// Ahead says that its catalog is known to be newer.
@@ -37,7 +39,7 @@
 
 // Choose returns the entry to ask now, empty for none: the reader unless this
 // entry is behind all the same, then one candidate after the other, those ahead
-// and those not tried lately first, and wide links before narrow ones.
+// and those not tried lately first, near ones before far ones and wide links before narrow ones.
 func (s *Source) Choose(now time.Time, reader string, behind bool, candidates func() []Candidate) string {
 	if !behind {
 		s.addr = ""
@@ -74,11 +76,13 @@
 		}
 		return 1
 	}
-	return cmp.Or(
-		s.tried[a.Addr].Compare(s.tried[b.Addr]),
-		cmp.Compare(b.Link, a.Link),
-		cmp.Compare(a.Addr, b.Addr),
-	)
+	if tried := s.tried[a.Addr].Compare(s.tried[b.Addr]); tried != 0 || a.Near == b.Near {
+		return cmp.Or(tried, cmp.Compare(b.Link, a.Link), cmp.Compare(a.Addr, b.Addr))
+	}
+	if a.Near {
+		return -1
+	}
+	return 1
 }
 
 // Progress records that an entry brought something new.
--- a/router/directory.go
+++ b/router/directory.go
@@ -84,6 +84,20 @@
 	return &out
 }
 
+// Complete reports whether each service has an endpoint that can answer.
+func (d *Directory) Complete() bool {
+	for name, s := range d.services {
+		role := Plain
+		if s.Engine != nil {
+			role = Decode
+		}
+		if len(d.Endpoints(name, role)) == 0 {
+			return false
+		}
+	}
+	return true
+}
+
 // without returns a directory without some endpoints that shares the rest.
 func (d *Directory) without(ids map[string]time.Time) *Directory {
 	var kept []*Endpoint
--- a/standin/store.go
+++ b/standin/store.go
@@ -27,6 +27,10 @@
 
 // Store stands in for the platform's store: listings, watches and an outage.
 type Store struct {
+	// Page is the number of items in one page of a listing; 0 for storePage. It is set
+	// before use.
+	Page int
+
 	mu       sync.Mutex
 	items    map[string]StoreItem
 	history  []StoreItem
@@ -133,9 +137,16 @@
 	})
 }
 
-// storePage is the number of items in one page of a listing.
+// storePage is the number of items in one page of a listing, few so that tests see several.
 const storePage = 3
 
+func (s *Store) pageSize() int {
+	if s.Page > 0 {
+		return s.Page
+	}
+	return storePage
+}
+
 func (s *Store) list(w http.ResponseWriter, r *http.Request) {
 	page, ok := s.page(r.URL.Query().Get("path_prefix"), r.URL.Query().Get("after"))
 	if !ok {
@@ -159,8 +170,8 @@
 		}
 	}
 	sort.Strings(keys)
-	more := len(keys) > storePage
-	keys = keys[:min(len(keys), storePage)]
+	more := len(keys) > s.pageSize()
+	keys = keys[:min(len(keys), s.pageSize())]
 	items := make([]StoreItem, 0, len(keys))
 	for _, k := range keys {
 		items = append(items, s.items[k])
