--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -3,6 +3,7 @@
 import (
 	"os"
 	"path/filepath"
+	"strings"
 	"testing"
 
 	"github.com/stretchr/testify/assert"
@@ -72,3 +73,13 @@
 		assert.ErrorContains(t, err, field)
 	}
 }
+
+// TestFractionalRetrySlack: an entry does not start, because the platform reckons the retries
+// that its fleet may make as a fraction.
+func TestFractionalRetrySlack(t *testing.T) {
+	text, err := settings.Format(settings.DefaultPlatformEntry())
+	require.NoError(t, err)
+	got, err := settings.PlatformEntry(write(t, strings.Replace(string(text), `"retry_slack": 50`, `"retry_slack": 36.18`, 1)))
+	require.NoError(t, err)
+	assert.InDelta(t, 36.18, float64(got.RetrySlack), 0.001)
+}
