The retry slack may be a fraction

Operators saw: an entry that does not start, with the finding '36.176 does not fit; want a whole number'. Cause: the setting was a whole number; the ledger that shares it out reckons in fractions anyway. Ruled out: the template (it hands on what the platform says). Change: retry_slack is a number that must not be below 0. Why it holds: nothing in the budget rounds it before it is shared out.

--- a/router/budget_test.go
+++ b/router/budget_test.go
@@ -77,7 +77,7 @@
 		list := []*router.Endpoint{engine("p1", router.Prefill), engine("p2", router.Prefill), engine("p3", router.Prefill),
 			engine("d1", router.Decode), engine("d2", router.Decode), engine("d3", router.Decode)}
 		start := func(restarted bool) *router.Router {
-			r := router.New(router.Settings{RetryRatio: ratio, RetryWindow: window, RetrySlack: slack, Restarted: restarted}, f, event.Nop(), metrics.NewSet())
+			r := router.New(router.Settings{RetryRatio: ratio, RetryWindow: window, RetrySlack: float64(slack), Restarted: restarted}, f, event.Nop(), metrics.NewSet())
 			r.SetDirectory(router.NewDirectory(1, 0, nil, []*router.Service{llm}, list))
 			return r
 		}
@@ -186,7 +186,7 @@
 // that sends drafts which every engine refuses, and counts the repeats.
 func refusedEverywhere(slack int, alone bool) (*router.Router, func(t *testing.T) int) {
 	f := &fakeEndpoints{generate: func(*router.Endpoint, router.Start) error { return router.ErrNotRun.New("full") }}
-	r := router.New(router.Settings{RetryWindow: slackWindow, RetrySlack: slack, Alone: alone}, f, event.Nop(), metrics.NewSet())
+	r := router.New(router.Settings{RetryWindow: slackWindow, RetrySlack: float64(slack), Alone: alone}, f, event.Nop(), metrics.NewSet())
 	list := []*router.Endpoint{engine("d1", router.Decode), engine("d2", router.Decode)}
 	r.SetDirectory(router.NewDirectory(1, 0, nil, []*router.Service{llm}, list))
 	return r, func(t *testing.T) int {
@@ -210,7 +210,7 @@
 	for slack, want := range map[int]int{1: 1, 2: 2, 3: 2, 4: 3} {
 		synctest.Test(t, func(t *testing.T) {
 			f := &fakeEndpoints{generate: func(*router.Endpoint, router.Start) error { return router.ErrLost.New("reset") }}
-			r := router.New(router.Settings{RetryWindow: slackWindow, RetrySlack: slack, Alone: true}, f, event.Nop(), metrics.NewSet())
+			r := router.New(router.Settings{RetryWindow: slackWindow, RetrySlack: float64(slack), Alone: true}, f, event.Nop(), metrics.NewSet())
 			list := []*router.Endpoint{engine("d1", router.Decode), engine("d2", router.Decode), engine("d3", router.Decode), engine("d4", router.Decode)}
 			for _, id := range []string{"p1", "p2", "p3", "p4"} {
 				list = append(list, engine(id, router.Prefill))
--- a/router/router.go
+++ b/router/router.go
@@ -24,7 +24,7 @@
 	// plus the slack.
 	RetryRatio  float64
 	RetryWindow time.Duration
-	RetrySlack  int
+	RetrySlack  float64
 	// Quota is what is tolerated beyond the limits of workspaces.
 	Quota quota.Tolerance
 	// EndpointTolerance is what is tolerated beyond the limits that endpoints name.
@@ -115,7 +115,7 @@
 func (r *Router) SetEntries(n int) { r.quotas.SetEntries(n) }
 
 // SetBudget changes the bounds of the retry budget.
-func (r *Router) SetBudget(ratio float64, window time.Duration, slack int) {
+func (r *Router) SetBudget(ratio float64, window time.Duration, slack float64) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.set.RetryRatio == ratio && r.set.RetryWindow == window && r.set.RetrySlack == slack {
@@ -139,7 +139,7 @@
 		b = r.newBudget()
 		r.budgets[service] = b
 	}
-	b.SetSlack(r.quotas.Part(time.Now(), float64(r.set.RetrySlack), r.set.RetryWindow))
+	b.SetSlack(r.quotas.Part(time.Now(), r.set.RetrySlack, r.set.RetryWindow))
 	return b
 }
 
--- a/settings/platform.go
+++ b/settings/platform.go
@@ -43,6 +43,7 @@
 		positive("grace", &s.Grace),
 		positive("retry_window", &s.RetryWindow),
 		positive("quota_window", &s.QuotaWindow),
+		notNegative("retry_slack", &s.RetrySlack),
 		notNegative("quota_overrun", &s.QuotaOverrun),
 		notNegative("quota_slack", &s.QuotaSlack),
 	)
--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -81,5 +81,5 @@
 	require.NoError(t, err)
 	got, err := settings.PlatformEntry(write(t, strings.Replace(string(text), `"retry_slack": 50`, `"retry_slack": 36.18`, 1)))
 	require.NoError(t, err)
-	assert.InDelta(t, 36.18, float64(got.RetrySlack), 0.001)
+	assert.InDelta(t, 36.18, got.RetrySlack, 0.001)
 }
