--- /dev/null
+++ b/gossip/removed_test.go
@@ -0,0 +1,42 @@
+package gossip_test
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+
+	"ebonypulley/catalog"
+	"ebonypulley/revision"
+)
+
+func count(n uint64) revision.Revision { return revision.Revision{Count: n} }
+
+// TestRemovedBeforeAListing: an endpoint leaves while the entry that reads for its data centre is
+// restarted. That one lists the store without it, and what it hands on does not say that it is
+// gone: the others send it requests for as long as they run.
+func TestRemovedBeforeAListing(t *testing.T) {
+	for _, entries := range []int{3, 700} {
+		t.Run(fmt.Sprint(entries), func(t *testing.T) {
+			ctx, cancel := context.WithCancel(t.Context())
+			defer cancel()
+			var list []catalog.Entry
+			for i := range entries {
+				list = append(list, catalog.Entry{Key: fmt.Sprint("servers/", i), Value: []byte("ready"), Revision: count(uint64(i + 1))})
+			}
+			last := uint64(entries)
+			reader, addr := startNode(t, ctx, false)
+			behind, _ := startNode(t, ctx, true, addr)
+			behind.catalog.Replace(time.Now(), list, count(last))
+			reader.catalog.Replace(time.Now(), list[1:], count(last+2))
+			assert.Eventually(t, func() bool { return behind.catalog.Revision() == count(last+2) }, 5*time.Second, 10*time.Millisecond)
+			time.Sleep(50 * time.Millisecond)
+			_, left := behind.catalog.Get(list[0].Key)
+			_, stays := behind.catalog.Get(list[1].Key)
+			assert.False(t, left)
+			assert.True(t, stays)
+		})
+	}
+}
