A listing does not hide what was removed before it

Callers and workers saw: requests at a worker 3.3 s after it said that it leaves (DRAIN), from the entries of one data centre whose reader had just been restarted. Cause: a process that lists the store never hears of removals before its listing. What it hands on to others claims to be all changes since their revision, and lacks these; they keep the entry for good. Change: a catalog knows from which revision on it has all removals; to one that asks from before that it also names the keys that there are, and the asker drops the others. Why it holds: the keys are those of the teller's revision, and only what has not changed since is dropped. An answer grows by some 20 bytes a key, once for each that asks a restarted reader.

--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -82,9 +82,13 @@
 	// not, between what a copy held and what was known before.
 	Supersedes func(key string, value, than []byte) bool
 
-	mu      sync.Mutex
-	slots   map[string]slot
-	read    revision.Revision // the store's up to which all is here
+	mu    sync.Mutex
+	slots map[string]slot
+	read  revision.Revision // the store's up to which all is here
+	// floor is the revision from which on all removals are here: those before a listing are
+	// not in it. partial says that only a part of a listing is here.
+	floor   revision.Revision
+	partial bool
 	version uint64
 	changed chan struct{}
 	// eraAt is when the era of read began here, zero for the first one.
@@ -133,6 +137,27 @@
 	return sum
 }
 
+// Part adds a part of a listing, which says nothing of what it lacks, while nothing else is here.
+func (c *Catalog) Part(now time.Time, entries []Entry) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.read.IsZero() {
+		return
+	}
+	c.partial = true
+	for _, e := range entries {
+		c.merge(now, e)
+	}
+	c.signal(len(entries) > 0)
+}
+
+// Whole reports whether everything up to Revision is here.
+func (c *Catalog) Whole() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return !c.read.IsZero() && !c.partial
+}
+
 // Merge adds entries that bring the catalog up to the store's revision upTo.
 // It returns those that were news and matter.
 func (c *Catalog) Merge(now time.Time, entries []Entry, upTo revision.Revision) []Entry {
@@ -250,15 +275,29 @@
 	for _, e := range entries {
 		listed[e.Key] = true
 	}
+	return c.Merge(now, append(c.keep(listed, upTo), entries...), upTo)
+}
+
+// Keep removes the keys that another process does not have, which knows all up to a revision.
+func (c *Catalog) Keep(now time.Time, keys []string, upTo revision.Revision) []Entry {
+	has := make(map[string]bool, len(keys))
+	for _, key := range keys {
+		has[key] = true
+	}
+	return c.Merge(now, c.keep(has, upTo), revision.Revision{})
+}
+
+// keep returns the removals of all keys but some that have not changed since a revision.
+func (c *Catalog) keep(keys map[string]bool, upTo revision.Revision) (gone []Entry) {
 	c.mu.Lock()
-	gone := make([]Entry, 0)
+	defer c.mu.Unlock()
+	c.floor, c.partial = revision.Max(c.floor, upTo), false
 	for key, s := range c.slots {
-		if !listed[key] && !s.Removed && !s.Revision.After(upTo) {
+		if !keys[key] && !s.Removed && !s.Revision.After(upTo) {
 			gone = append(gone, Entry{Key: key, Revision: upTo, Removed: true})
 		}
 	}
-	c.mu.Unlock()
-	return c.Merge(now, append(gone, entries...), upTo)
+	return gone
 }
 
 func (c *Catalog) signal(news bool) {
@@ -285,13 +324,13 @@
 
 // Since returns entries that changed in what matters after a revision, the
 // oldest changes first and removals included, and the revision up to which they
-// are all.
+// are all. Where removals before a listing are not known, keys are all that there are.
 //
 // A hundred processes start together and ask the one
 // that reads the platform for thousands of entries each. It shows as a process
 // that runs out of memory with copies of them. The guard holds because each
 // answer is bounded and the next question goes on behind it.
-func (c *Catalog) Since(after revision.Revision) (entries []Entry, upTo revision.Revision) {
+func (c *Catalog) Since(after revision.Revision) (entries []Entry, upTo revision.Revision, keys []string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	var news []slot
@@ -309,7 +348,21 @@
 	for _, s := range news {
 		entries = append(entries, s.Entry)
 	}
-	return entries, upTo
+	if c.floor.After(after) && !c.floor.After(upTo) {
+		keys = c.keys()
+	}
+	return entries, upTo, keys
+}
+
+// keys returns the keys of all entries; c.mu is held.
+func (c *Catalog) keys() []string {
+	keys := make([]string, 0, len(c.slots))
+	for key, s := range c.slots {
+		if !s.Removed {
+			keys = append(keys, key)
+		}
+	}
+	return keys
 }
 
 // cutAt returns how many of the news to hand on, about most: those of one
--- a/catalog/catalog_test.go
+++ b/catalog/catalog_test.go
@@ -80,7 +80,7 @@
 	now := time.Unix(100, 0)
 	c := catalog.New()
 	c.Merge(now, []catalog.Entry{{Key: "a", Revision: at(3)}, {Key: "b", Revision: at(6), Removed: true}}, at(7))
-	got, upTo := c.Since(at(3))
+	got, upTo, _ := c.Since(at(3))
 	assert.Equal(t, []catalog.Entry{{Key: "b", Revision: at(6), Removed: true}}, got)
 	assert.Equal(t, at(7), upTo)
 }
@@ -93,7 +93,7 @@
 	c.Same = func(a, b []byte) bool { return a[0] == b[0] }
 	c.Merge(now, []catalog.Entry{{Key: "k", Revision: at(1), Value: []byte("a1")}}, at(1))
 	assert.Empty(t, c.Merge(now, []catalog.Entry{{Key: "k", Revision: at(2), Value: []byte("a2")}}, at(2)))
-	news, upTo := c.Since(at(1))
+	news, upTo, _ := c.Since(at(1))
 	assert.Empty(t, news)
 	assert.Equal(t, at(2), upTo)
 	assert.Len(t, c.Merge(now, []catalog.Entry{{Key: "k", Revision: at(3), Value: []byte("b3")}}, at(3)), 1)
@@ -147,7 +147,7 @@
 	full.Merge(now, []catalog.Entry{{Key: "0", Revision: at(keys + 1)}}, at(keys+1))
 	rounds := 0
 	for full.Revision().After(other.Revision()) {
-		part, upTo := full.Since(other.Revision())
+		part, upTo, _ := full.Since(other.Revision())
 		assert.LessOrEqual(t, len(part), 300)
 		other.Merge(now, part, upTo)
 		rounds++
--- a/catalog/era_test.go
+++ b/catalog/era_test.go
@@ -122,11 +122,11 @@
 	from.Merge(now, first, at(9))
 	to.Merge(now, first, at(9))
 	from.Replace(now, []catalog.Entry{{Key: "a", Value: []byte("1b"), Revision: second(1)}, {Key: "b", Value: []byte("2"), Revision: second(3)}}, second(3))
-	news, upTo := from.Since(to.Revision())
+	news, upTo, _ := from.Since(to.Revision())
 	to.Merge(now, news, upTo)
 	later := now.Add(10 * time.Second)
 	to.Merge(later, nil, upTo)
 	assert.Equal(t, entriesAt(from, later), entriesAt(to, later))
-	back, _ := to.Since(at(9))
+	back, _, _ := to.Since(at(9))
 	assert.Len(t, back, 2, "and hands it on in turn")
 }
--- a/gossip/published.go
+++ b/gossip/published.go
@@ -87,8 +87,8 @@
 
 // publish adds to a reply what is newer than a revision, large values by manifest.
 func (n *Node) publish(reply *wire.Reply, after revision.Revision) {
-	entries, upTo := n.catalog.Since(after)
-	reply.Era, reply.UpTo = upTo.Era, upTo.Count
+	entries, upTo, keys := n.catalog.Since(after)
+	reply.Era, reply.UpTo, reply.Keys = upTo.Era, upTo.Count, keys
 	for _, e := range entries {
 		p := wire.Published{Key: e.Key, Value: e.Value, Revision: e.Revision.Count, Removed: e.Removed}
 		if len(e.Value) >= largeValue {
@@ -207,6 +207,9 @@
 	n.Metrics.Add("published_bytes_in", int64(f.bytes))
 	took := now.Sub(f.began)
 	news := n.catalog.Merge(now, entries, f.reply.CompleteTo())
+	if f.reply.Keys != nil {
+		news = append(news, n.catalog.Keep(now, f.reply.Keys, f.reply.At())...)
+	}
 	n.Heard(f.reply.Age + took)
 	if len(news) == 0 {
 		return
--- a/wire/report.go
+++ b/wire/report.go
@@ -127,6 +127,9 @@
 	// Centres and Links are as in Report.
 	Centres []string
 	Links   []float64
+	// Keys are those of all published entries at Revision, if the sender does not know all
+	// that was removed before Entries; nil otherwise.
+	Keys []string
 }
 
 // At returns the revision of the sender's catalog.
