Entries count and log what they send to each other; a script tells times to reach all

Cause: what the fleet spends on itself could only be reckoned, and how long a change takes to reach all entries only be read off by hand. Change: messages and bytes by kind (reports, replies, parts) in the metrics and once a minute in event 6024; scripts/reached reads the logs of all entries.

--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -82,7 +82,9 @@
 	EndpointLeaving    = define(6021, zap.InfoLevel, "endpoint says that it leaves")
 	KeyRefused         = define(6022, zap.InfoLevel, "a caller without a published key is turned away")
 	EndpointLimited    = define(6023, zap.InfoLevel, "endpoint names another limit, or none any more")
-	DirectoryChanged   = define(6006, zap.InfoLevel, "published directory changed")
+	// TrafficBetweenEntries is logged once a minute.
+	TrafficBetweenEntries = define(6024, zap.InfoLevel, "sent to other entries in the last minute")
+	DirectoryChanged      = define(6006, zap.InfoLevel, "published directory changed")
 )
 
 // Events of the platform's adapter: 7xxx.
--- a/gossip/node.go
+++ b/gossip/node.go
@@ -94,6 +94,7 @@
 	g := ebonypulley.NewGroup(ctx)
 	g.Go(n.manage)
 	g.Go(n.tell)
+	g.Go(n.tellTraffic)
 	g.Go(func(ctx context.Context) error {
 		wire.Accept(ctx, ln, n.log, func(nc net.Conn) { go n.accept(ctx, nc) })
 		return nil
@@ -109,10 +110,10 @@
 	_ = c.Serve(ctx, func(m wire.Message) {
 		switch m := m.(type) {
 		case *wire.Report:
-			_ = c.Send(n.answer(m, !introduced))
+			n.reply(c, "replies", n.answer(m, !introduced))
 			introduced = true
 		case *wire.Wanted:
-			_ = c.Send(n.handOn(m))
+			n.reply(c, "parts", n.handOn(m))
 		}
 	})
 }
