A process completes a part of a listing itself if others can't

Cause: an entry of the landed version hands on no keys; one that had a part of a listing took its word as enough to go on by, and would have kept what was removed in between. Ruled out: among entries of this version (keys always come with the word that crosses the teller's listing). Evidence: TestPartIsNotWhole. Conclusion: for rolls from the landed version only.

--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -158,6 +158,13 @@
 	return !c.read.IsZero() && !c.partial
 }
 
+// Partial reports whether a part of a listing is here that nobody completed yet.
+func (c *Catalog) Partial() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.partial
+}
+
 // Merge adds entries that bring the catalog up to the store's revision upTo.
 // It returns those that were news and matter.
 func (c *Catalog) Merge(now time.Time, entries []Entry, upTo revision.Revision) []Entry {
--- a/catalog/floor_test.go
+++ b/catalog/floor_test.go
@@ -107,3 +107,22 @@
 		}
 	}
 }
+
+// TestPartIsNotWhole: a process that has a part of a listing takes what an entry of an earlier
+// version tells for all, and keeps what was removed in between.
+func TestPartIsNotWhole(t *testing.T) {
+	at := func(n uint64) revision.Revision { return revision.Revision{Count: n} }
+	now := time.Unix(1000, 0)
+	c := catalog.New()
+	c.Part(now, []catalog.Entry{{Key: "gone", Value: []byte("v"), Revision: at(1)}})
+	c.Merge(now, []catalog.Entry{{Key: "a", Value: []byte("v"), Revision: at(3)}}, at(5))
+	assert.False(t, c.Whole())
+	c.Keep(now, []string{"a"}, at(5))
+	assert.True(t, c.Whole())
+	_, gone := c.Get("gone")
+	_, there := c.Get("a")
+	assert.False(t, gone)
+	assert.True(t, there)
+	c.Part(now, []catalog.Entry{{Key: "gone", Value: []byte("v"), Revision: at(1)}})
+	assert.True(t, c.Whole())
+}
