--- a/router/delivery_test.go
+++ b/router/delivery_test.go
@@ -10,15 +10,19 @@
 	"ebonypulley/router"
 )
 
-// slowSink is a caller that takes its first event after a while.
+// slowSink is a caller that takes its first event after a while, or is gone then.
 type slowSink struct {
 	fakeSink
 	after time.Duration
+	gone  error
 }
 
 func (s *slowSink) Event(e router.Event) error {
 	time.Sleep(s.after)
 	s.after = 0
+	if s.gone != nil {
+		return s.gone
+	}
 	return s.fakeSink.Event(e)
 }
 
@@ -46,8 +50,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		f := &fakeEndpoints{events: 60, pause: 50 * time.Millisecond}
 		r := newRouter(f, engine("p", router.Prefill), engine("d", router.Decode))
-		s := &slowSink{after: time.Second}
-		s.fail = router.ErrCaller.New("gone")
+		s := &slowSink{after: time.Second, gone: router.ErrCaller.New("gone")}
 		began := time.Now()
 		_, fail := r.Generate(t.Context(), newCall(draftRoute, llm), s)
 		if assert.NotNil(t, fail) {
