Restarted entries that do not know the fleet yet reckon with many

cause: an entry divides a limit by the entries that it knows. Entries that are restarted together hear of each other step by step, so that each group of them takes itself for the whole fleet and uses the whole limit; what a group used before it met another is charged by nobody. An entry that restarts alone is told by those that have counted that the number is whole (Counted in reports and first replies).

--- a/gossip/link.go
+++ b/gossip/link.go
@@ -142,6 +142,7 @@
 		switch m := m.(type) {
 		case *wire.Reply:
 			n.hear(time.Now(), l.addr, m.DataCentre, Way{Link: m.Link, NoStore: m.NoStore}, membersOf(m.Members, m.Centres, m.Links))
+			n.hearMost(time.Now(), m.Most, m.MostAge, m.Counted)
 			n.heardRevision(l.addr, m.At())
 			n.takePublished(l.addr, m, c)
 		case *wire.Parts:
--- a/gossip/node.go
+++ b/gossip/node.go
@@ -139,7 +139,7 @@
 	n.loads.HearAvoided(now, r.From, avoided)
 	n.hearUse(now, r)
 	n.hearCrashes(now, r.Crashes, r.CrashRates)
-	n.hearMost(now, r.Most, r.MostAge)
+	n.hearMost(now, r.Most, r.MostAge, r.Counted)
 	own := n.catalog.Revision()
 	reply := &wire.Reply{
 		DataCentre: n.self.DataCentre, Age: n.Age(),
@@ -147,6 +147,8 @@
 	}
 	if first {
 		reply.Members, reply.Centres, reply.Links = n.names(now, introductionMost)
+		reply.Most, reply.MostAge = n.most(now)
+		reply.Counted = n.Quotas.Counted(now)
 	}
 	if r.Behind && !own.IsZero() && !r.At().After(own) && n.mayAnswer(now, r.From, r.At(), own) {
 		n.publish(reply, r.At())
@@ -190,11 +192,16 @@
 	return addrs, centres, links
 }
 
-// hearMost takes what another entry says of the most entries that there were.
-func (n *Node) hearMost(now time.Time, most int, age time.Duration) {
+// hearMost takes what another entry says of the most entries that there were, and whether it
+// takes them for all.
+func (n *Node) hearMost(now time.Time, most int, age time.Duration, counted bool) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	n.members.LearnMost(now, most, age)
+	if counted && most > 0 {
+		n.Entries(n.members.most)
+		n.Quotas.Confirm()
+	}
 }
 
 // most returns the most entries that there were lately, and how long ago.
--- a/gossip/report.go
+++ b/gossip/report.go
@@ -169,6 +169,7 @@
 	if v.names > 0 {
 		r.Members, r.Centres, r.Links = n.names(now, v.names)
 		r.Most, r.MostAge = n.most(now)
+		r.Counted = n.Quotas.Counted(now)
 	}
 	frame, err := wire.AppendFrame(nil, r)
 	if err != nil {
--- a/quota/news.go
+++ b/quota/news.go
@@ -143,7 +143,7 @@
 // announce begins to tell of an account that uses a good part of its limit, and goes on while
 // it does; l.mu is held.
 func (l *Ledger) announce(now time.Time, a *account) {
-	part := a.full.Rate / float64(max(l.fleetSize, 1))
+	part := a.full.Rate / float64(max(l.census.assumed(), 1))
 	if a.recent.perSecond(now) < announceShare*part {
 		return
 	}
@@ -186,7 +186,7 @@
 	pace := u.pace
 	beyond := u.follow(now, word)
 	limit, limited := l.limitOf(word.Workspace)
-	if !limited || l.fleetSize <= 0 {
+	if !limited || l.census.unknown() {
 		return
 	}
 	a := l.account(now, word.Workspace, limit)
--- a/quota/part.go
+++ b/quota/part.go
@@ -15,12 +15,12 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	newcomer := now.Sub(l.set.Started) < window
-	alone := l.set.Alone && l.peak <= 1
+	alone := l.set.Alone && l.census.peak <= 1
 	switch {
 	case alone && !(l.set.Restarted && newcomer):
 		return total
-	case l.peak == 0 || newcomer:
+	case l.census.peak == 0 || newcomer:
 		return 0
 	}
-	return total / float64(l.peak)
+	return total / float64(l.census.peak)
 }
--- a/quota/quota.go
+++ b/quota/quota.go
@@ -113,9 +113,7 @@
 	stated            map[ID]*stated
 	accounts          map[ID]*account
 	peers             map[string]*peer
-	// fleetSize is the most entries that there were lately, zero while that is unknown, and
-	// peak the most that it ever was.
-	fleetSize, peak int
+	census            census
 	// reachable is the number of entries heard at counted, this one included.
 	reachable int
 	counted   time.Time
@@ -143,6 +141,7 @@
 	set.Tolerance = set.Tolerance.withDefaults()
 	return &Ledger{
 		set: set, endpointTolerance: set.EndpointTolerance.withoutBurst(statedBurst),
+		census: newCensus(set.Restarted && !set.Alone),
 		limits: make(map[ID]Limit), stated: make(map[ID]*stated), accounts: make(map[ID]*account), peers: make(map[string]*peer),
 		rnd: rand.New(rand.NewPCG(set.Seed, set.Seed)),
 	}
@@ -168,7 +167,7 @@
 func (l *Ledger) SetEntries(fleetSize int) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.fleetSize, l.peak = fleetSize, max(fleetSize, l.peak)
+	l.census.set(fleetSize)
 }
 
 // account is this entry's replica of a workspace's bucket, and its own use.
@@ -183,6 +182,8 @@
 	taken, returned uint64
 	// recent is the own use of late.
 	recent fading
+	// began is when the account was made.
+	began time.Time
 	// newUntil is until when the account counts as one that began with little.
 	newUntil time.Time
 	// rest is the part of a token that was not taken from the bucket yet.
@@ -220,7 +221,7 @@
 	if !limited {
 		return Verdict{OK: true, Share: 1}
 	}
-	if l.fleetSize <= 0 {
+	if l.census.unknown() {
 		return Verdict{}
 	}
 	l.sweep(now)
@@ -269,11 +270,12 @@
 
 // account returns a workspace's account with the limit in force; l.mu is held.
 func (l *Ledger) account(now time.Time, workspace ID, limit Limit) *account {
+	l.settle(now)
 	tolerance := l.toleranceOf(limit)
 	share, depth := l.share(now, limit), tolerance.depth(limit)
 	a := l.accounts[workspace]
 	if a == nil {
-		a = &account{expected: now, bucket: rate.NewLimiter(0, 0)}
+		a = &account{began: now, expected: now, bucket: rate.NewLimiter(0, 0)}
 		l.accounts[workspace] = a
 		a.limit(now, limit, depth, share)
 		a.fill(now, l.set.Restarted)
@@ -295,7 +297,7 @@
 func (l *Ledger) share(now time.Time, limit Limit) float64 {
 	l.count(now)
 	tolerance := l.toleranceOf(limit)
-	return tolerance.share(limit, float64(l.reachable)/float64(l.fleetSize))
+	return tolerance.share(limit, float64(l.reachable)/float64(l.census.assumed()))
 }
 
 // count counts the entries heard, each countInterval; l.mu is held.
--- a/quota/restart_test.go
+++ b/quota/restart_test.go
@@ -38,11 +38,17 @@
 // playRestartedTogether sends a workspace eight times its limit. Six seconds on all entries are
 // restarted, in groups that double.
 func playRestartedTogether(entries int, l quota.Limit, doubles time.Duration) *fleet {
+	return playRestarted(entries, l, doubles, 8)
+}
+
+// playRestarted sends a workspace a multiple of its limit and restarts all entries after six
+// seconds, in groups that double in some time, or all known at once for zero.
+func playRestarted(entries int, l quota.Limit, doubles time.Duration, load float64) *fleet {
 	const step, tell, restart, last = 5 * time.Millisecond, 150 * time.Millisecond, 6 * time.Second, 16 * time.Second
 	f := newFleet(entries, l)
 	for d := time.Duration(0); d < last; d += step {
 		known := entries
-		if d >= restart {
+		if d >= restart && doubles > 0 {
 			known = min(entries, 2<<min(int((d-restart)/doubles), 10))
 		}
 		if d == restart {
@@ -56,7 +62,12 @@
 				e.SetEntries(known)
 			}
 		}
-		f.take(at(d), int(d/step*7)%entries, int(l.Rate*8*step.Seconds()))
+		f.take(at(d), int(d/step*7)%entries, int(l.Rate*load*step.Seconds()))
 	}
 	return f
 }
+
+// served returns the tokens admitted in the second after a moment.
+func (f *fleet) served(from time.Duration) float64 {
+	return float64(f.total(at(from)) - f.total(at(from+time.Second)))
+}
--- a/wire/report.go
+++ b/wire/report.go
@@ -68,6 +68,8 @@
 	// of Members; a sender that knows none leaves them out.
 	Centres []string
 	Links   []float64
+	// Counted says that the sender takes Most for the number of all entries.
+	Counted bool
 }
 
 // EndpointLimit is what an endpoint said of its limit, as in quota.Statement.
@@ -130,6 +132,10 @@
 	// Keys are those of all published entries at Revision, if the sender does not know all
 	// that was removed before Entries; nil otherwise.
 	Keys []string
+	// Most, MostAge and Counted are as in Report; zero but for the first reply on a connection.
+	Most    int
+	MostAge time.Duration
+	Counted bool
 }
 
 // At returns the revision of the sender's catalog.
