Restarted entries refuse by chance no earlier than their buckets can fill

cause: a restarted account begins with a quarter of the burst and admitted all of it for 2 s. Then the refusal by chance below half of a full bucket began at once, though a bucket that began with a quarter cannot hold half beside a load near the limit.

--- a/quota/quota.go
+++ b/quota/quota.go
@@ -24,8 +24,9 @@
 	// newcomerShare is the part of the burst that an entry starts with if it may have run
 	// before: what its predecessor admitted is unknown to it.
 	newcomerShare = 0.25
-	// newcomerTime is how long an account that began so counts as new.
-	newcomerTime = 2 * time.Second
+	// newcomerSlack is the part of the rate that a workspace leaves unused if it is to be refused
+	// nothing by an entry that started with little.
+	newcomerSlack = 0.1
 	// recentTime is the time constant of an entry's own recent use.
 	recentTime = 2 * time.Second
 	// announceShare is the part of its equal part of a workspace's rate from which on an
@@ -182,10 +183,9 @@
 	taken, returned uint64
 	// recent is the own use of late.
 	recent fading
-	// began is when the account was made.
+	// began is when the account was made, and start what its bucket held then.
 	began time.Time
-	// newUntil is until when the account counts as one that began with little.
-	newUntil time.Time
+	start float64
 	// rest is the part of a token that was not taken from the bucket yet.
 	rest float64
 	// pace is at which others are expected to use the workspace, in tokens a second, and
@@ -230,7 +230,7 @@
 	level := a.bucket.TokensAt(now)
 	v := Verdict{OK: l.admits(now, a, level), Counted: true, Level: level, Share: a.share}
 	if !v.OK {
-		v.Wait = a.wait(level)
+		v.Wait = a.wait(now, level)
 		return v
 	}
 	a.spend(now, float64(tokens))
@@ -242,18 +242,21 @@
 
 // admits decides by what a bucket holds. Below earlyShare of it requests are refused with a
 // chance that grows as it empties: were all admitted until it is empty, entries that hear of
-// each other late would admit a surge each time that it holds some again. An account that
-// began with little gives all of that; l.mu is held.
+// each other late would admit a surge each time that it holds some again; l.mu is held.
 func (l *Ledger) admits(now time.Time, a *account, level float64) bool {
-	early := a.early()
-	if level >= early || now.Before(a.newUntil) {
+	early := a.early(now)
+	if level >= early {
 		return level > 0
 	}
 	return level > l.rnd.Float64()*early
 }
 
-// early is what a bucket holds at least while it admits all.
-func (a *account) early() float64 { return earlyShare * a.depth * a.share }
+// early is what a bucket holds at least while it admits all. For one that started with little it
+// rises no faster than the bucket fills beside a load of all but newcomerSlack.
+func (a *account) early(now time.Time) float64 {
+	risen := earlyShare*a.start + newcomerSlack*a.full.Rate*now.Sub(a.began).Seconds()
+	return min(earlyShare*a.depth, risen) * a.share
+}
 
 // Return takes back what Take admitted, for a request that did not run.
 func (l *Ledger) Return(now time.Time, workspace ID, tokens int) {
@@ -332,12 +335,11 @@
 
 // fill gives a new account what it starts with: all of its bucket, or a part of the burst.
 func (a *account) fill(now time.Time, restarted bool) {
-	start := a.depth * a.share
+	a.start = a.depth
 	if restarted {
-		start = newcomerShare * a.full.Burst * a.share
-		a.newUntil = now.Add(newcomerTime)
+		a.start = newcomerShare * a.full.Burst
 	}
-	a.spend(now, a.bucket.TokensAt(now)-start)
+	a.spend(now, a.bucket.TokensAt(now)-a.start*a.share)
 }
 
 // expect takes from the bucket what others are expected to have used since it was last
@@ -384,9 +386,9 @@
 func (f *fading) perSecond(now time.Time) float64 { return f.value(now) / recentTime.Seconds() }
 
 // wait is how long until a bucket at a level admits all.
-func (a *account) wait(level float64) time.Duration {
+func (a *account) wait(now time.Time, level float64) time.Duration {
 	perSecond := a.full.Rate * a.share
-	return time.Duration(max(a.early()-level, 0) / perSecond * float64(time.Second))
+	return time.Duration(max(a.early(now)-level, 0) / perSecond * float64(time.Second))
 }
 
 // sweep forgets accounts and peers that were not used for a while; l.mu is held.
--- a/quota/restart_test.go
+++ b/quota/restart_test.go
@@ -71,3 +71,21 @@
 func (f *fleet) served(from time.Duration) float64 {
 	return float64(f.total(at(from)) - f.total(at(from+time.Second)))
 }
+
+// TestBelowTheLimitAfterARestart: all entries are restarted and know each other at once. A
+// workspace below its limit must be refused next to nothing in any second.
+func TestBelowTheLimitAfterARestart(t *testing.T) {
+	const lost = 0.02 // part of the limit
+	l := quota.Limit{Rate: 126_000, Burst: 126_000}
+	for _, entries := range []int{9, 40, 150} {
+		for _, load := range []float64{0.5, 0.7, 0.9} {
+			t.Run(fmt.Sprintf("%d entries, %.1f of the limit", entries, load), func(t *testing.T) {
+				t.Parallel()
+				f := playRestarted(entries, l, 0, load)
+				for second := 6 * time.Second; second < 16*time.Second; second += time.Second {
+					assert.GreaterOrEqual(t, f.served(second), (load-lost)*l.Rate, second)
+				}
+			})
+		}
+	}
+}
