--- a/gossip/count_test.go
+++ b/gossip/count_test.go
@@ -99,6 +99,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		n := simnet.New()
 		n.Latency = 2 * time.Millisecond
+		n.Partition("entry-0")
 		ctx, cancel := context.WithCancel(t.Context())
 		var counts [4]atomic.Int64
 		for i := range counts {
@@ -109,7 +110,6 @@
 			node.Entries = func(n int) { counts[i].Store(int64(n)) }
 			go func(ln net.Listener) { _ = node.Serve(ctx, ln) }(ln)
 		}
-		n.Partition("entry-0")
 		time.Sleep(180 * time.Millisecond)
 		n.Partition()
 		time.Sleep(500 * time.Millisecond)
