Entries that start after the store came back from a copy ask for what others kept

cause: when the store comes back from a copy, entries keep a configuration that was written after the copy's, under the revision that the copy's has in the new era. A process that starts then lists the copy's value at that very revision; nobody tells it anything, for it is not behind.

--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -9,6 +9,7 @@
 package catalog
 
 import (
+	"bytes"
 	"slices"
 	"sync"
 	"time"
@@ -57,7 +58,9 @@
 	lapsedUntil time.Time
 	// doubtUntil is until when an entry of a copy counts as removed.
 	doubtUntil time.Time
-	since      time.Time // when this process learned of it
+	// kept says that the value was kept over an older one that the store has.
+	kept  bool
+	since time.Time // when this process learned of it
 	// changed is the revision of the last change that matters.
 	changed revision.Revision
 }
@@ -194,6 +197,9 @@
 		return false // that era is over
 	}
 	old, known := c.slots[e.Key]
+	if known && e.Revision == old.Revision {
+		return c.mergeSame(now, old, e)
+	}
 	if known && !e.Revision.After(old.Revision) {
 		return false
 	}
@@ -217,6 +223,25 @@
 	return true
 }
 
+// mergeSame takes an entry with the revision of the one that is here, and reports whether it is
+// news. They differ after a copy, in which the store has an older value than entries that kept
+// theirs; c.mu is held.
+func (c *Catalog) mergeSame(now time.Time, old slot, e Entry) bool {
+	if c.Supersedes == nil || old.Removed || e.Removed || bytes.Equal(old.Value, e.Value) {
+		return false
+	}
+	newer, older := c.Supersedes(e.Key, e.Value, old.Value), c.Supersedes(e.Key, old.Value, e.Value)
+	switch {
+	case newer == older:
+		return false
+	case newer:
+		old.Value, old.since = e.Value, now
+	}
+	old.kept = true
+	c.slots[e.Key] = old
+	return newer
+}
+
 // copied reports whether an entry is what a copy of the store held, and a later one was known;
 // c.mu is held.
 //
@@ -237,7 +262,7 @@
 	if s.Removed {
 		return slot{Entry: e, doubtUntil: now.Add(doubtFor), since: now, changed: e.Revision}
 	}
-	s.Revision, s.changed = e.Revision, e.Revision
+	s.Revision, s.changed, s.kept = e.Revision, e.Revision, true
 	return s
 }
 
@@ -361,6 +386,19 @@
 	return entries, upTo, keys
 }
 
+// Kept returns some of the entries whose values were written after those that the store has at the same
+// revisions since it came back from a copy.
+func (c *Catalog) Kept() (entries []Entry) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, s := range c.slots {
+		if s.kept && len(entries) < sinceMost {
+			entries = append(entries, s.Entry)
+		}
+	}
+	return entries
+}
+
 // keys returns the keys of all entries; c.mu is held.
 func (c *Catalog) keys() []string {
 	keys := make([]string, 0, len(c.slots))
--- a/catalog/era_test.go
+++ b/catalog/era_test.go
@@ -130,3 +130,28 @@
 	back, _, _ := to.Since(at(9))
 	assert.Len(t, back, 2, "and hands it on in turn")
 }
+
+// TestKeptIsHandedOn: the store comes back from a copy with an older value, which a process that
+// starts then reads. It must take the newer one from one that kept it, in any order, and hand it on.
+func TestKeptIsHandedOn(t *testing.T) {
+	now := time.Unix(100, 0)
+	listed := []catalog.Entry{{Key: "k", Value: []byte("2"), Revision: second(5)}, {Key: "same", Value: []byte("7"), Revision: second(5)}}
+	former := newEras()
+	former.Merge(now, []catalog.Entry{{Key: "k", Value: []byte("3"), Revision: at(9)}, {Key: "same", Value: []byte("6"), Revision: at(8)}}, at(9))
+	assert.Empty(t, former.Kept())
+	former.Replace(now, listed, second(6))
+	kept := former.Kept()
+	assert.Equal(t, []catalog.Entry{{Key: "k", Value: []byte("3"), Revision: second(5)}}, kept)
+
+	after, before := newEras(), newEras()
+	after.Replace(now, listed, second(6))
+	assert.Len(t, after.Merge(now, kept, revision.Revision{}), 1)
+	before.Merge(now, kept, second(6))
+	before.Replace(now, listed, second(6))
+	for _, c := range []*catalog.Catalog{after, before} {
+		assert.Equal(t, "3", string(entries(c)["k"].Value))
+		assert.Equal(t, kept, c.Kept())
+		c.Merge(now, []catalog.Entry{{Key: "k", Value: []byte("4"), Revision: second(7)}}, second(7))
+		assert.Empty(t, c.Kept())
+	}
+}
--- a/gossip/node.go
+++ b/gossip/node.go
@@ -66,6 +66,8 @@
 	answered map[string]answered
 	index    *parts.Index
 	source   Source
+	// doubt is used by tell only.
+	doubt doubt
 	// fetch is what is fetched now, or was given up last; nil for nothing.
 	fetch *fetch
 }
@@ -153,6 +155,9 @@
 	if r.Behind && !own.IsZero() && !r.At().After(own) && n.mayAnswer(now, r.From, r.At(), own) {
 		n.publish(reply, r.At())
 	}
+	if r.Unsure && len(reply.Entries) == 0 && !r.At().IsZero() && r.Era == own.Era {
+		n.correct(reply)
+	}
 	return reply
 }
 
--- a/gossip/published.go
+++ b/gossip/published.go
@@ -5,6 +5,7 @@
 
 	"go.uber.org/zap"
 
+	"ebonypulley/catalog"
 	"ebonypulley/event"
 	"ebonypulley/revision"
 	"ebonypulley/wire"
@@ -85,10 +86,15 @@
 	return true
 }
 
-// publish adds to a reply what is newer than a revision, large values by manifest.
+// publish adds to a reply what is newer than a revision.
 func (n *Node) publish(reply *wire.Reply, after revision.Revision) {
 	entries, upTo, keys := n.catalog.Since(after)
 	reply.Era, reply.UpTo, reply.Keys = upTo.Era, upTo.Count, keys
+	n.addPublished(reply, entries)
+}
+
+// addPublished adds entries to a reply, large values by manifest.
+func (n *Node) addPublished(reply *wire.Reply, entries []catalog.Entry) {
 	for _, e := range entries {
 		p := wire.Published{Key: e.Key, Value: e.Value, Revision: e.Revision.Count, Removed: e.Removed}
 		if len(e.Value) >= largeValue {
@@ -113,7 +119,7 @@
 // takePublished takes the answer of an entry that was asked, and asks on for
 // the parts of large values.
 func (n *Node) takePublished(addr string, r *wire.Reply, c *wire.Conn) {
-	if r.UpTo == 0 || r.Era < n.catalog.Revision().Era {
+	if r.UpTo == 0 && !r.Corrects || r.Era < n.catalog.Revision().Era {
 		return // what was known in an era that is over is no news
 	}
 	n.indexOwn(r.Entries)
@@ -206,11 +212,7 @@
 	n.Metrics.Add("published_answers_in", 1)
 	n.Metrics.Add("published_bytes_in", int64(f.bytes))
 	took := now.Sub(f.began)
-	news := n.catalog.Merge(now, entries, f.reply.CompleteTo())
-	if f.reply.Keys != nil {
-		news = append(news, n.catalog.Keep(now, f.reply.Keys, f.reply.At())...)
-	}
-	n.Heard(f.reply.Age + took)
+	news := n.take(now, took, f.reply, entries)
 	if len(news) == 0 {
 		return
 	}
@@ -224,6 +226,19 @@
 		zap.Int("bytes", f.bytes), zap.Duration("took", took))
 }
 
+// take merges what an answer brought and returns what was news.
+func (n *Node) take(now time.Time, took time.Duration, r *wire.Reply, entries []catalog.Entry) []catalog.Entry {
+	if r.Corrects {
+		return n.catalog.Merge(now, entries, revision.Revision{})
+	}
+	news := n.catalog.Merge(now, entries, r.CompleteTo())
+	if r.Keys != nil {
+		news = append(news, n.catalog.Keep(now, r.Keys, r.At())...)
+	}
+	n.Heard(r.Age + took)
+	return news
+}
+
 // progress records that an entry brought something new.
 func (n *Node) progress(now time.Time, addr string) {
 	n.mu.Lock()
--- a/gossip/report.go
+++ b/gossip/report.go
@@ -54,13 +54,15 @@
 	asked := n.asked(now)
 	frames := make(map[variant][]byte)
 	news := make(map[uint64]crashNews)
-	for _, s := range n.due(now, changed, asked) {
+	for i, s := range n.due(now, changed, asked) {
 		crashes, ok := news[s.crashes]
 		if !ok {
 			crashes = n.crashNews(now, s.crashes)
 			news[s.crashes] = crashes
 		}
 		v := variant{asks: s.addr == asked, names: s.names, use: s.use && (len(use) > 0 || len(limits) > 0), crashes: s.crashes}
+		// Those that waited longest come first, so that each is asked in turn.
+		v.unsure = i == 0 && n.doubt.due(now, n.catalog.Revision())
 		if frames[v] == nil {
 			frames[v] = n.frame(now, work, use, limits, v, crashes)
 		}
@@ -75,6 +77,8 @@
 type variant struct {
 	// asks for what is published, tells what is counted over all entries.
 	asks, use bool
+	// unsure asks for corrections of what is published.
+	unsure bool
 	// names is how many members are named.
 	names int
 	// crashes is the number up to which its receiver knows them.
@@ -162,6 +166,7 @@
 		From: n.self.Addr, DataCentre: n.self.DataCentre, Incarnation: n.inc, Work: work, Avoided: n.avoided(now), Demand: n.demand(now),
 		Revision: own.Count, Era: own.Era, Behind: v.asks,
 		Link: n.self.Link, NoStore: n.NoStore(), Crashes: crashes.list, CrashRates: crashes.rates,
+		Unsure: v.unsure,
 	}
 	if v.use {
 		r.Use, r.Limits = use, limits
--- a/wire/report.go
+++ b/wire/report.go
@@ -70,6 +70,8 @@
 	Links   []float64
 	// Counted says that the sender takes Most for the number of all entries.
 	Counted bool
+	// Unsure asks for what the receiver kept when the store came back from a copy.
+	Unsure bool
 }
 
 // EndpointLimit is what an endpoint said of its limit, as in quota.Statement.
@@ -136,6 +138,9 @@
 	Most    int
 	MostAge time.Duration
 	Counted bool
+	// Corrects says that Entries were written after what the receiver has at the same
+	// revisions; UpTo is 0 then.
+	Corrects bool
 }
 
 // At returns the revision of the sender's catalog.
