--- a/gossip/published.go
+++ b/gossip/published.go
@@ -19,6 +19,10 @@
 	return n.fetch.alive(time.Now())
 }
 
+// Expects reports whether others may still tell this entry, which has waited for some time since
+// it began to list.
+func (n *Node) Expects(waited time.Duration) bool { return expects(waited, n.Reads()) }
+
 // Reads reports whether this entry reads the platform for its data centre.
 func (n *Node) Reads() bool { return n.reader(time.Now()) == n.self.Addr }
 
--- a/gossip/source.go
+++ b/gossip/source.go
@@ -6,6 +6,13 @@
 	"time"
 )
 
+const (
+	// hearWait is how long an entry that starts waits to hear of another one that reads the
+	// platform for it, and tellWait for what that one knows, before it lists all itself.
+	hearWait = 600 * time.Millisecond
+	tellWait = time.Second
+)
+
 // sourcePatience is how long an entry that is asked may bring nothing new
 // before the next one is asked: some rounds of askInterval, and several times
 // what one answer of answerBytes takes on a link of 10 Mbit/s that others use.
@@ -91,3 +98,9 @@
 		s.progress = now
 	}
 }
+
+// expects reports whether an entry that has waited for some time since it began to list is still
+// to wait for others; reads says that nobody is known to read for it.
+func expects(waited time.Duration, reads bool) bool {
+	return waited < hearWait || waited < tellWait && !reads
+}
