--- a/emulator/limit_test.go
+++ b/emulator/limit_test.go
@@ -156,6 +156,34 @@
 	}
 }
 
+// TestEndpointLimitInAnyFleet: fleets, limits, loads and failing calls drawn by chance; all entries
+// together send an endpoint more than it names, or much less.
+func TestEndpointLimitInAnyFleet(t *testing.T) {
+	t.Parallel()
+	const fleets = 60
+	for seed := range uint64(fleets) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
+			rnd := rand.New(rand.NewPCG(seed, 3))
+			entries := 3 + rnd.IntN(14)
+			limit := 0.5 + 4*rnd.Float64()
+			calls := 3 * limit * (2 + 4*rnd.Float64())
+			playLimits(t, entries, seed, func(d *limitDay) {
+				d.site.Fleet.FailPlain(2 + rnd.IntN(20))
+				d.play(calls, time.Second)
+				d.limit(limit, "p00", "p01", "p02")
+				d.play(calls, limitFrom+2*limitWindow)
+				allowed := int(limitOverrun*limit*limitWindow.Seconds()) + limitSlack
+				for _, id := range []string{"p00", "p01", "p02"} {
+					most, perSecond := d.most(id)
+					assert.LessOrEqual(t, most, allowed, "%s: %d entries, %.1f a second", id, entries, limit)
+					assert.GreaterOrEqual(t, perSecond, takenLeast*limit, "%s: %d entries, %.1f a second", id, entries, limit)
+				}
+			})
+		})
+	}
+}
+
 // TestEndpointLimitLeavesOthers: one endpoint is in need, and callers are refused though others
 // have room; or the limit is kept on when the need is over.
 func TestEndpointLimitLeavesOthers(t *testing.T) {
