--- a/standin/store.go
+++ b/standin/store.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"github.com/gorilla/mux"
+	"golang.org/x/time/rate"
 )
 
 // StoreItem is one item of a Store, or its removal.
@@ -30,6 +31,8 @@
 	// Page is the number of items in one page of a listing; 0 for storePage. It is set
 	// before use.
 	Page int
+	// Reads, if set before use, bounds the calls that are answered; those beyond get 429.
+	Reads *rate.Limiter
 
 	mu       sync.Mutex
 	items    map[string]StoreItem
@@ -123,7 +126,18 @@
 	m := mux.NewRouter()
 	m.HandleFunc("/api/kv-range", s.list).Methods(http.MethodGet)
 	m.HandleFunc("/api/kv-watch", s.watch).Methods(http.MethodGet)
-	return s.withEra(m)
+	return s.withEra(s.withRate(m))
+}
+
+// withRate refuses calls beyond the published rate.
+func (s *Store) withRate(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if s.Reads != nil && !s.Reads.Allow() {
+			w.WriteHeader(http.StatusTooManyRequests)
+			return
+		}
+		next.ServeHTTP(w, r)
+	})
 }
 
 // withEra adds the era to all answers.
