--- a/quota/stated_test.go
+++ b/quota/stated_test.go
@@ -59,3 +59,16 @@
 	assert.Positive(t, sent)
 	assert.LessOrEqual(t, sent, 12, "one in 4 s is far below what is tolerated")
 }
+
+// TestUnheardKeepsALimit: an entry that was restarted and hears nobody must not send an endpoint
+// that names a limit anything, for as many as there are may do the same; it sends to others, and
+// to this one as soon as it hears of anybody.
+func TestUnheardKeepsALimit(t *testing.T) {
+	l := quota.NewLedger(quota.Settings{EndpointTolerance: quota.Tolerance{Window: 4 * time.Second, Overrun: 0.5, Slack: 5}, Restarted: true})
+	limited, other := quota.EndpointID("limited"), quota.EndpointID("other")
+	l.HearStatements(start, []quota.Statement{{Endpoint: limited, Named: true, PerSecond: 2}})
+	assert.False(t, l.Take(start, limited, 1).OK)
+	assert.True(t, l.Take(start, other, 1).OK)
+	l.SetEntries(2)
+	assert.True(t, l.Take(start, limited, 1).OK)
+}
