--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -386,8 +386,8 @@
 	return entries, upTo, keys
 }
 
-// Kept returns some of the entries whose values were written after those that the store has at the same
-// revisions since it came back from a copy.
+// Kept returns some of the entries whose values were written after those that the store has at
+// the same revisions since it came back from a copy.
 func (c *Catalog) Kept() (entries []Entry) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
