The test of random fleets counts whole requests

cause: TestEndpointLimitInAnyFleet wanted 0.8 of a limit as a rate, of endpoints that take five or six requests in its 8 s: seed 15 (0.74 a second, 11 entries) failed twice of six runs with the race detector beside the bench, 0.592 for 0.595, which is less than one request. ruled out: entries that hold requests back: five of 4.76 requests asked for came. change: the least is the whole requests in 0.8 of the limit in those 8 s.

--- a/emulator/limit_test.go
+++ b/emulator/limit_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"strconv"
 	"sync"
@@ -160,7 +161,7 @@
 // together send an endpoint more than it names, or much less.
 func TestEndpointLimitInAnyFleet(t *testing.T) {
 	t.Parallel()
-	const fleets = 60
+	const fleets, span = 60, 2 * limitWindow
 	for seed := range uint64(fleets) {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			t.Parallel()
@@ -172,12 +173,13 @@
 				d.site.Fleet.FailPlain(2 + rnd.IntN(20))
 				d.play(calls, time.Second)
 				d.limit(limit, "p00", "p01", "p02")
-				d.play(calls, limitFrom+2*limitWindow)
+				d.play(calls, limitFrom+span)
 				allowed := int(limitOverrun*limit*limitWindow.Seconds()) + limitSlack
+				least := math.Floor(takenLeast * limit * span.Seconds()) // whole requests
 				for _, id := range []string{"p00", "p01", "p02"} {
 					most, perSecond := d.most(id)
 					assert.LessOrEqual(t, most, allowed, "%s: %d entries, %.1f a second", id, entries, limit)
-					assert.GreaterOrEqual(t, perSecond, takenLeast*limit, "%s: %d entries, %.1f a second", id, entries, limit)
+					assert.GreaterOrEqual(t, perSecond*span.Seconds(), least, "%s: %d entries, %.1f a second", id, entries, limit)
 				}
 			})
 		})
