A cautious entry tells refused callers when its caution ends

cause: an entry that was restarted with all others admits a small part of each limit until it knows how many share it, and computed the wait of refused callers from that part, though it gives back what it withheld within 1.2 s. Callers were told to come back seconds too late, in small fleets most. TestCautiousEntryTellsItsEnd failed before on this code without the change; the other tests of quota pass.

--- a/quota/census.go
+++ b/quota/census.go
@@ -60,6 +60,11 @@
 	return ends
 }
 
+// left returns how long caution lasts if the number stays, and whether there is any.
+func (c *census) left(now time.Time) (left time.Duration, cautious bool) {
+	return settleTime - now.Sub(c.changed), c.assumed() > c.size
+}
+
 // assumed is the number of entries to reckon with.
 func (c *census) assumed() int {
 	if c.cautious && c.growing && !c.counted {
@@ -91,13 +96,19 @@
 		return
 	}
 	for _, a := range l.accounts {
-		since := a.began
-		if since.Before(l.census.changed) {
-			since = l.census.changed
-		}
-		before := a.share
-		a.limit(now, a.full, a.depth, l.share(now, a.full))
-		withheld := max(a.share-before, 0) * a.full.Rate * now.Sub(since).Seconds()
+		share := l.share(now, a.full)
+		withheld := l.withheld(now, a, share)
+		a.limit(now, a.full, a.depth, share)
 		a.spend(now, -withheld)
 	}
 }
+
+// withheld returns the tokens that an account lacks since the number of entries last grew, because
+// the part of the limit in force is below another one; l.mu is held.
+func (l *Ledger) withheld(now time.Time, a *account, share float64) float64 {
+	since := a.began
+	if since.Before(l.census.changed) {
+		since = l.census.changed
+	}
+	return max(share-a.share, 0) * a.full.Rate * now.Sub(since).Seconds()
+}
--- a/quota/census_test.go
+++ b/quota/census_test.go
@@ -55,3 +55,23 @@
 	whole := f.served(6*time.Second) + f.served(7*time.Second)
 	assert.GreaterOrEqual(t, whole, 0.8*l.Rate, "tokens in the two seconds after the restart")
 }
+
+// TestCautiousEntryTellsItsEnd: an entry that admits little until it knows the fleet must not tell
+// refused callers to come back by that little, long after it admits all again.
+func TestCautiousEntryTellsItsEnd(t *testing.T) {
+	f := newFleet(2, limit)
+	f.restart(0, true)
+	newcomer, other := f.entries[0], f.entries[1]
+	hear := func(now time.Time) { newcomer.Hear(now, other.name, quota.Incarnation{1}, nil) }
+	newcomer.SetEntries(2)
+	hear(start)
+	assert.True(t, newcomer.Take(start, workspace, 9000).OK)
+	refused := newcomer.Take(start, workspace, 9000)
+	assert.False(t, refused.OK)
+	assert.LessOrEqual(t, refused.Wait, 1500*time.Millisecond)
+	for d := time.Duration(0); d < refused.Wait; d += 100 * time.Millisecond {
+		hear(at(d))
+	}
+	hear(start.Add(refused.Wait))
+	assert.True(t, newcomer.Take(start.Add(refused.Wait+time.Millisecond), workspace, 9000).OK)
+}
--- a/quota/quota.go
+++ b/quota/quota.go
@@ -230,7 +230,7 @@
 	level := a.bucket.TokensAt(now)
 	v := Verdict{OK: l.admits(now, a, level), Counted: true, Level: level, Share: a.share}
 	if !v.OK {
-		v.Wait = a.wait(now, level)
+		v.Wait = l.wait(now, a, level)
 		return v
 	}
 	a.spend(now, float64(tokens))
@@ -244,18 +244,19 @@
 // chance that grows as it empties: were all admitted until it is empty, entries that hear of
 // each other late would admit a surge each time that it holds some again; l.mu is held.
 func (l *Ledger) admits(now time.Time, a *account, level float64) bool {
-	early := a.early(now)
+	early := a.early(now, a.share)
 	if level >= early {
 		return level > 0
 	}
 	return level > l.rnd.Float64()*early
 }
 
-// early is what a bucket holds at least while it admits all. For one that started with little it
-// rises no faster than the bucket fills beside a load of all but newcomerSlack.
-func (a *account) early(now time.Time) float64 {
+// early is what a bucket of a part of the limit holds at least while it admits all. For one that
+// started with little it rises no faster than the bucket fills beside a load of all but
+// newcomerSlack.
+func (a *account) early(now time.Time, share float64) float64 {
 	risen := earlyShare*a.start + newcomerSlack*a.full.Rate*now.Sub(a.began).Seconds()
-	return min(earlyShare*a.depth, risen) * a.share
+	return min(earlyShare*a.depth, risen) * share
 }
 
 // Return takes back what Take admitted, for a request that did not run.
@@ -298,9 +299,14 @@
 
 // share returns the part of a limit that is in force for the entries heard; l.mu is held.
 func (l *Ledger) share(now time.Time, limit Limit) float64 {
+	return l.shareAmong(now, limit, l.census.assumed())
+}
+
+// shareAmong returns the part of a limit for the entries heard of so many; l.mu is held.
+func (l *Ledger) shareAmong(now time.Time, limit Limit, entries int) float64 {
 	l.count(now)
 	tolerance := l.toleranceOf(limit)
-	return tolerance.share(limit, float64(l.reachable)/float64(l.census.assumed()))
+	return tolerance.share(limit, float64(l.reachable)/float64(entries))
 }
 
 // count counts the entries heard, each countInterval; l.mu is held.
@@ -385,10 +391,20 @@
 
 func (f *fading) perSecond(now time.Time) float64 { return f.value(now) / recentTime.Seconds() }
 
-// wait is how long until a bucket at a level admits all.
-func (a *account) wait(now time.Time, level float64) time.Duration {
-	perSecond := a.full.Rate * a.share
-	return time.Duration(max(a.early(now)-level, 0) / perSecond * float64(time.Second))
+// wait is how long until an account whose bucket is at a level admits all; l.mu is held.
+func (l *Ledger) wait(now time.Time, a *account, level float64) time.Duration {
+	wait := a.wait(now, level, a.share)
+	left, cautious := l.census.left(now)
+	if !cautious {
+		return wait
+	}
+	share := l.shareAmong(now, a.full, l.census.size)
+	return min(wait, max(left, a.wait(now, level+l.withheld(now, a, share), share)))
+}
+
+// wait is how long until a bucket at a level admits all with a part of the limit.
+func (a *account) wait(now time.Time, level, share float64) time.Duration {
+	return time.Duration(max(a.early(now, share)-level, 0) / (a.full.Rate * share) * float64(time.Second))
 }
 
 // sweep forgets accounts and peers that were not used for a while; l.mu is held.
