--- a/gossip/count_test.go
+++ b/gossip/count_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"net"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -19,6 +18,25 @@
 	"ebonypulley/router"
 )
 
+// startSimNode starts the node of an entry in a data centre on a network, after set has changed it,
+// and returns what ends it.
+func startSimNode(t *testing.T, n *simnet.Net, name, centre string, seeds []string, set func(*gossip.Node)) context.CancelFunc {
+	t.Helper()
+	ctx, cancel := context.WithCancel(t.Context())
+	ln, err := n.Listen(name, name+":1")
+	require.NoError(t, err)
+	self := gossip.Self{Addr: name + ":1", DataCentre: centre}
+	node := gossip.NewNode(self, seeds, router.NewLoads(), catalog.New(), event.Nop(), n.Dialer(name))
+	set(node)
+	go func() { _ = node.Serve(ctx, ln) }()
+	return cancel
+}
+
+// counting stores what a node tells of the number of entries.
+func counting(count *atomic.Int64) func(*gossip.Node) {
+	return func(node *gossip.Node) { node.Entries = func(n int) { count.Store(int64(n)) } }
+}
+
 // TestNewcomerAmongFew: more requests are repeated than the platform allows while a part of
 // the entries is cut off. One of that part is restarted meanwhile. It hears only the few
 // others there, and takes its part of the slack for one among few, though those it cannot
@@ -29,15 +47,8 @@
 		const all, left = 6, 1
 		n := simnet.New()
 		start := func(i int) (counted *atomic.Int64, end func()) {
-			ctx, cancel := context.WithCancel(t.Context())
-			name := fmt.Sprint("entry-", i)
-			ln, err := n.Listen(name, name+":1")
-			require.NoError(t, err)
-			node := gossip.NewNode(gossip.Self{Addr: name + ":1", DataCentre: "dc"}, []string{"entry-0:1"}, router.NewLoads(), catalog.New(), event.Nop(), n.Dialer(name))
 			counted = new(atomic.Int64)
-			node.Entries = func(n int) { counted.Store(int64(n)) }
-			go func(ln net.Listener) { _ = node.Serve(ctx, ln) }(ln)
-			return counted, cancel
+			return counted, startSimNode(t, n, fmt.Sprint("entry-", i), "dc", []string{"entry-0:1"}, counting(counted))
 		}
 		var ends []func()
 		for i := range all {
@@ -71,22 +82,19 @@
 		synctest.Test(t, func(t *testing.T) {
 			n := simnet.New()
 			n.Latency = 2 * time.Millisecond
-			ctx, cancel := context.WithCancel(t.Context())
 			counts := make([]atomic.Int64, all)
+			seeds := []string{"entry-0:1", "entry-1:1", "entry-2:1"}
+			var ends []context.CancelFunc
 			for i := range all {
-				name := fmt.Sprint("entry-", i)
-				ln, err := n.Listen(name, name+":1")
-				require.NoError(t, err)
-				node := gossip.NewNode(gossip.Self{Addr: name + ":1", DataCentre: fmt.Sprint("dc-", i%3)}, []string{"entry-0:1", "entry-1:1", "entry-2:1"},
-					router.NewLoads(), catalog.New(), event.Nop(), n.Dialer(name))
-				node.Entries = func(n int) { counts[i].Store(int64(n)) }
-				go func(ln net.Listener) { _ = node.Serve(ctx, ln) }(ln)
+				ends = append(ends, startSimNode(t, n, fmt.Sprint("entry-", i), fmt.Sprint("dc-", i%3), seeds, counting(&counts[i])))
 			}
 			time.Sleep(700 * time.Millisecond)
 			for i := range counts {
 				assert.EqualValues(t, all, counts[i].Load())
 			}
-			cancel()
+			for _, end := range ends {
+				end()
+			}
 			n.Close()
 			time.Sleep(time.Minute)
 		})
@@ -100,15 +108,10 @@
 		n := simnet.New()
 		n.Latency = 2 * time.Millisecond
 		n.Partition("entry-0")
-		ctx, cancel := context.WithCancel(t.Context())
 		var counts [4]atomic.Int64
+		var ends []context.CancelFunc
 		for i := range counts {
-			name := fmt.Sprint("entry-", i)
-			ln, err := n.Listen(name, name+":1")
-			require.NoError(t, err)
-			node := gossip.NewNode(gossip.Self{Addr: name + ":1", DataCentre: "dc"}, []string{"entry-0:1"}, router.NewLoads(), catalog.New(), event.Nop(), n.Dialer(name))
-			node.Entries = func(n int) { counts[i].Store(int64(n)) }
-			go func(ln net.Listener) { _ = node.Serve(ctx, ln) }(ln)
+			ends = append(ends, startSimNode(t, n, fmt.Sprint("entry-", i), "dc", []string{"entry-0:1"}, counting(&counts[i])))
 		}
 		time.Sleep(180 * time.Millisecond)
 		n.Partition()
@@ -116,7 +119,9 @@
 		for i := range counts {
 			assert.EqualValues(t, len(counts), counts[i].Load())
 		}
-		cancel()
+		for _, end := range ends {
+			end()
+		}
 		n.Close()
 		time.Sleep(time.Minute)
 	})
