--- a/standin/worker.go
+++ b/standin/worker.go
@@ -36,6 +36,8 @@
 	// Limit is what it says in each answer that it takes, in requests a second; empty for
 	// nothing.
 	Limit string
+	// Load, if set, returns what each answer says of its load.
+	Load func() string
 	// RefuseResults makes it refuse prompts that were computed elsewhere.
 	RefuseResults bool
 
@@ -63,6 +65,9 @@
 	if k.Limit != "" {
 		w.Header().Set("Server-Limit", k.Limit)
 	}
+	if k.Load != nil {
+		w.Header().Set("Server-Load", k.Load())
+	}
 	switch {
 	case r.Header.Get("Expect-Instance") != k.ID:
 		w.Header().Set("Instance-Id", k.ID)
