A simulated fleet of which a process failed says so

That is what a fleet looks like whose group ended because one process returned an error; the test threw that error away. Conclusion: open; the next failure names the process.

--- a/cmd/ebonypulley/demo.go
+++ b/cmd/ebonypulley/demo.go
@@ -67,7 +67,7 @@
 	if err != nil {
 		return err
 	}
-	defer f.Stop()
+	defer func() { _ = f.Stop() }() // it logs its error
 	readyCtx, cancel := context.WithTimeout(ctx, readyTimeout)
 	defer cancel()
 	if err := f.Ready(readyCtx); err != nil {
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -104,7 +104,7 @@
 	}
 	for _, s := range plan.Standins {
 		if err := f.startStandin(s); err != nil {
-			f.Stop()
+			_ = f.Stop() // the error that is returned comes first
 			return nil, err
 		}
 	}
@@ -279,10 +279,13 @@
 	return runs
 }
 
-// Stop ends all processes at once.
-func (f *Fleet) Stop() {
+// Stop ends all processes at once. It logs and returns the error of one that failed before, which
+// ended the others.
+func (f *Fleet) Stop() error {
 	f.group.Stop()
-	if err := f.group.Wait(); err != nil {
+	err := f.group.Wait()
+	if err != nil {
 		f.log.Emit(event.Stopped, event.Err(err))
 	}
+	return err
 }
