The address of a listener of the simulated network is free before its process ends

Close told Accept first and freed the address after; a process that ended in between had a successor that found its address in use, which is an error of the fleet's group and ended all its processes: no entry takes connections, no process has the newest generation. Ruled out: agents and entries that return an error after a drain or a stop (each loop of theirs returns nil then, by reading). Change: the address is freed first. Conclusion: a fault of the stand-in network, not of the product.

--- a/internal/simnet/simnet.go
+++ b/internal/simnet/simnet.go
@@ -83,18 +83,25 @@
 	}
 }
 
+// Close implements net.Listener. The address is free before Accept returns, because a process may
+// end with that and its successor listen at once.
 func (l *listener) Close() error {
 	l.once.Do(func() {
+		l.net.release(l)
 		close(l.closed)
-		l.net.mu.Lock()
-		defer l.net.mu.Unlock()
-		if l.net.listeners[l.addr] == l {
-			delete(l.net.listeners, l.addr)
-		}
 	})
 	return nil
 }
 
+// release lets others listen on the address of a listener.
+func (n *Net) release(l *listener) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.listeners[l.addr] == l {
+		delete(n.listeners, l.addr)
+	}
+}
+
 type address string
 
 func (a address) Network() string { return "sim" }
