--- a/gossip/node.go
+++ b/gossip/node.go
@@ -12,11 +12,14 @@
 	"ebonypulley/catalog"
 	"ebonypulley/event"
 	"ebonypulley/metrics"
+	"ebonypulley/pace"
 	"ebonypulley/parts"
 	"ebonypulley/poison"
 	"ebonypulley/quota"
+	"ebonypulley/returns"
 	"ebonypulley/revision"
 	"ebonypulley/router"
+	"ebonypulley/share"
 	"ebonypulley/wire"
 )
 
@@ -54,6 +57,11 @@
 	Crashes *poison.Detector
 	// Quotas holds the use of workspaces, which entries share.
 	Quotas *quota.Ledger
+	// Paces, Shares and Returns hold the load that endpoints say they have, the demand for
+	// services whose room is short, and the returns promised to refused callers.
+	Paces   *pace.Tracker
+	Shares  *share.Table
+	Returns *returns.Calendar
 
 	mu          sync.Mutex
 	members     *Members
@@ -79,6 +87,7 @@
 		Behind: func() bool { return false }, StoreFailed: func() bool { return false }, OnFleetSize: func(int) {},
 		CatalogAge: func() time.Duration { return 0 }, OnReceive: func(time.Duration) {},
 		Metrics: metrics.NewSet(), Crashes: poison.NewDetector(), Quotas: quota.NewLedger(quota.Settings{}),
+		Paces: pace.NewTracker(), Shares: share.NewTable(), Returns: returns.NewCalendar(),
 		members: NewMembers(self.Addr, self.DataCentre, seeds), links: make(map[string]*link),
 		revisions: make(map[string]revision.Revision), eraAnswers: make(map[string]eraAnswer), index: parts.NewIndex(),
 	}
@@ -141,6 +150,7 @@
 	}
 	n.loads.MergeAvoided(now, r.From, avoided)
 	n.mergeUse(now, r)
+	n.mergePressure(now, r)
 	n.mergeCrashes(now, r.Crashes, r.CrashRates)
 	n.learnMaxEntries(now, r.Most, r.MostAge, r.Counted)
 	own := n.catalog.Revision()
--- a/gossip/report.go
+++ b/gossip/report.go
@@ -170,6 +170,7 @@
 	if v.use {
 		r.Use, r.Limits = use, limits
 	}
+	n.addPressure(now, r)
 	if v.members > 0 {
 		r.Members, r.Centres, r.Links = n.membersToList(now, v.members)
 		r.Most, r.MostAge = n.maxEntries(now)
--- /dev/null
+++ b/queue/queue.go
@@ -0,0 +1,195 @@
+// Package queue orders the requests that wait in one process for room at the endpoints of one
+// service. It is a state machine without I/O: it decides who is next, not whether there is room.
+package queue
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"time"
+
+	"ebonypulley/quota"
+)
+
+// Order is the order in which waiting requests are served.
+type Order uint8
+
+const (
+	// ByUrgency serves first the rest of answers that have begun, then by rank, then by fair
+	// share among workspaces, then by the time left to the target.
+	ByUrgency Order = iota + 1
+	// ByDeadline serves requests by the time left to their target, then by rank. Those that
+	// can no longer meet it come after all that can.
+	ByDeadline
+)
+
+// Request is a request that waits. Its fields must not change while it does.
+type Request struct {
+	// Rank is the urgency, 0 being the most urgent.
+	Rank int
+	// Begun says that the caller has received a part of the answer.
+	Begun bool
+	// Workspace is the caller's workspace, zero without one.
+	Workspace quota.ID
+	// Cost is the expected use of the service, in tokens of engine time or in calls.
+	Cost float64
+	// StartBy is the latest start with which the request meets its target, GiveUpAt the time
+	// from which on a start is of no use.
+	StartBy, GiveUpAt time.Time
+
+	addedAt time.Time
+	number  uint64
+	// finishTag is the virtual time at which a fair schedule would have served the request.
+	finishTag float64
+}
+
+// Queue holds the waiting requests of a service. It is not safe for concurrent use.
+type Queue struct {
+	order    Order
+	requests []*Request
+	added    uint64
+	// virtualTime is the start tag of the last request served, and lastFinish the finish tag
+	// of the last request of each workspace.
+	virtualTime float64
+	lastFinish  map[quota.ID]float64
+}
+
+// New returns an empty queue.
+func New(order Order) *Queue {
+	return &Queue{order: order, lastFinish: make(map[quota.ID]float64)}
+}
+
+// Add adds a request.
+func (q *Queue) Add(now time.Time, r *Request) {
+	q.added++
+	r.number, r.addedAt = q.added, now
+	r.finishTag = max(q.virtualTime, q.lastFinish[r.Workspace]) + r.Cost
+	q.lastFinish[r.Workspace] = r.finishTag
+	q.requests = append(q.requests, r)
+}
+
+// Len returns the number of requests that wait.
+func (q *Queue) Len() int { return len(q.requests) }
+
+// Remove removes a request that is refused or whose caller is gone. It reports whether the
+// request was waiting.
+func (q *Queue) Remove(r *Request) bool {
+	i := slices.Index(q.requests, r)
+	if i < 0 {
+		return false
+	}
+	q.requests = slices.Delete(q.requests, i, i+1)
+	q.forgetIdle()
+	return true
+}
+
+// Start removes a request that starts, and charges its workspace for it.
+func (q *Queue) Start(r *Request) {
+	q.virtualTime = max(q.virtualTime, r.finishTag-r.Cost)
+	q.Remove(r)
+}
+
+// forgetIdle drops the state of all workspaces once nothing waits.
+func (q *Queue) forgetIdle() {
+	if len(q.requests) > 0 {
+		return
+	}
+	q.virtualTime = 0
+	clear(q.lastFinish)
+}
+
+// Waiting returns the requests in the order in which they are to be served. The caller must
+// not modify the list.
+func (q *Queue) Waiting(now time.Time) []*Request {
+	slices.SortFunc(q.requests, func(a, b *Request) int { return q.compare(now, a, b) })
+	return q.requests
+}
+
+func (q *Queue) compare(now time.Time, a, b *Request) int {
+	if q.order == ByDeadline {
+		return cmp.Or(compareBool(now.After(a.StartBy), now.After(b.StartBy)), a.StartBy.Compare(b.StartBy),
+			cmp.Compare(a.Rank, b.Rank), cmp.Compare(a.number, b.number))
+	}
+	return cmp.Or(compareBool(!a.Begun, !b.Begun), cmp.Compare(a.Rank, b.Rank), cmp.Compare(a.finishTag, b.finishTag),
+		a.StartBy.Compare(b.StartBy), cmp.Compare(a.number, b.number))
+}
+
+// compareBool orders false before true.
+func compareBool(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case b:
+		return -1
+	}
+	return 1
+}
+
+// Expired returns the requests for which a start is of no use any more. They stay in the
+// queue.
+func (q *Queue) Expired(now time.Time) []*Request {
+	var list []*Request
+	for _, r := range q.requests {
+		if !now.Before(r.GiveUpAt) {
+			list = append(list, r)
+		}
+	}
+	return list
+}
+
+// NextChange returns when the order changes or a request expires without any request being
+// added or removed, or zero if never.
+func (q *Queue) NextChange(now time.Time) time.Time {
+	next := time.Time{}
+	for _, r := range q.requests {
+		for _, at := range []time.Time{r.StartBy, r.GiveUpAt} {
+			if at.After(now) && (next.IsZero() || at.Before(next)) {
+				next = at
+			}
+		}
+	}
+	return next
+}
+
+// Level is what waits of one rank.
+type Level struct {
+	Rank     int
+	Requests int
+	Cost     float64
+	// Oldest is how long the first of them has waited.
+	Oldest time.Duration
+}
+
+// Levels returns what waits by rank, the most urgent first.
+func (q *Queue) Levels(now time.Time) []Level {
+	byRank := make(map[int]Level)
+	for _, r := range q.requests {
+		l := byRank[r.Rank]
+		l.Rank = r.Rank
+		l.Requests++
+		l.Cost += r.Cost
+		l.Oldest = max(l.Oldest, now.Sub(r.addedAt))
+		byRank[r.Rank] = l
+	}
+	list := make([]Level, 0, len(byRank))
+	for _, l := range byRank {
+		list = append(list, l)
+	}
+	slices.SortFunc(list, func(a, b Level) int { return cmp.Compare(a.Rank, b.Rank) })
+	return list
+}
+
+// CostBefore returns the cost of all requests that are served before one that is not in the
+// queue yet.
+func (q *Queue) CostBefore(now time.Time, r *Request) float64 {
+	probe := *r
+	probe.number = math.MaxUint64
+	probe.finishTag = max(q.virtualTime, q.lastFinish[r.Workspace]) + r.Cost
+	sum := 0.0
+	for _, other := range q.requests {
+		if q.compare(now, other, &probe) < 0 {
+			sum += other.Cost
+		}
+	}
+	return sum
+}
--- a/router/notice.go
+++ b/router/notice.go
@@ -6,6 +6,7 @@
 	"go.uber.org/zap"
 
 	"ebonypulley/event"
+	"ebonypulley/pace"
 	"ebonypulley/quota"
 )
 
@@ -24,6 +25,8 @@
 	// Limit is what the endpoint accepts from all processes together. It holds as long as
 	// the endpoint repeats it.
 	Limit RequestLimit
+	// Load is the load that the endpoint says it has, or nil if it does not say.
+	Load *pace.Load
 }
 
 // RequestLimit limits the rate of requests to an endpoint.
@@ -45,6 +48,9 @@
 		r.loads.RecordBackoff(now, e.ID, n.Backoff)
 	}
 	r.noticeLimit(now, e, n)
+	if n.Load != nil {
+		r.paces.Observe(now, e.ID, *n.Load)
+	}
 	if n.Draining && r.markDraining(now, e.ID) {
 		r.log.Emit(event.EndpointDraining, zap.String("endpoint", e.ID))
 	}
--- a/router/router.go
+++ b/router/router.go
@@ -11,8 +11,11 @@
 	"ebonypulley/event"
 	"ebonypulley/limit"
 	"ebonypulley/metrics"
+	"ebonypulley/pace"
 	"ebonypulley/poison"
 	"ebonypulley/quota"
+	"ebonypulley/returns"
+	"ebonypulley/share"
 )
 
 // Settings configure a Router.
@@ -47,6 +50,9 @@
 	loads      *LoadTracker
 	crashes    *poison.Detector
 	quotas     *quota.Ledger
+	paces      *pace.Tracker
+	shares     *share.Table
+	calendar   *returns.Calendar
 	log        *event.Log
 	metrics    *metrics.Set
 	directory  atomic.Pointer[Directory]
@@ -75,6 +81,9 @@
 			Tolerance: set.QuotaTolerance, EndpointTolerance: set.EndpointTolerance,
 			Started: time.Now(), Restarted: set.Restarted, SingleEntry: set.SingleEntry, Seed: rand.Uint64(),
 		}),
+		paces:           pace.NewTracker(),
+		shares:          share.NewTable(),
+		calendar:        returns.NewCalendar(),
 		log:             log,
 		metrics:         m,
 		budgets:         make(map[string]*limit.RetryBudget),
@@ -106,11 +115,21 @@
 	}
 	r.crashes.SetEndpoints(slices.Collect(maps.Keys(known)))
 	r.loads.Retain(func(id string) bool { return known[id] })
+	r.paces.Retain(func(id string) bool { return known[id] })
 }
 
 // Loads returns the load and health records of the endpoints.
 func (r *Router) Loads() *LoadTracker { return r.loads }
 
+// Paces returns the load that endpoints say they have.
+func (r *Router) Paces() *pace.Tracker { return r.paces }
+
+// Shares returns the demand of all entries for services whose room is short.
+func (r *Router) Shares() *share.Table { return r.shares }
+
+// Returns returns the calendar of promised returns.
+func (r *Router) Returns() *returns.Calendar { return r.calendar }
+
 // SetFleetSize sets the number of entries that share the retry budget and the limits,
 // including those that no longer report.
 func (r *Router) SetFleetSize(n int) { r.quotas.SetFleetSize(n) }
--- a/wire/report.go
+++ b/wire/report.go
@@ -75,6 +75,45 @@
 	// Unsure asks for the published entries that the receiver kept from before the store
 	// was restored from a backup.
 	Unsure bool
+	// Loads are what endpoints said of their load to the sender itself.
+	Loads []EndpointLoad
+	// Waiting is the sender's own demand for services whose room is short, by rank, and
+	// WaitingBy that of the workspaces that use most of it.
+	Waiting   []ServiceWaiting
+	WaitingBy []WorkspaceWaiting
+	// Returns are the returns that the sender promised to refused callers.
+	Returns []PromisedReturns
+}
+
+// EndpointLoad is what an endpoint said of its load, as in pace.Report.
+type EndpointLoad struct {
+	Endpoint                string
+	Running, Waiting, Slots int
+	Slowdown                float64
+	Age                     time.Duration
+}
+
+// ServiceWaiting is an entry's demand for a service, as in share.Demand.
+type ServiceWaiting struct {
+	Service          string
+	Rank             int
+	Waiting, Running float64
+	Oldest           time.Duration
+}
+
+// WorkspaceWaiting is the demand of a workspace at an entry, as in share.WorkspaceDemand.
+type WorkspaceWaiting struct {
+	Service   string
+	Workspace uint64
+	Demand    float64
+}
+
+// PromisedReturns are promised returns, as in returns.Promise.
+type PromisedReturns struct {
+	// Key is a quota.ID.
+	Key   uint64
+	First time.Duration
+	Cost  []float64
 }
 
 // EndpointLimit is a limit that an endpoint advertised, as in quota.EndpointLimit.
