Work follows the pace that endpoints say they have

Cause: endpoints on shared machines turn 2.5 times slower for 600 ms at a time and say so in their answers; the learned slowdown takes several slow answers to move, and then as long to forget.

Ruled out: taking what an endpoint says without doubt.

Change: pace.Tracker keeps for each endpoint the latest pace, fades it with the time constant that successive values show, and trusts it as far as durations follow it. View multiplies the learned slowdowns by it, and what is learned has it divided out.

--- a/pace/pace.go
+++ b/pace/pace.go
@@ -1,8 +1,14 @@
-// Package pace keeps what endpoints say of their load and of their speed at this moment, in
+// Package pace keeps what endpoints say of their load and of their pace at this moment, in
 // the answers to this process and in those to others. It is a state machine without I/O.
+//
+// A pace is how much longer work takes at an endpoint than usual. Endpoints share their
+// machines with others, so that it changes within a second. It is worth only as much as it has
+// been shown to predict: it fades as fast as successive values differ, and it counts as far as
+// observed durations followed it.
 package pace
 
 import (
+	"math"
 	"sync"
 	"time"
 )
@@ -10,13 +16,34 @@
 // Load is what an endpoint says of itself along with an answer.
 type Load struct {
 	// Running and Waiting are the requests of all callers at the endpoint, Slots the number
-	// that it runs at a time.
+	// that it runs at a time. Slots is zero if the endpoint does not say.
 	Running, Waiting, Slots int
 	// Slowdown is how much longer work takes there at this moment than usual: 1 is as usual;
 	// zero if the endpoint does not say.
 	Slowdown float64
 }
 
+const (
+	// maxAge is the age from which on a reported load is not news.
+	maxAge = time.Second
+	// maxCount bounds the counts, and maxPace the pace, of a reported load.
+	maxCount = 1 << 20
+	maxPace  = 100.0
+	// duplicateWindow is how much younger a report may seem than the same one before, by its
+	// time on the network.
+	duplicateWindow = 100 * time.Millisecond
+)
+
+// valid reports whether a load can be counted with.
+func (l Load) valid() bool {
+	for _, n := range [...]int{l.Running, l.Waiting, l.Slots} {
+		if n < 0 || n > maxCount {
+			return false
+		}
+	}
+	return l.Slowdown >= 0 && l.Slowdown <= maxPace && (l.Slots > 0 || l.Running == 0 && l.Waiting == 0)
+}
+
 // Report is the load of an endpoint as one entry tells another.
 type Report struct {
 	Endpoint string
@@ -26,26 +53,51 @@
 }
 
 // Tracker holds the latest load of each endpoint. It is safe for concurrent use.
+
 type Tracker struct {
-	mu     sync.Mutex
-	latest map[string]sample
+	mu        sync.Mutex
+	endpoints map[string]*endpoint
+	// slow describes the slow moments of all endpoints.
+	slow slowMoments
+	// news holds the endpoints whose pace is news to other processes, and since when.
+	news map[string]time.Time
+	// published reports whether an endpoint is published; nil until that is known.
+	published func(endpoint string) bool
 }
 
-type sample struct {
-	Load
-	at time.Time
-	// own says that the endpoint said so to this process.
-	own bool
+// endpoint is what is known of one endpoint.
+type endpoint struct {
+	// load is the latest load; its counts may be older than its pace and the other way round.
+	load Load
+	at   time.Time
+	series
+	trust
+	told
 }
 
 // NewTracker returns an empty tracker.
-func NewTracker() *Tracker { return &Tracker{latest: make(map[string]sample)} }
+func NewTracker() *Tracker {
+	return &Tracker{endpoints: make(map[string]*endpoint), news: make(map[string]time.Time)}
+}
 
 // Observe records what an endpoint said to this process.
-func (t *Tracker) Observe(now time.Time, endpoint string, l Load) {
+func (t *Tracker) Observe(now time.Time, id string, l Load) {
+	if !l.valid() {
+		return
+	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.latest[endpoint] = sample{Load: l, at: now, own: true}
+	e := t.endpoint(id)
+	e.setLoad(now, l)
+	if l.Slowdown == 0 {
+		return
+	}
+	t.slow.add(e.relative(l.Slowdown))
+	e.series.add(now, l.Slowdown)
+	if e.isNews(now, l.Slowdown, e.timeConstant()) {
+		e.told = told{pace: l.Slowdown, at: now}
+		t.news[id] = now
+	}
 }
 
 // Merge records what endpoints said to another process.
@@ -53,32 +105,121 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for _, r := range list {
-		at := now.Add(-r.Age)
-		if r.Age >= 0 && at.After(t.latest[r.Endpoint].at) {
-			t.latest[r.Endpoint] = sample{Load: r.Load, at: at}
+		if r.Age < 0 || r.Age > maxAge || !r.valid() || t.published != nil && !t.published(r.Endpoint) {
+			continue
+		}
+		e, at := t.endpoint(r.Endpoint), now.Add(-r.Age)
+		if r.Slots > 0 && at.After(e.at) {
+			e.setLoad(at, r.Load)
+		}
+		if r.Slowdown > 0 && e.isNewer(at, r.Slowdown) {
+			e.series.add(at, r.Slowdown)
+			e.told = told{pace: r.Slowdown, at: at}
+			delete(t.news, r.Endpoint)
 		}
 	}
 }
 
+func (t *Tracker) endpoint(id string) *endpoint {
+	e := t.endpoints[id]
+	if e == nil {
+		e = new(endpoint)
+		t.endpoints[id] = e
+	}
+	return e
+}
+
+// setLoad replaces the load, except for what the endpoint does not say this time.
+func (e *endpoint) setLoad(at time.Time, l Load) {
+	if l.Slots == 0 {
+		l.Running, l.Waiting, l.Slots = e.load.Running, e.load.Waiting, e.load.Slots
+	}
+	e.load, e.at = l, at
+}
+
+// isNewer reports whether a pace that another process reports is newer than the known one.
+func (e *endpoint) isNewer(at time.Time, pace float64) bool {
+	if !at.After(e.series.at) {
+		return false
+	}
+	return pace != e.series.pace || at.Sub(e.series.at) > duplicateWindow
+}
+
 // Latest returns the latest load of an endpoint and its age, or false if the endpoint never
 // said any.
-func (t *Tracker) Latest(now time.Time, endpoint string) (l Load, age time.Duration, ok bool) {
+func (t *Tracker) Latest(now time.Time, id string) (l Load, age time.Duration, ok bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	s, ok := t.latest[endpoint]
-	return s.Load, now.Sub(s.at), ok
+	e := t.endpoints[id]
+	if e == nil || e.at.IsZero() {
+		return Load{}, 0, false
+	}
+	return e.load, now.Sub(e.at), true
+}
+
+// Now is the pace of an endpoint at this moment, compared with its usual one.
+type Now struct {
+	// Factor is how much longer work is expected to take than it usually does there.
+	Factor float64
+	// SlowChance is the chance that the endpoint is in a slow moment, and SlowFactor how much
+	// longer work takes in one.
+	SlowChance, SlowFactor float64
+}
+
+// usualNow is the pace of an endpoint that does not say any.
+var usualNow = Now{Factor: 1, SlowFactor: 1}
+
+// At returns the pace of an endpoint, or false if it never said any.
+func (t *Tracker) At(now time.Time, id string) (Now, bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	e := t.endpoints[id]
+	if e == nil || !e.series.known() {
+		return usualNow, false
+	}
+	exponent := e.exponent()
+	n := Now{Factor: math.Pow(e.factorAt(now), exponent), SlowFactor: math.Pow(t.slow.factor(), exponent)}
+	remaining, before := e.remaining(now), t.slow.share()
+	n.SlowChance = before * (1 - remaining)
+	if isSlow(e.relative(e.series.pace)) {
+		n.SlowChance += remaining
+	}
+	return n, true
 }
 
-// Own returns what is to be reported to other processes: nothing yet.
-func (t *Tracker) Own(time.Time) []Report { return nil }
+// During returns the pace of an endpoint over a time that ends now, or false if it never
+// said any.
+func (t *Tracker) During(from, now time.Time, id string) (float64, bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	e := t.endpoints[id]
+	if e == nil || !e.series.known() {
+		return 1, false
+	}
+	return math.Pow(e.factorDuring(from, now), e.exponent()), true
+}
+
+// Learn records that work at an endpoint, which ended now, took ratio times as long as
+// expected at its usual pace. It shows how far the pace explains durations.
+func (t *Tracker) Learn(from, now time.Time, id string, ratio float64) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	e := t.endpoints[id]
+	if e == nil || !e.series.known() || !(ratio > 0) || math.IsInf(ratio, 1) {
+		return
+	}
+	e.trust.add(math.Log(e.factorDuring(from, now)), math.Log(ratio))
+}
 
 // Retain drops the endpoints that are no longer published.
 func (t *Tracker) Retain(published func(endpoint string) bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	for id := range t.latest {
+	t.published = published
+	for id := range t.endpoints {
 		if !published(id) {
-			delete(t.latest, id)
+			delete(t.endpoints, id)
+			delete(t.news, id)
 		}
 	}
 }
--- a/router/health.go
+++ b/router/health.go
@@ -85,11 +85,10 @@
 	h.recordSuccess(now)
 }
 
-// updateSlowdown updates the slowdown with an observed duration and the expected one.
-func (h *health) updateSlowdown(took, expected float64) {
-	if expected > 0 && took > 0 {
-		h.slowdown += (took/expected - h.slowdown) * sampleWeight
-	}
+// updateSlowdown updates the slowdown with the ratio of an observed duration to the expected
+// one.
+func (h *health) updateSlowdown(ratio float64) {
+	h.slowdown += (ratio - h.slowdown) * sampleWeight
 }
 
 // RecordFailure records an attempt that the endpoint answered with a failure, or whose
--- a/router/learn.go
+++ b/router/learn.go
@@ -48,7 +48,7 @@
 	h.recordSuccess(now)
 	m := l.engineModel(s)
 	m.RecordPrefill(tokens, took)
-	h.updateSlowdown(float64(took), float64(m.PrefillTime(tokens, tokens, estimate.SLO{}).Mean))
+	l.learnSlowdown(now, e.ID, took, m.PrefillTime(tokens, tokens, estimate.SLO{}).Mean)
 }
 
 // RecordGap records a gap between two events of a stream, without prefill interference,
@@ -60,7 +60,8 @@
 	m.RecordGap(streams, gap)
 	h := l.healthOf(now, e.ID)
 	if expected := m.EventGap(streams, estimate.SLO{}).Mean; expected > 0 {
-		h.stepSlowdown += (float64(gap)/float64(expected) - h.stepSlowdown) * gapWeight
+		ratio := float64(gap) / float64(expected) / l.learnPace(now, e.ID, gap, float64(gap)/(float64(expected)*h.stepSlowdown))
+		h.stepSlowdown += (ratio - h.stepSlowdown) * gapWeight
 	}
 }
 
@@ -71,7 +72,31 @@
 	defer l.mu.Unlock()
 	m := l.callModel(e.Service)
 	m.Add(float64(took))
-	l.healthOf(now, e.ID).updateSlowdown(float64(took), m.Mean(0))
+	l.learnSlowdown(now, e.ID, took, time.Duration(m.Mean(0)))
+}
+
+// learnSlowdown updates an endpoint's slowdown with an observed duration and the one expected
+// at the service's endpoints. The caller holds l.mu.
+func (l *LoadTracker) learnSlowdown(now time.Time, endpoint string, took, expected time.Duration) {
+	if expected <= 0 || took <= 0 {
+		return
+	}
+	h := l.healthOf(now, endpoint)
+	ratio := float64(took) / float64(expected)
+	factor := l.learnPace(now, endpoint, took, ratio/h.slowdown)
+	h.updateSlowdown(ratio / factor)
+}
+
+// learnPace records that work, which ended now, took ratio times as long as expected at the
+// endpoint's usual pace. It returns how much longer it took because of the pace. The caller
+// holds l.mu.
+func (l *LoadTracker) learnPace(now time.Time, endpoint string, took time.Duration, ratio float64) float64 {
+	began := now.Add(-took)
+	factor, told := l.paces.During(began, now, endpoint)
+	if told {
+		l.paces.Learn(began, now, endpoint, ratio)
+	}
+	return factor
 }
 
 // callModel returns the estimate of a service's call duration in nanoseconds. The caller
--- a/router/load.go
+++ b/router/load.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"ebonypulley/estimate"
+	"ebonypulley/pace"
 )
 
 // Load is the work in progress at one endpoint.
@@ -36,6 +37,8 @@
 	own    map[string]Load
 	peers  peerLoads
 	health map[string]*health
+	// paces holds the pace that endpoints say they have.
+	paces *pace.Tracker
 	// engineModels and callTimes hold the latency estimates of each service.
 	engineModels map[string]*estimate.EngineModel
 	callTimes    map[string]*estimate.Mean
@@ -46,7 +49,7 @@
 
 func NewLoadTracker() *LoadTracker {
 	return &LoadTracker{
-		own: make(map[string]Load), peers: newPeerLoads(), health: make(map[string]*health),
+		own: make(map[string]Load), peers: newPeerLoads(), health: make(map[string]*health), paces: pace.NewTracker(),
 		engineModels: make(map[string]*estimate.EngineModel), callTimes: make(map[string]*estimate.Mean),
 		arrivals: make(map[string]*demandRate),
 	}
@@ -132,10 +135,14 @@
 	// FailureRate is the fraction of recent attempts that failed, 0 to 1.
 	FailureRate float64
 	// Slowdown is the ratio of the endpoint's prefill or call times to those of the
-	// service as a whole.
+	// service as a whole, at its pace of this moment.
 	Slowdown float64
 	// StepSlowdown is the same ratio for decode steps.
 	StepSlowdown float64
+	// Pace is the pace of this moment, which is included in both. TellsPace says that the
+	// endpoint says it; without it the pace is as usual.
+	Pace      pace.Now
+	TellsPace bool
 	// Full says that the endpoint refused a reservation just now.
 	Full bool
 	// BackingOff says that the endpoint asked this process to send nothing for a while.
@@ -149,10 +156,17 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	v := View{Load: l.total(now, endpoint), Slowdown: 1, StepSlowdown: 1}
-	h := l.health[endpoint]
-	if h == nil {
-		return v
+	v.Pace, v.TellsPace = l.paces.At(now, endpoint)
+	if h := l.health[endpoint]; h != nil {
+		h.addTo(&v, now)
 	}
+	v.Slowdown *= v.Pace.Factor
+	v.StepSlowdown *= v.Pace.Factor
+	return v
+}
+
+// addTo adds the record to a view.
+func (h *health) addTo(v *View, now time.Time) {
 	h.decay(now)
 	v.FailureRate = h.failureRate
 	v.Slowdown = h.slowdown
@@ -160,5 +174,4 @@
 	v.BackingOff = now.Before(h.backoffUntil)
 	v.Full = now.Before(h.fullUntil)
 	v.Avoided = now.Before(h.avoidUntil) || now.Before(h.peerAvoidUntil)
-	return v
 }
--- a/router/router.go
+++ b/router/router.go
@@ -93,6 +93,7 @@
 		rnd:             rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 	}
 	r.crashes.OnBlocked = r.poisonFound
+	r.loads.paces = r.paces
 	r.directory.Store(NewDirectory(0, 0, nil, nil, nil))
 	return r
 }
