--- a/emulator/crash.go
+++ b/emulator/crash.go
@@ -69,6 +69,10 @@
 // yet.
 func (f *Fleet) startEngine(index int, role router.Role, slowdown float64) {
 	e := &engine{spec: f.spec, slowdown: slowdown, role: role, reservations: make(map[int]int), down: make(chan struct{})}
+	e.pace = func(time.Time) float64 { return 1 }
+	if m := f.slowMoments; m.Period > 0 {
+		e.pace = func(now time.Time) float64 { return m.pace(index, now) }
+	}
 	e.onCrash = func(hash uint64) { f.crashEngine(index, e, hash) }
 	f.engines[f.engineEndpoints[index].ID] = e
 }
--- a/emulator/engine.go
+++ b/emulator/engine.go
@@ -18,6 +18,8 @@
 	down    chan struct{}
 	// slowdown multiplies the duration of each step.
 	slowdown float64
+	// pace returns how much longer a step takes at a moment than usual.
+	pace func(now time.Time) float64
 
 	mu        sync.Mutex
 	role      router.Role
@@ -122,7 +124,7 @@
 		if !ok {
 			return
 		}
-		time.Sleep(time.Duration(float64(d) * e.slowdown))
+		time.Sleep(time.Duration(float64(d) * e.slowdown * e.pace(time.Now())))
 		if j := e.poisonStream(); j != nil {
 			e.onCrash(j.contentHash)
 			return
--- a/emulator/fleet.go
+++ b/emulator/fleet.go
@@ -32,6 +32,7 @@
 	// engineEndpoints holds the endpoint of each engine by index. A crashed engine keeps its
 	// endpoint until its next incarnation runs.
 	engineEndpoints []*router.Endpoint
+	slowMoments     SlowMoments
 	// poison holds the content hashes of calls that crash engines.
 	poison map[uint64]bool
 	// PlainService is nil if there is no plain service; plainEndpoints are its endpoints.
--- a/emulator/limit.go
+++ b/emulator/limit.go
@@ -103,7 +103,7 @@
 		}
 		v.mu.Unlock()
 	}
-	v.entry.Router.HandleNotice(e, router.Notice{SentAt: sentAt, Limit: limit})
+	v.entry.Router.HandleNotice(e, router.Notice{SentAt: sentAt, Limit: limit, Load: v.loadOf(e)})
 }
 
 // Call implements router.EndpointClient.
--- a/emulator/sheets_test.go
+++ b/emulator/sheets_test.go
@@ -62,6 +62,8 @@
 	sentAt time.Time
 	onTime bool
 	failed bool
+	// first is the time to the first event.
+	first time.Duration
 }
 
 // loadTest sends generations to a fleet through several routers and records their outcomes.
@@ -142,6 +144,7 @@
 		_, fail := r.Generate(d.ctx, c, s)
 		out.failed = fail != nil
 		if fail == nil {
+			out.first = s.first.Sub(out.sentAt)
 			out.onTime = s.first.Sub(out.sentAt) <= ttftTarget && s.longestGap <= maxGap
 			break
 		}
--- a/emulator/site_test.go
+++ b/emulator/site_test.go
@@ -47,9 +47,15 @@
 
 // runCluster runs fn against a cluster in which each fifth entry has a wide link.
 func runCluster(t *testing.T, entries, engines int, seed uint64, fn func(d *clusterTest)) {
+	spec := smallBatchSpec()
+	newFleet := func() *emulator.Fleet { return emulator.NewFleet(&spec, engines, engines*35/100, nil) }
+	runClusterOf(t, entries, newFleet, emulator.Workload{MeanPrompt: 5200, MeanAnswer: 780}, seed, fn)
+}
+
+// runClusterOf is runCluster with other engines and generations.
+func runClusterOf(t *testing.T, entries int, newFleet func() *emulator.Fleet, work emulator.Workload, seed uint64, fn func(d *clusterTest)) {
 	synctest.Test(t, func(t *testing.T) {
-		spec := smallBatchSpec()
-		fleet := emulator.NewFleet(&spec, engines, engines*35/100, nil)
+		fleet := newFleet()
 		cluster := emulator.NewCluster(fleet, router.Settings{RetryRatio: 0.2, RetryWindow: 10 * time.Second, RetrySlack: 176, EndpointTolerance: endpointTolerance})
 		links := make(map[string]float64)
 		for i := range entries {
@@ -62,7 +68,7 @@
 			links[e.Name] = link * bytesPerMbit
 		}
 		cluster.Net.SetBandwidth(func(process string) float64 { return links[process] })
-		d := &loadTest{ctx: t.Context(), fleet: fleet, work: emulator.Workload{MeanPrompt: 5200, MeanAnswer: 780}, rnd: rand.New(rand.NewPCG(seed, 1)), metrics: metrics.NewSet()}
+		d := &loadTest{ctx: t.Context(), fleet: fleet, work: work, rnd: rand.New(rand.NewPCG(seed, 1)), metrics: metrics.NewSet()}
 		for _, e := range cluster.Entries {
 			d.routers = append(d.routers, e.Router)
 		}
