Engines that say their pace are chosen by what they are likely to miss

Cause: placements compare mean durations. With engines of speeds 0.7, 0.7 and 1.7 that are 2.5 times slower 15% of the time, a mean hides that a slow engine misses an objective while a quick one gains little; the speed of the decode engine did not count at all.

Change: the chance of a late first event, of a gap above the objective, and the time for which memory is held are costs of engines that say their pace. Others are chosen as before.

--- a/emulator/uneven_test.go
+++ b/emulator/uneven_test.go
@@ -1,9 +1,12 @@
 package emulator_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
+	"github.com/stretchr/testify/assert"
+
 	"ebonypulley/emulator"
 )
 
@@ -12,10 +15,14 @@
 	seed uint64
 	// fraction is the load as a fraction of the engines' capacity.
 	fraction float64
-	// told makes the engines say their pace; even gives all the same speed.
-	told, even bool
+	// told makes the engines say their pace.
+	told bool
 }
 
+// chance is the part of the generations by which two runs of the same load differ: callers and
+// entries draw other random numbers in each.
+const chance = 0.02
+
 // unevenResult counts generations by how they ended.
 type unevenResult struct {
 	all, onTime, lateFirst, lateGap, failed int
@@ -30,17 +37,14 @@
 }
 
 func (u unevenLoad) run(t *testing.T) (result unevenResult) {
-	const engines = 51
+	const engines = 18
 	spec := emulator.EngineSpec{
 		Step: 3740 * time.Microsecond, StepPerStream: 81 * time.Microsecond, PrefillRate: 33.3, ChunkTokens: 1024, FirstTokenDelay: 41 * time.Millisecond,
 		KVCapacity: 26330, Slots: 64, Stride: 11, TransferSetup: 5300 * time.Microsecond, TransferRate: 880, ResultTTL: 500 * time.Millisecond, StageSwitchTime: 6 * time.Second,
 	}
 	speeds := make(map[int]float64)
 	for i := range engines {
-		speeds[i] = []float64{0.7, 0.7, 1.7}[i*7/3%3]
-	}
-	if u.even {
-		speeds = nil
+		speeds[i] = []float64{0.7, 0.7, 1.7}[i%3]
 	}
 	newFleet := func() *emulator.Fleet {
 		f := emulator.NewFleet(&spec, engines, engines*35/100, speeds)
@@ -48,7 +52,7 @@
 		return f
 	}
 	work := emulator.Workload{MeanPrompt: 3000, MeanAnswer: 700}
-	runClusterOf(t, 12, newFleet, work, u.seed, func(d *clusterTest) {
+	runClusterOf(t, 6, newFleet, work, u.seed, func(d *clusterTest) {
 		capacity, _ := spec.Capacity(engines, work)
 		rate := u.fraction * capacity
 		d.sendLoad(rate, 8*time.Second)
@@ -79,16 +83,20 @@
 }
 
 // TestUnevenEngines: engines of speeds 0.7, 0.7 and 1.7 turn 2.5 times slower for 600 ms at a
-// time, under bursts that their memory just holds. More generations must be on time than if the
-// engines didn't say so.
+// time, under bursts that fill their memory. Fewer generations must miss an objective than if
+// the engines didn't say so.
 func TestUnevenEngines(t *testing.T) {
 	t.Parallel()
-	for _, fraction := range []float64{0.5, 0.65} {
-		var without, with unevenResult
-		for seed := uint64(1); seed <= 3; seed++ {
-			without.add(unevenLoad{seed: seed, fraction: fraction}.run(t))
-			with.add(unevenLoad{seed: seed, fraction: fraction, told: true}.run(t))
-		}
-		t.Logf("at %.2f of the capacity: without %+v, with %+v", fraction, without, with)
+	for _, fraction := range []float64{0.65, 0.8} {
+		t.Run(fmt.Sprint(fraction), func(t *testing.T) {
+			t.Parallel()
+			var without, with unevenResult
+			for seed := uint64(1); seed <= 4; seed++ {
+				without.add(unevenLoad{seed: seed, fraction: fraction}.run(t))
+				with.add(unevenLoad{seed: seed, fraction: fraction, told: true}.run(t))
+			}
+			t.Logf("at %.2f of the capacity: without %+v, with %+v", fraction, without, with)
+			assert.GreaterOrEqual(t, float64(with.onTime)/float64(with.all), float64(without.onTime)/float64(without.all)-chance)
+		})
 	}
 }
--- a/pace/pace.go
+++ b/pace/pace.go
@@ -161,13 +161,17 @@
 type Now struct {
 	// Factor is how much longer work is expected to take than it usually does there.
 	Factor float64
-	// SlowChance is the chance that the endpoint is in a slow moment, and SlowFactor how much
-	// longer work takes in one.
-	SlowChance, SlowFactor float64
+	// SlowChance is the chance that the endpoint is in a slow moment. SlowFactor is how much
+	// longer work takes in one than usually, and QuickFactor the same for other moments.
+	SlowChance, SlowFactor, QuickFactor float64
+	// SlowShare is the share of the time that endpoints are in a slow moment, Lasts how long a
+	// moment lasts.
+	SlowShare float64
+	Lasts     time.Duration
 }
 
 // usualNow is the pace of an endpoint that does not say any.
-var usualNow = Now{Factor: 1, SlowFactor: 1}
+var usualNow = Now{Factor: 1, SlowFactor: 1, QuickFactor: 1}
 
 // At returns the pace of an endpoint, or false if it never said any.
 func (t *Tracker) At(now time.Time, id string) (Now, bool) {
@@ -177,10 +181,10 @@
 	if e == nil || !e.series.known() {
 		return usualNow, false
 	}
-	exponent := e.exponent()
-	n := Now{Factor: math.Pow(e.factorAt(now), exponent), SlowFactor: math.Pow(t.slow.factor(), exponent)}
-	remaining, before := e.remaining(now), t.slow.share()
-	n.SlowChance = before * (1 - remaining)
+	exponent, remaining := e.exponent(), e.remaining(now)
+	n := Now{Factor: math.Pow(e.factorAt(now), exponent), SlowFactor: math.Pow(t.slow.factor(), exponent), SlowShare: t.slow.share(), Lasts: e.timeConstant()}
+	n.QuickFactor = (1 - n.SlowShare*n.SlowFactor) / (1 - n.SlowShare)
+	n.SlowChance = n.SlowShare * (1 - remaining)
 	if isSlow(e.relative(e.series.pace)) {
 		n.SlowChance += remaining
 	}
--- a/router/place.go
+++ b/router/place.go
@@ -116,6 +116,8 @@
 	call  *Call
 	model estimate.EngineModel
 	slo   estimate.SLO
+	// left is the time until the first event is due.
+	left time.Duration
 }
 
 // place returns the placement with the lowest expected time to the first event, or false
@@ -127,7 +129,7 @@
 // without room gets nothing, because its refusal would waste the prefill.
 func (r *Router) place(now time.Time, c *Call, o placeOptions) (placement, bool) {
 	d := r.Directory()
-	pl := placer{call: c, model: r.loads.EngineModel(c.Service), slo: c.slo()}
+	pl := placer{call: c, model: r.loads.EngineModel(c.Service), slo: c.slo(), left: c.ReceivedAt.Add(c.Route.LatencyTarget).Sub(now)}
 	decodes := r.sample(pl.withRoom(pl.addCosts(r.candidates(now, d.Endpoints(c.Service.Name, Decode), o)), o.fill), c.ContentHash, o.warm)
 	if len(decodes) == 0 {
 		return placement{}, false
@@ -164,12 +166,12 @@
 		return scoredPlacement{placement{decode: dec.e, firstEvent: handoff, fill: dec.fill(pl.call)}, cost + dec.cost}
 	}
 	local := pl.localPrefill(dec.view)
-	best := scoredPlacement{placement{decode: dec.e, firstEvent: local, fill: dec.fill(pl.call), queuedTokens: dec.view.PrefillTokens}, local.Mean + dec.cost + pl.interference(dec.view, local.Mean)}
+	best := scoredPlacement{placement{decode: dec.e, firstEvent: local, fill: dec.fill(pl.call), queuedTokens: dec.view.PrefillTokens}, local.Mean + dec.cost + pl.interference(dec.view, local.Mean) + pl.lateCost(dec.view, local.Mean)}
 	for i := range prefills {
 		pre := &prefills[i]
 		handoff, cost := pl.transfer(pre.e, dec)
 		prompt := pl.prefillTime(pre.view)
-		cost += prompt.Mean + dec.cost + pre.cost
+		cost += prompt.Mean + dec.cost + pre.cost + pl.lateCost(pre.view, prompt.Mean+handoff.Mean)
 		if cost < best.cost {
 			best = scoredPlacement{placement{prefill: pre.e, decode: dec.e, prefillTime: prompt, firstEvent: prompt.Add(handoff), fill: dec.fill(pl.call), queuedTokens: pre.view.PrefillTokens}, cost}
 		}
@@ -255,8 +257,8 @@
 // all its streams are late although none of them began late.
 func (pl *placer) interference(v View, local time.Duration) time.Duration {
 	cost := time.Duration(float64(local) * interferenceFraction)
-	if gap := pl.slo.MaxGap; gap > 0 && pl.gapDuringPrefill(v, local) > gap-time.Duration(gapMargin*float64(gap)) {
-		cost += pl.targetFraction(lateStreamFraction)
+	if pl.slo.MaxGap > 0 {
+		cost += pl.targetFraction(lateStreamFraction * v.chanceAbove(pl.gapDuringPrefill(v, local), pl.gapLimit()))
 	}
 	return cost * time.Duration(v.Decodes)
 }
@@ -268,6 +270,13 @@
 	return time.Duration(v.StepSlowdown * float64(gap))
 }
 
+// gapLimit is the longest gap between two events at the engine with which the caller sees
+// none above the objective.
+func (pl *placer) gapLimit() time.Duration {
+	gap := pl.slo.MaxGap
+	return gap - time.Duration(gapMargin*float64(gap))
+}
+
 // fill returns the fraction of the endpoint's memory in use, including the call.
 func (s *candidate) fill(c *Call) float64 {
 	if c.Service.Engine == nil {
@@ -305,6 +314,9 @@
 		if v.Avoided {
 			list[i].cost += time.Duration(avoidCost)
 		}
+		if v.TellsPace {
+			list[i].cost += pl.doubt(*v, list[i].e.Role)
+		}
 	}
 	return list
 }
