Large answers are forwarded whole instead of cut at 8 MiB

Cause: readAnswer read a worker's answer through a LimitReader of 8 MiB and took its end for the end of the answer; writeAnswer then stated the cut length. A client got 8,388,608 bytes of 9 MiB as a complete 200. Change: an answer is buffered while there is memory: 8 KiB always, beyond that up to 8 MiB each and 16 MiB for all of an entry. What doesn't fit is forwarded while it arrives, with the worker's length if it states one, and the connection is aborted if it breaks off. Its connection to the worker then lives as long as the client's request (Response.Rebind), not as long as the attempt. Left: a client of HTTP/1.0 sees no difference between the end and a break of an answer whose worker stated no length; the platform speaks HTTP/1.1.

--- a/upstream/exchange.go
+++ b/upstream/exchange.go
@@ -77,7 +77,7 @@
 		req.OnConnected()
 	}
 	r := &Response{pool: p, target: t, conn: c}
-	r.unwatch = context.AfterFunc(ctx, func() { _ = c.nc.Close() })
+	r.watch(ctx)
 	hr := req.httpRequest(t)
 	if len(req.Body) <= maxInlineBody {
 		r.write(hr)
@@ -179,6 +179,20 @@
 	return n, err
 }
 
+// Rebind closes the connection when ctx ends, instead of when the context of Do ends. It
+// fails if that one has ended.
+func (r *Response) Rebind(ctx context.Context) error {
+	if !r.unwatch() {
+		return ErrLost.New("the context of the request has ended")
+	}
+	r.watch(ctx)
+	return nil
+}
+
+func (r *Response) watch(ctx context.Context) {
+	r.unwatch = context.AfterFunc(ctx, func() { _ = r.conn.nc.Close() })
+}
+
 // Close ends the exchange. The connection is kept if the body was read to its end
 // and no bytes follow it. Otherwise it is closed, which makes the endpoint stop.
 func (r *Response) Close() {
