One queue a service for generations where callers differ

Each waiting generation looked for room every 20 ms on its own, and whoever looked first took it: late ones before ones that could be on time, less urgent before urgent ones.

On a service whose routes differ in rank, or whose callers belong to workspaces, generations wait in the service's queue and try in its order when work ends, a report arrives or the directory changes, each 20 ms at the latest. The reservation's round trip is made outside of the queue, and a refused one gets its place again.

All other services poll as before.

--- a/queue/queue.go
+++ b/queue/queue.go
@@ -15,8 +15,10 @@
 type Order uint8
 
 const (
-	// ByUrgency serves first the rest of answers that have begun, then by rank, then by fair
-	// share among workspaces, then by the time left to the target.
+	// ByUrgency serves first the rest of answers that have begun, then requests that can
+	// still meet their target, then by rank, by fair share among workspaces and by the time
+	// left to the target. A rank of which far more is refused than of the others goes ahead
+	// of them.
 	ByUrgency Order = iota + 1
 	// ByDeadline serves requests by the time left to their target, then by rank. Those that
 	// can no longer meet it come after all that can.
@@ -52,15 +54,23 @@
 	// of the last request of each workspace.
 	virtualTime float64
 	lastFinish  map[quota.ID]float64
+	// outcomes holds what became of the latest requests, by rank.
+	outcomes outcomesByRank
 }
 
 // New returns an empty queue.
 func New(order Order) *Queue {
-	return &Queue{order: order, lastFinish: make(map[quota.ID]float64)}
+	return &Queue{order: order, lastFinish: make(map[quota.ID]float64), outcomes: newOutcomesByRank()}
 }
 
-// Add adds a request.
+// Add adds a request. One that had started and is added again, because its start failed, gets
+// its earlier place.
 func (q *Queue) Add(now time.Time, r *Request) {
+	if r.number > 0 {
+		q.requests = append(q.requests, r)
+		q.outcomes.undoServed(r.Rank)
+		return
+	}
 	q.added++
 	r.number, r.addedAt = q.added, now
 	r.finishTag = max(q.virtualTime, q.lastFinish[r.Workspace]) + r.Cost
@@ -78,26 +88,34 @@
 	if i < 0 {
 		return false
 	}
-	q.requests = slices.Delete(q.requests, i, i+1)
-	q.forgetIdle()
+	q.take(i)
+	q.outcomes.record(r.Rank, outcomes{lost: 1})
 	return true
 }
 
-// Start removes a request that starts, and charges its workspace for it.
-func (q *Queue) Start(r *Request) {
-	q.virtualTime = max(q.virtualTime, r.finishTag-r.Cost)
-	q.Remove(r)
+// take removes the request at an index.
+func (q *Queue) take(i int) {
+	q.requests = slices.Delete(q.requests, i, i+1)
+	if len(q.requests) == 0 {
+		clear(q.lastFinish)
+	}
 }
 
-// forgetIdle drops the state of all workspaces once nothing waits.
-func (q *Queue) forgetIdle() {
-	if len(q.requests) > 0 {
+// Start removes a request that starts, and charges its workspace for it.
+func (q *Queue) Start(r *Request) {
+	i := slices.Index(q.requests, r)
+	if i < 0 {
 		return
 	}
-	q.virtualTime = 0
-	clear(q.lastFinish)
+	q.take(i)
+	q.virtualTime = max(q.virtualTime, r.finishTag-r.Cost)
+	q.outcomes.record(r.Rank, outcomes{served: 1})
 }
 
+// Starved reports whether far fewer of the latest requests of a rank were served than of all
+// ranks.
+func (q *Queue) Starved(rank int) bool { return q.outcomes.starved[rank] }
+
 // Waiting returns the requests in the order in which they are to be served. The caller must
 // not modify the list.
 func (q *Queue) Waiting(now time.Time) []*Request {
@@ -110,7 +128,8 @@
 		return cmp.Or(compareBool(now.After(a.StartBy), now.After(b.StartBy)), a.StartBy.Compare(b.StartBy),
 			cmp.Compare(a.Rank, b.Rank), cmp.Compare(a.number, b.number))
 	}
-	return cmp.Or(compareBool(!a.Begun, !b.Begun), cmp.Compare(a.Rank, b.Rank), cmp.Compare(a.finishTag, b.finishTag),
+	return cmp.Or(compareBool(!a.Begun, !b.Begun), compareBool(now.After(a.StartBy), now.After(b.StartBy)),
+		compareBool(!q.Starved(a.Rank), !q.Starved(b.Rank)), cmp.Compare(a.Rank, b.Rank), cmp.Compare(a.finishTag, b.finishTag),
 		a.StartBy.Compare(b.StartBy), cmp.Compare(a.number, b.number))
 }
 
--- a/queue/queue_test.go
+++ b/queue/queue_test.go
@@ -58,3 +58,54 @@
 	}
 	assert.Equal(t, []*queue.Request{sooner, onTime, late}, serve(q, at(60)))
 }
+
+// TestLateUrgentBehindOnTime: under scarcity an urgent request that is late already must not
+// make a less urgent one late as well.
+func TestLateUrgentBehindOnTime(t *testing.T) {
+	q := queue.New(queue.ByUrgency)
+	urgent := &queue.Request{Rank: 0, StartBy: at(50), GiveUpAt: at(900)}
+	bulk := &queue.Request{Rank: 2, StartBy: at(400), GiveUpAt: at(900)}
+	q.Add(at(0), urgent)
+	q.Add(at(1), bulk)
+	assert.Equal(t, []*queue.Request{urgent, bulk}, q.Waiting(at(50)))
+	assert.Equal(t, []*queue.Request{bulk, urgent}, q.Waiting(at(51)))
+}
+
+// TestRefusedStartKeepsItsPlace: a request whose reservation was refused must not go behind
+// those that came after it, although the queue was empty meanwhile.
+func TestRefusedStartKeepsItsPlace(t *testing.T) {
+	q := queue.New(queue.ByUrgency)
+	first := &queue.Request{Workspace: 1, Cost: 100, StartBy: at(400), GiveUpAt: at(900)}
+	later := &queue.Request{Workspace: 2, Cost: 100, StartBy: at(400), GiveUpAt: at(900)}
+	q.Add(at(0), first)
+	q.Start(first)
+	q.Add(at(2), later)
+	q.Add(at(3), first)
+	assert.Equal(t, 3*time.Millisecond, q.Levels(at(3))[0].Oldest)
+	assert.Equal(t, []*queue.Request{first, later}, serve(q, at(3)))
+}
+
+// TestNoRankStarves: when the urgent ones alone are more than is served, the others must be
+// served at a quarter of the mean at least.
+func TestNoRankStarves(t *testing.T) {
+	q := queue.New(queue.ByUrgency)
+	var served, lost [3]float64
+	for i := range 3000 {
+		for rank := range 3 {
+			q.Add(at(i), &queue.Request{Rank: rank, Cost: 1, StartBy: at(i + 20), GiveUpAt: at(i + 20)})
+		}
+		r := q.Waiting(at(i))[0]
+		served[r.Rank]++
+		q.Start(r)
+		for _, r := range q.Expired(at(i)) {
+			lost[r.Rank]++
+			q.Remove(r)
+		}
+	}
+	mean := (served[0] + served[1] + served[2]) / 9000
+	t.Logf("served %v, lost %v", served, lost)
+	for rank := range 3 {
+		assert.GreaterOrEqual(t, served[rank]/3000, mean/4, "rank %d", rank)
+	}
+	assert.Greater(t, served[0], 2*served[1])
+}
--- a/router/admit.go
+++ b/router/admit.go
@@ -78,26 +78,43 @@
 
 // claim accounts for the memory of a placement, and reserves it if the decode endpoint is
 // nearly full. It returns false if the endpoint has no room.
+func (g *generationRun) claim(ctx context.Context, p placement) (admission, bool) {
+	a, ok := g.account(time.Now(), p)
+	if !ok {
+		return admission{}, false
+	}
+	return a, g.reserve(ctx, &a)
+}
+
+// account accounts for the memory of a placement. It returns false if an endpoint is at its
+// advertised limit.
+func (g *generationRun) account(now time.Time, p placement) (admission, bool) {
+	permits, ok := g.permit(now, p)
+	if !ok {
+		return admission{}, false
+	}
+	work := g.r.loads.Begin(p.decode.ID, Load{Decodes: 1, KVTokens: g.c.initialTokens()})
+	return admission{placement: p, permits: permits, work: work}, true
+}
+
+// reserve reserves the memory of a placement if the decode endpoint is nearly full. If the
+// endpoint has no room, it releases the placement and returns false.
 //
 // In a burst, what entries know of each other's work is some tens of milliseconds old. A
 // refusal after the prefill wastes the whole prefill, while a reservation costs one round
 // trip. No reservation is made at a warm engine, because it could evict the cached prompt
 // itself.
-func (g *generationRun) claim(ctx context.Context, p placement) (admission, bool) {
-	permits, ok := g.permit(time.Now(), p)
-	if !ok {
-		return admission{}, false
-	}
-	a := admission{placement: p, permits: permits, work: g.r.loads.Begin(p.decode.ID, Load{Decodes: 1, KVTokens: g.c.initialTokens()})}
+func (g *generationRun) reserve(ctx context.Context, a *admission) bool {
+	p := a.placement
 	if p.warm || p.fill < reserveThreshold {
-		return a, true
+		return true
 	}
 	reserveCtx, cancel := context.WithTimeout(ctx, reserveTimeout)
 	defer cancel()
 	var err error
 	a.reservation, err = g.r.endpoints.Reserve(reserveCtx, p.decode, g.c, ReserveRequest{Tokens: g.c.initialTokens(), Hold: g.holdTime(p)})
 	if err == nil {
-		return a, true
+		return true
 	}
 	a.release()
 	g.r.metrics.Add("reservations_refused", 1)
@@ -105,13 +122,13 @@
 		zap.Float64("fill", p.fill), event.Err(err))
 	if errorx.IsOfType(err, ErrNotRun) && !errorx.IsOfType(err, ErrUnreachable) {
 		g.r.loads.RecordFull(time.Now(), p.decode.ID, g.expectedFull(p.decode))
-		return a, false
+		return false
 	}
 	g.tried[p.decode.ID] = true
 	if ctx.Err() == nil {
 		g.r.avoid(time.Now(), p.decode, err)
 	}
-	return a, false
+	return false
 }
 
 // fullRetryFraction determines when a full engine is tried again, as a fraction of the
@@ -135,8 +152,17 @@
 	return d
 }
 
-// waitForRoom waits until the generation is placed or refused.
+// waitForRoom waits until the generation is placed or refused. Where callers differ in
+// urgency or compete as workspaces, it waits in the queue of the service.
 func (g *generationRun) waitForRoom(ctx context.Context) (admission, error) {
+	if g.policy.queued {
+		return g.queueForRoom(ctx)
+	}
+	return g.pollForRoom(ctx)
+}
+
+// pollForRoom tries to place the generation each roomPollInterval.
+func (g *generationRun) pollForRoom(ctx context.Context) (admission, error) {
 	began := time.Now()
 	for {
 		p, ok, err := g.tryPlace(time.Now(), began)
--- a/router/directory.go
+++ b/router/directory.go
@@ -22,18 +22,21 @@
 	// holds the limits of the workspaces that have one.
 	workspaces map[KeyDigest]*Workspace
 	limits     map[quota.ID]quota.Limit
-	// topRanks holds the rank of the most urgent route of each service.
-	topRanks map[string]int
+	// topRanks holds the rank of the most urgent route of each service. unlikeRanks holds the
+	// services whose routes differ in rank.
+	topRanks    map[string]int
+	unlikeRanks map[string]bool
 }
 
 // NewDirectory indexes routes, services and the endpoints that accept new work.
 func NewDirectory(version uint64, maxBody int64, routes []*Route, services []*Service, endpoints []*Endpoint) *Directory {
 	d := &Directory{
-		Version:  version,
-		MaxBody:  maxBody,
-		hosts:    make(map[string]*hostRoutes),
-		services: make(map[string]*Service, len(services)),
-		topRanks: make(map[string]int),
+		Version:     version,
+		MaxBody:     maxBody,
+		hosts:       make(map[string]*hostRoutes),
+		services:    make(map[string]*Service, len(services)),
+		topRanks:    make(map[string]int),
+		unlikeRanks: make(map[string]bool),
 	}
 	for _, r := range routes {
 		d.addRoute(r)
@@ -149,9 +152,18 @@
 		if !ok || r.Rank < first {
 			d.topRanks[s.Service] = r.Rank
 		}
+		if ok && r.Rank != first {
+			d.unlikeRanks[s.Service] = true
+		}
 	}
 }
 
+// CallersDiffer reports whether the callers of a service differ in urgency or belong to
+// workspaces, so that it matters who is served first.
+func (d *Directory) CallersDiffer(service string) bool {
+	return d.RequiresKey() || d.unlikeRanks[service]
+}
+
 // HasMoreUrgent reports whether the service has a more urgent route than r.
 func (d *Directory) HasMoreUrgent(r *Route, service string) bool {
 	first, ok := d.topRanks[service]
--- a/router/late.go
+++ b/router/late.go
@@ -15,6 +15,10 @@
 	// lateFill is the fraction of an engine's memory that may be in use when a late
 	// generation starts, even one that has waited.
 	lateFill = 0.80
+	// lessUrgentFill is the fraction that may be in use when a less urgent generation starts
+	// on a service with a queue. The rest, room for about one generation, is for urgent ones
+	// that arrive before the next answer ends.
+	lessUrgentFill = 0.90
 	// minWait is the minimum time that a generation waits before it is refused: a few
 	// attempts to place it.
 	minWait = 5 * roomPollInterval
@@ -41,8 +45,9 @@
 	retried bool
 	// begun says that the caller has received a part of the answer.
 	begun bool
-	// lessUrgent says that the service has more urgent routes.
-	lessUrgent bool
+	// lessUrgent says that the service has more urgent routes, and queued that it has a queue
+	// in which those go first.
+	lessUrgent, queued bool
 	// maxWait is how long a retry, or the rest of an answer that has begun, waits for
 	// room.
 	maxWait time.Duration
@@ -76,6 +81,18 @@
 	return admissionRule{fill: lateFill, refuse: waited >= l.maxWait}
 }
 
+// giveUpAt returns when a call that began to wait at a given time is refused.
+func (l admissionPolicy) giveUpAt(began time.Time) time.Time {
+	at := began.Add(minWait)
+	if l.begun || l.retried {
+		at = began.Add(l.maxWait)
+	}
+	if at.Before(l.placeBy) && !l.begun {
+		return l.placeBy
+	}
+	return at
+}
+
 // defers reports whether the call should not use this placement now.
 //
 // When more prompts arrive than can be prefilled in time, a plain queue would make every
@@ -96,10 +113,13 @@
 // otherwise take an equal share of the memory that becomes free, and urgent ones would be
 // refused as often. The memory kept free serves bursts of the urgent ones.
 func (l admissionPolicy) fillLimit() float64 {
-	if l.lessUrgent {
-		return lateFill
+	switch {
+	case !l.lessUrgent:
+		return maxFill
+	case l.queued:
+		return lessUrgentFill
 	}
-	return maxFill
+	return lateFill
 }
 
 // retryDelay returns the delay after which a refused caller may retry.
@@ -132,6 +152,7 @@
 		retried:      spent > retryThreshold,
 		begun:        c.ResumeAfter != NoEvent,
 		lessUrgent:   !c.ranked() && r.Directory().HasMoreUrgent(c.Route, c.Service.Name),
+		queued:       r.Directory().CallersDiffer(c.Service.Name),
 		maxWait:      max(g.silenceTimeout()-2*ttft, minWait),
 	}
 }
--- a/router/load.go
+++ b/router/load.go
@@ -42,6 +42,8 @@
 	// arrivals holds the demand that reaches this process, by service.
 	arrivals map[string]*demandRate
 	dirty    bool
+	// onRoom is called when endpoints may have room that they had not; it may be nil.
+	onRoom func()
 }
 
 func NewLoadTracker() *LoadTracker {
@@ -87,6 +89,13 @@
 	}
 	w.ended = true
 	w.loads.addOwn(w.endpoint, w.sum.negated())
+	w.loads.roomMayAppear()
+}
+
+func (l *LoadTracker) roomMayAppear() {
+	if l.onRoom != nil {
+		l.onRoom()
+	}
 }
 
 func (l *LoadTracker) addOwn(endpoint string, by Load) {
@@ -117,8 +126,9 @@
 // SetPeerReport replaces the reported work and demand of another process.
 func (l *LoadTracker) SetPeerReport(now time.Time, process string, loads map[string]Load, demand map[string]Demand) {
 	l.mu.Lock()
-	defer l.mu.Unlock()
 	l.peers.setReport(now, process, loads, demand)
+	l.mu.Unlock()
+	l.roomMayAppear()
 }
 
 // total returns the work of all processes at an endpoint. The caller holds l.mu.
--- a/router/router.go
+++ b/router/router.go
@@ -57,6 +57,7 @@
 	metrics    *metrics.Set
 	directory  atomic.Pointer[Directory]
 	cacheIndex cacheIndex
+	rooms      *roomQueues
 
 	mu      sync.Mutex
 	budgets map[string]*limit.RetryBudget
@@ -84,6 +85,7 @@
 		paces:           pace.NewTracker(),
 		shares:          share.NewTable(),
 		calendar:        returns.NewCalendar(),
+		rooms:           newRoomQueues(),
 		log:             log,
 		metrics:         m,
 		budgets:         make(map[string]*limit.RetryBudget),
@@ -93,6 +95,7 @@
 		rnd:             rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 	}
 	r.crashes.OnBlocked = r.poisonFound
+	r.loads.onRoom = r.rooms.wakeSoon
 	r.directory.Store(NewDirectory(0, 0, nil, nil, nil))
 	return r
 }
@@ -116,6 +119,7 @@
 	r.crashes.SetEndpoints(slices.Collect(maps.Keys(known)))
 	r.loads.Retain(func(id string) bool { return known[id] })
 	r.paces.Retain(func(id string) bool { return known[id] })
+	r.rooms.wakeSoon()
 }
 
 // Loads returns the load and health records of the endpoints.
--- a/router/waiting.go
+++ b/router/waiting.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -15,13 +16,30 @@
 	mu      sync.Mutex
 	queue   *queue.Queue
 	waiters map[*queue.Request]*waiter
-	// timer fires when the order changes or a request expires.
+	// timer fires when the order changes or a request expires, and each maxPassInterval, in
+	// case the list was not woken.
 	timer *time.Timer
 	// wakes counts the calls of wake since the pass in progress began, that which began it
 	// included; zero without one.
 	wakes atomic.Int64
+	// length is the number of requests that wait.
+	length atomic.Int64
+	// nextPass is the earliest time of the next pass that wakeSoon begins, in nanoseconds
+	// since 1970, and soon says that it is to come.
+	nextPass atomic.Int64
+	soon     atomic.Bool
 }
 
+const (
+	// minPassInterval is the minimum time between two passes begun by wakeSoon, and
+	// maxPassInterval the maximum time between two passes.
+	minPassInterval = 4 * time.Millisecond
+	maxPassInterval = roomPollInterval
+	// maxPassTime bounds the part of the time that passes may take, as the inverse of a
+	// fraction, while the interval between them is below maxPassInterval.
+	maxPassTime = 20
+)
+
 // waiter is one request of a waitList.
 type waiter struct {
 	// try starts the request, reports false if there is no room for it yet, or refuses it
@@ -31,10 +49,19 @@
 	ended chan error
 }
 
-// blockedTries is the number of requests that one pass tries without success. Requests further
-// behind must not take the room that those in front of them wait for.
+// blockedTries is the number of requests that one pass tries without success, of each rank and
+// size. A few are tried because one may be blocked for a reason of its own. More of them would
+// take the processor time of placing all that wait, for room that is not there.
 const blockedTries = 4
 
+// kind is a class of requests that are blocked alike: of one rank and of the same size within
+// a factor of two.
+type kind struct {
+	rank, size int
+}
+
+func kindOf(r *queue.Request) kind { return kind{rank: r.Rank, size: math.Ilogb(max(r.Cost, 1))} }
+
 func newWaitList(order queue.Order) *waitList {
 	return &waitList{queue: queue.New(order), waiters: make(map[*queue.Request]*waiter)}
 }
@@ -45,6 +72,7 @@
 	l.mu.Lock()
 	l.queue.Add(time.Now(), r)
 	l.waiters[r] = w
+	l.length.Store(int64(l.queue.Len()))
 	l.mu.Unlock()
 	l.wake()
 	select {
@@ -61,9 +89,22 @@
 	}
 	l.queue.Remove(r)
 	delete(l.waiters, r)
+	l.length.Store(int64(l.queue.Len()))
 	return ctx.Err()
 }
 
+// wakeSoon wakes the list within maxPassInterval. It costs nothing while no request waits, and
+// it may be called with locks held.
+func (l *waitList) wakeSoon(now time.Time) {
+	if l.length.Load() == 0 || !l.soon.CompareAndSwap(false, true) {
+		return
+	}
+	time.AfterFunc(max(time.Duration(l.nextPass.Load()-now.UnixNano()), 0), func() {
+		l.soon.Store(false)
+		l.wake()
+	})
+}
+
 // wake lets the waiting requests try to start. If a pass is in progress, it is repeated
 // instead, so that a request that tries to start may call wake.
 func (l *waitList) wake() {
@@ -82,38 +123,56 @@
 func (l *waitList) passOnce() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.pass(time.Now())
-	l.setTimer(time.Now())
+	began := time.Now()
+	l.pass(began)
+	l.length.Store(int64(l.queue.Len()))
+	now := time.Now()
+	interval := max(min(maxPassTime*now.Sub(began), maxPassInterval), minPassInterval)
+	l.nextPass.Store(now.Add(interval).UnixNano())
+	l.setTimer(now)
 }
 
-// pass lets each request try once. The caller holds l.mu.
+// pass lets the requests try to start. The caller holds l.mu.
 func (l *waitList) pass(now time.Time) {
-	blocked := 0
+	blocked := make(map[kind]int)
 	for _, r := range append([]*queue.Request(nil), l.queue.Waiting(now)...) {
-		w := l.waiters[r]
-		started, err := w.try(now)
-		switch {
-		case started:
-			l.queue.Start(r)
-		case err != nil:
-			l.queue.Remove(r)
-		default:
-			if blocked++; blocked >= blockedTries {
-				return
-			}
+		k := kindOf(r)
+		if blocked[k] >= blockedTries && now.Before(r.GiveUpAt) {
 			continue
 		}
-		delete(l.waiters, r)
-		w.ended <- err
+		started, err := l.waiters[r].try(now)
+		if !started && err == nil {
+			blocked[k]++
+			continue
+		}
+		l.end(r, err)
+	}
+}
+
+// end ends the wait of a request that has started, or is refused with an error. The caller
+// holds l.mu.
+func (l *waitList) end(r *queue.Request, err error) {
+	if err == nil {
+		l.queue.Start(r)
+	} else {
+		l.queue.Remove(r)
 	}
+	l.waiters[r].ended <- err
+	delete(l.waiters, r)
 }
 
-// setTimer wakes the list when the order changes or a request expires. The caller holds l.mu.
+// setTimer wakes the list when the order changes or a request expires, and after
+// maxPassInterval at the latest. The caller holds l.mu.
 func (l *waitList) setTimer(now time.Time) {
 	if l.timer != nil {
 		l.timer.Stop()
 	}
-	if next := l.queue.NextChange(now); !next.IsZero() {
-		l.timer = time.AfterFunc(next.Sub(now), l.wake)
+	if l.queue.Len() == 0 {
+		return
+	}
+	next := now.Add(maxPassInterval)
+	if change := l.queue.NextChange(now); !change.IsZero() && change.Before(next) {
+		next = change
 	}
+	l.timer = time.AfterFunc(next.Sub(now), l.wake)
 }
--- /dev/null
+++ b/router/waiting_test.go
@@ -0,0 +1,152 @@
+package router
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+
+	"ebonypulley/queue"
+)
+
+// fakeRoom is room for a number of tokens.
+type fakeRoom struct {
+	mu    sync.Mutex
+	free  float64
+	tries int
+}
+
+func (f *fakeRoom) try(cost float64) func(time.Time) (bool, error) {
+	return func(time.Time) (bool, error) {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		f.tries++
+		if f.free < cost {
+			return false, nil
+		}
+		f.free -= cost
+		return true, nil
+	}
+}
+
+func (f *fakeRoom) release(cost float64) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.free += cost
+}
+
+func request(cost float64, startIn time.Duration) *queue.Request {
+	now := time.Now()
+	return &queue.Request{Cost: cost, StartBy: now.Add(startIn), GiveUpAt: now.Add(startIn)}
+}
+
+// TestCallerGoneWhileItStarts: a caller that goes in the moment in which its request starts
+// must not leave its room behind.
+func TestCallerGoneWhileItStarts(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l, room := newWaitList(queue.ByUrgency), &fakeRoom{}
+		rnd := rand.New(rand.NewPCG(1, 1))
+		var wg sync.WaitGroup
+		for range 200 {
+			patience, ms := time.Duration(rnd.IntN(20))*time.Millisecond, time.Duration(rnd.IntN(20))*time.Millisecond
+			wg.Go(func() {
+				ctx, cancel := context.WithTimeout(t.Context(), patience)
+				defer cancel()
+				if l.wait(ctx, request(1, time.Second), room.try(1)) == nil {
+					room.release(1)
+				}
+			})
+			wg.Go(func() {
+				time.Sleep(ms)
+				room.release(1)
+				l.wake()
+			})
+		}
+		wg.Wait()
+		assert.InDelta(t, 200, room.free, 0)
+		assert.Empty(t, l.waiters)
+		assert.Zero(t, l.queue.Len())
+	})
+}
+
+// TestLostWake: room that appears without a wake must not stay unused.
+func TestLostWake(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l, room := newWaitList(queue.ByUrgency), &fakeRoom{}
+		time.AfterFunc(100*time.Millisecond, func() { room.release(1) })
+		began := time.Now()
+		assert.NoError(t, l.wait(t.Context(), request(1, time.Second), room.try(1)))
+		assert.LessOrEqual(t, time.Since(began), 100*time.Millisecond+maxPassInterval)
+	})
+}
+
+// TestReportsWakeSeldom: 300 reports a second of 300 entries must not place what waits each
+// time, and do nothing while nothing waits.
+func TestReportsWakeSeldom(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l, room := newWaitList(queue.ByUrgency), &fakeRoom{}
+		storm := func() {
+			for range 30_000 {
+				l.wakeSoon(time.Now())
+				time.Sleep(33 * time.Microsecond)
+			}
+		}
+		storm()
+		assert.Zero(t, room.tries)
+		done := make(chan error, 1)
+		go func() { done <- l.wait(t.Context(), request(1, time.Second), room.try(1)) }()
+		storm()
+		assert.LessOrEqual(t, room.tries, int(time.Second/minPassInterval)+2)
+		room.release(1)
+		assert.NoError(t, <-done)
+	})
+}
+
+// TestLargeOnesDoNotBlock: prompts that fit nowhere must not keep others from room that they
+// cannot use.
+func TestLargeOnesDoNotBlock(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l, room := newWaitList(queue.ByUrgency), &fakeRoom{free: 1000}
+		ctx, cancel := context.WithCancel(t.Context())
+		var wg sync.WaitGroup
+		for range 20 {
+			wg.Go(func() { _ = l.wait(ctx, request(9000, 100*time.Millisecond), room.try(9000)) })
+		}
+		synctest.Wait()
+		assert.NoError(t, l.wait(ctx, request(1000, time.Second), room.try(1000)))
+		cancel()
+		wg.Wait()
+	})
+}
+
+// TestRefusedAreToldOnce: a request whose time is over must be refused although others wait in
+// front of it.
+func TestRefusedAreToldOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l, room := newWaitList(queue.ByUrgency), &fakeRoom{}
+		errOver := errors.New("over")
+		ctx, cancel := context.WithCancel(t.Context())
+		var wg sync.WaitGroup
+		for range 2 * blockedTries {
+			wg.Go(func() { _ = l.wait(ctx, request(10, time.Second), room.try(10)) })
+		}
+		synctest.Wait()
+		last := request(10, 300*time.Millisecond)
+		began := time.Now()
+		err := l.wait(ctx, last, func(now time.Time) (bool, error) {
+			if !now.Before(last.GiveUpAt) {
+				return false, errOver
+			}
+			return false, nil
+		})
+		assert.ErrorIs(t, err, errOver)
+		assert.Equal(t, 300*time.Millisecond, time.Since(began))
+		cancel()
+		wg.Wait()
+	})
+}
