--- a/router/router.go
+++ b/router/router.go
@@ -96,6 +96,7 @@
 	}
 	r.crashes.OnBlocked = r.poisonFound
 	r.loads.onRoom = r.rooms.wakeSoon
+	r.loads.paces = r.paces
 	r.directory.Store(NewDirectory(0, 0, nil, nil, nil))
 	return r
 }
