A full table of crash records takes new contents

Cause: poison.Detector.evict took the record that was being added, whose time was still zero, for an expired one and deleted it, so that with 2,048 records younger than an hour no new content was ever recorded or blocked. Change: the record that is added is never removed. Expired records go, or else the least useful one: without crashes first, then not blocked, oldest first, then blocked. Once the table is full, blocked contents take three quarters of it at most; else two new poison requests that crash engines in turn would remove each other for ever. Ruled out: the fewest crashes first, by which newcomers remove each other in a storm.

--- a/poison/ledger.go
+++ b/poison/ledger.go
@@ -43,6 +43,9 @@
 	// maxContents and maxEndpoints bound the memory, at about 100 bytes per record.
 	maxContents  = 2048
 	maxEndpoints = 1024
+	// maxBlocked bounds the records of blocked contents once there are maxContents, so that
+	// new contents have time to show whether they are poison.
+	maxBlocked = maxContents * 3 / 4
 )
 
 // Detector holds what an entry knows of crashes and of the requests that ran at the crashed
@@ -160,7 +163,7 @@
 		r = &record{}
 		l.contents[content] = r
 		l.clear(r, l.successes.last(content))
-		l.evict(now)
+		l.evict(now, content)
 	}
 	r.crashes = slices.DeleteFunc(r.crashes, func(x crash) bool { return now.Sub(x.at) > evidenceTTL })
 	known := slices.ContainsFunc(r.crashes, func(x crash) bool { return x.Endpoint == c.Endpoint })
@@ -269,29 +272,61 @@
 	return float64(len(l.recentCrashes)+1) / (float64(max(alive, 1)) * rateWindow.Seconds())
 }
 
-// evict keeps the number of records within maxContents: it removes expired records or
-// else the oldest one, and a blocked one only if all are blocked. The caller holds l.mu.
-func (l *Detector) evict(now time.Time) {
+// evict keeps the number of records within maxContents, without removing the one that is
+// being added. It removes expired records or else the least useful one. The caller holds
+// l.mu.
+func (l *Detector) evict(now time.Time, added uint64) {
 	if len(l.contents) <= maxContents {
 		return
 	}
-	var oldest uint64
+	blocked := 0
+	for content, r := range l.contents {
+		switch {
+		case content == added:
+		case now.Sub(r.newest) > evidenceTTL:
+			delete(l.contents, content)
+		case r.blocked:
+			blocked++
+		}
+	}
+	if len(l.contents) > maxContents {
+		delete(l.contents, l.leastUseful(added, blocked > maxBlocked))
+	}
+}
+
+// leastUseful returns the content of the least useful record, among the blocked ones if
+// onlyBlocked and without the one that is being added. The caller holds l.mu.
+func (l *Detector) leastUseful(added uint64, onlyBlocked bool) uint64 {
+	var least uint64
 	var r *record
 	for content, x := range l.contents {
-		if now.Sub(x.newest) > evidenceTTL {
-			delete(l.contents, content)
+		if content == added || onlyBlocked && !x.blocked {
 			continue
 		}
-		if x.newest.IsZero() {
-			continue // the record that is being added
-		}
-		if r == nil || r.blocked && !x.blocked || r.blocked == x.blocked && x.newest.Before(r.newest) {
-			oldest, r = content, x
+		if r == nil || x.lessUseful(r) {
+			least, r = content, x
 		}
 	}
-	if r != nil && len(l.contents) > maxContents {
-		delete(l.contents, oldest)
+	return least
+}
+
+// lessUseful orders records by what they may still do, then by age: without crashes a
+// record blocks nothing, and a blocked content would crash further endpoints without it.
+func (r *record) lessUseful(o *record) bool {
+	if u, v := r.use(), o.use(); u != v {
+		return u < v
+	}
+	return r.newest.Before(o.newest)
+}
+
+func (r *record) use() int {
+	switch {
+	case r.blocked:
+		return 2
+	case len(r.crashes) > 0:
+		return 1
 	}
+	return 0
 }
 
 // notifyBlocked calls the callback if evaluate returned a number of crashes. The
--- a/poison/ledger_test.go
+++ b/poison/ledger_test.go
@@ -215,3 +215,45 @@
 	l.RecordCrash(later, innocent, poison.Attempt{Endpoint: name(20), Lasted: time.Second})
 	assert.False(t, l.Blocked(later, innocent))
 }
+
+// The table is full of records younger than an hour when two poison requests begin to
+// crash engines in turn. Both must be blocked, whether or not the other records are.
+func TestNewContentsAreBlockedWhenFull(t *testing.T) {
+	const records, another = 2048, 0xbad2
+	const interval = 1700 * time.Millisecond // long enough for three crashes to block
+	for _, crashes := range []int{1, 2, 3} {
+		l := newDetector()
+		for i := range records {
+			for c := range crashes {
+				l.RecordCrash(at(time.Duration(i)*interval), uint64(100_000+i), poison.Attempt{Endpoint: fmt.Sprint("other-", i, "-", c), Lasted: soon})
+			}
+		}
+		now := at(records * interval)
+		assert.Equal(t, crashes == 3, l.Blocked(now, 100_000+records/2))
+		for i := range 5 {
+			now = now.Add(10 * time.Second)
+			for _, content := range []uint64{bad, another} {
+				l.RecordCrash(now, content, poison.Attempt{Endpoint: fmt.Sprint(name(i), "-", content), Lasted: soon})
+			}
+		}
+		assert.True(t, l.Blocked(now, bad), "%d crashes of each other record", crashes)
+		assert.True(t, l.Blocked(now, another), "%d crashes of each other record", crashes)
+	}
+}
+
+// Records whose crashes were cleared by a complete answer are removed before those that
+// may still lead to a block.
+func TestClearedRecordsAreRemovedFirst(t *testing.T) {
+	l := newDetector()
+	for i := range 2 {
+		l.RecordCrash(at(0), bad, poison.Attempt{Endpoint: name(i), Lasted: soon})
+	}
+	for i := range 2100 {
+		now := at(time.Duration(i+1) * 100 * time.Millisecond)
+		l.RecordCrash(now, uint64(100_000+i), poison.Attempt{Endpoint: fmt.Sprint("other-", i), Lasted: time.Second})
+		l.RecordSuccess(now.Add(time.Millisecond), uint64(100_000+i))
+	}
+	now := at(5 * time.Minute)
+	l.RecordCrash(now, bad, poison.Attempt{Endpoint: name(2), Lasted: soon})
+	assert.True(t, l.Blocked(now, bad))
+}
