A workspace's limit is spent by urgency

Cause: below half of a bucket's depth requests were refused with one probability whatever they were. Under a workspace that sends 7 times its usual, the most urgent drafts and calls of 200 tokens were refused as often as bulk drafts of 4,800. Change: quota.TakeClass: the level of the bucket says how many kinds of requests are admitted, the most urgent first and the last of them in part, at random; half of that follows the level after 2 s. Small requests of a fixed cost are a kind of their own. A call's class is the position of its route's rank within its service. Conclusion: requests that are all alike are decided as before; others by urgency.

--- a/quota/news.go
+++ b/quota/news.go
@@ -196,6 +196,7 @@
 	if charge {
 		a.charge(now, unexpected, l.toleranceOf(limit).Window)
 	}
+	a.updateCutoff(now)
 }
 
 // markSilent expects no more use by an entry that has stopped reporting. The caller holds
--- a/quota/quota.go
+++ b/quota/quota.go
@@ -192,6 +192,11 @@
 	initial float64
 	// remainder is the fraction of a token that has not been taken from the bucket yet.
 	remainder float64
+	// kinds is the number of kinds of requests that the account tells apart, cutoff which of
+	// them are admitted.
+	kinds  int
+	costs  costs
+	cutoff cutoff
 	// expectedRate is the rate at which others are expected to use the workspace, in tokens a
 	// second, and expectedThrough the time up to which that has been taken from the bucket.
 	expectedRate    float64
@@ -207,54 +212,40 @@
 	OK bool
 	// Limited says that there is a limit, so that what is not used has to be returned.
 	Limited bool
-	// Wait is how long until a request of the workspace is certain to be admitted, if no other
-	// is admitted before.
+	// Wait is how long until a request of the class is certain to be admitted, if no other is
+	// admitted before.
 	Wait time.Duration
-	// Level is the level of the bucket in tokens, negative for a debt; it is for the log.
+	// Level is the level of the bucket in tokens, negative for a debt, less what is reserved;
+	// it is for the log.
 	Level float64
 	// Share is the share of the limit that applies; it is below 1 while entries are unreachable.
 	Share float64
+	// Threshold is the level from which on all requests are admitted, Admitted the fraction of
+	// the requests of this kind that are admitted at this level; both are for the log.
+	Threshold, Admitted float64
 }
 
 // Take decides whether to admit a request of a workspace that costs a number of tokens. A
 // bucket that is not empty admits a request of any size, so that large requests are not
 // refused for their size.
 func (l *Ledger) Take(now time.Time, workspace ID, tokens int) Decision {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	limit, limited := l.limitOf(workspace)
-	if !limited {
-		return Decision{OK: true, Share: 1}
-	}
-	if l.fleet.unknown() {
-		return Decision{}
+	return l.TakeClass(now, workspace, tokens, Class{})
+}
+
+// admitted returns the fraction of requests to admit at a level of a bucket. Below a threshold
+// requests are refused at random, more of them as the bucket empties. If all were admitted until
+// it is empty, entries that learn late of each other's use would admit a surge each time it
+// holds some tokens again.
+func (a *account) admitted(p place, level, threshold float64) float64 {
+	switch {
+	case level <= 0:
+		return 0
+	case level >= threshold:
+		return 1
+	case p.alike():
+		return level / threshold
 	}
-	l.sweep(now)
-	a := l.account(now, workspace, limit)
-	a.chargeExpected(now)
-	level := a.bucket.TokensAt(now)
-	v := Decision{OK: l.admits(now, a, level), Limited: true, Level: level, Share: a.share}
-	if !v.OK {
-		v.Wait = l.wait(now, a, level)
-		return v
-	}
-	a.spend(now, float64(tokens))
-	a.taken += uint64(tokens)
-	a.recent.add(now, float64(tokens))
-	l.startReporting(now, a)
-	return v
-}
-
-// admits decides by the level of a bucket. Below refusalThreshold requests are refused with a
-// probability that grows as the bucket empties. If all were admitted until it is empty,
-// entries that learn late of each other's use would admit a surge each time it holds some
-// tokens again. The caller holds l.mu.
-func (l *Ledger) admits(now time.Time, a *account, level float64) bool {
-	early := a.refusalThreshold(now, a.share)
-	if level >= early {
-		return level > 0
-	}
-	return level > l.rnd.Float64()*early
+	return a.cutoff.admitted(p, level/threshold)
 }
 
 // refusalThreshold returns the level from which on a bucket with a share of the limit admits
@@ -401,22 +392,26 @@
 
 func (f *decayingSum) perSecond(now time.Time) float64 { return f.value(now) / recentUseTime.Seconds() }
 
-// wait returns how long until an account whose bucket is at a level admits all requests. The
-// caller holds l.mu.
-func (l *Ledger) wait(now time.Time, a *account, level float64) time.Duration {
-	wait := a.wait(now, level, a.share)
+// wait returns how long until an account whose bucket is at a level admits all requests at a
+// place. The caller holds l.mu.
+func (l *Ledger) wait(now time.Time, a *account, p place, level float64) time.Duration {
+	wait := a.wait(now, p, level, a.share)
 	left, cautious := l.fleet.cautionLeft(now)
 	if !cautious {
 		return wait
 	}
 	share := l.shareAmong(now, a.full, l.fleet.size)
-	return min(wait, max(left, a.wait(now, level+l.withheld(now, a, share), share)))
+	return min(wait, max(left, a.wait(now, p, level+l.withheld(now, a, share), share)))
 }
 
-// wait returns how long until a bucket at a level admits all requests with a share of the
-// limit.
-func (a *account) wait(now time.Time, level, share float64) time.Duration {
-	return time.Duration(max(a.refusalThreshold(now, share)-level, 0) / (a.full.Rate * share) * float64(time.Second))
+// wait returns how long until a bucket at a level admits all requests at a place with a
+// share of the limit.
+func (a *account) wait(now time.Time, p place, level, share float64) time.Duration {
+	full := a.refusalThreshold(now, share)
+	if !p.alike() {
+		full *= a.cutoff.certainLevel(p)
+	}
+	return time.Duration(max(full-level, 0) / (a.full.Rate * share) * float64(time.Second))
 }
 
 // sweep drops accounts and peers that have been idle. The caller holds l.mu.
--- a/router/directory.go
+++ b/router/directory.go
@@ -22,8 +22,10 @@
 	// holds the limits of the workspaces that have one.
 	workspaces map[KeyDigest]*Workspace
 	limits     map[quota.ID]quota.Limit
-	// topRanks holds the rank of the most urgent route of each service.
-	topRanks map[string]int
+	// ranks holds the ranks of the routes of each service, the most urgent first and each once.
+	// classes is the largest number of them.
+	ranks   map[string][]int
+	classes int
 }
 
 // NewDirectory indexes routes, services and the endpoints that accept new work.
@@ -33,7 +35,7 @@
 		MaxBody:  maxBody,
 		hosts:    make(map[string]*hostRoutes),
 		services: make(map[string]*Service, len(services)),
-		topRanks: make(map[string]int),
+		ranks:    make(map[string][]int),
 	}
 	for _, r := range routes {
 		d.addRoute(r)
@@ -142,20 +144,28 @@
 	slices.Reverse(h.prefixLengths)
 }
 
-// recordRank updates the top ranks of the route's services.
+// recordRank updates the ranks of the route's services.
 func (d *Directory) recordRank(r *Route) {
 	for _, s := range r.Services {
-		first, ok := d.topRanks[s.Service]
-		if !ok || r.Rank < first {
-			d.topRanks[s.Service] = r.Rank
+		ranks := d.ranks[s.Service]
+		if i, known := slices.BinarySearch(ranks, r.Rank); !known {
+			d.ranks[s.Service] = slices.Insert(ranks, i, r.Rank)
 		}
+		d.classes = max(d.classes, len(d.ranks[s.Service]))
 	}
 }
 
 // HasMoreUrgent reports whether the service has a more urgent route than r.
 func (d *Directory) HasMoreUrgent(r *Route, service string) bool {
-	first, ok := d.topRanks[service]
-	return ok && first < r.Rank
+	ranks := d.ranks[service]
+	return len(ranks) > 0 && ranks[0] < r.Rank
+}
+
+// Urgency returns the position of the route's rank among those of a service, 0 being the most
+// urgent, and the largest number of ranks that a service has.
+func (d *Directory) Urgency(r *Route, service string) (urgency, classes int) {
+	urgency, _ = slices.BinarySearch(d.ranks[service], r.Rank)
+	return urgency, d.classes
 }
 
 // Route returns the route with the longest prefix of path, or nil.
--- a/router/quota.go
+++ b/router/quota.go
@@ -1,8 +1,12 @@
 package router
 
 import (
+	"fmt"
 	"time"
 
+	"go.uber.org/zap"
+
+	"ebonypulley/event"
 	"ebonypulley/quota"
 )
 
@@ -16,16 +20,27 @@
 // Quotas returns the ledger of workspace and endpoint limits.
 func (r *Router) Quotas() *quota.Ledger { return r.quotas }
 
+// quotaClass returns how urgent a call is among those of its workspace. Ranks are compared
+// among the routes of one service only, and a rank of the workspace applies to all its calls.
+func (r *Router) quotaClass(c *Call) quota.Class {
+	class := quota.Class{FixedCost: c.Service.Engine == nil}
+	if !c.ranked() {
+		class.Urgency, class.Classes = r.Directory().Urgency(c.Route, c.Service.Name)
+	}
+	return class
+}
+
 // charge counts a call's tokens against the limit of its workspace, or refuses the call.
 func (r *Router) charge(c *Call) *Failure {
 	if c.Workspace == nil {
 		return nil
 	}
-	v := r.quotas.Take(time.Now(), c.Workspace.ID, c.Tokens)
+	class := r.quotaClass(c)
+	v := r.quotas.TakeClass(time.Now(), c.Workspace.ID, c.Tokens, class)
 	if v.OK {
 		return nil
 	}
-	r.metrics.Add("quota_refused."+c.Workspace.Name, 1)
+	r.recordQuotaRefusal(c, class, v)
 	why := OverQuota
 	if v.Share == 0 {
 		why = NotRun // this process has no share of the limit, and the workspace may be far below it
@@ -37,6 +52,14 @@
 	}
 }
 
+func (r *Router) recordQuotaRefusal(c *Call, class quota.Class, v quota.Decision) {
+	r.metrics.Add("quota_refused."+c.Workspace.Name, 1)
+	r.metrics.Add(fmt.Sprintf("quota_refused_class.%d", class.Urgency), 1)
+	r.log.Emit(event.QuotaRefused, zap.String("request", c.ID), zap.String("workspace", c.Workspace.Name), zap.String("route", c.Route.Name),
+		zap.Int("class", class.Urgency), zap.Int("classes", class.Classes), zap.Int("tokens", c.Tokens),
+		zap.Float64("level", v.Level), zap.Float64("threshold", v.Threshold), zap.Float64("admitted", v.Admitted), zap.Float64("share", v.Share), zap.Duration("wait", v.Wait))
+}
+
 // refund returns the tokens of a call that did not run.
 func (r *Router) refund(c *Call, f *Failure) {
 	if c.Workspace != nil && f != nil && f.Reason == NotRun {
--- a/router/quota_test.go
+++ b/router/quota_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"testing"
 	"testing/synctest"
+	"time"
 
 	"github.com/stretchr/testify/assert"
 
@@ -93,3 +94,30 @@
 	c.Workspace = &router.Workspace{Rank: 0}
 	assert.Equal(t, 0, c.Rank())
 }
+
+// TestLimitIsSpentByUrgency: a workspace sends twice its limit on routes of two ranks. The
+// more urgent route alone is below the limit and is served, the other gets the rest.
+func TestLimitIsSpentByUrgency(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := &fakeEndpoints{call: func(context.Context, *router.Endpoint) (*router.Answer, error) { return &router.Answer{}, nil }}
+		r, w := newLimited(f, quota.Limit{Rate: 20_000, Burst: 20_000}, plain("a"))
+		urgent, other := nonIdempotentRoute, nonIdempotentRoute
+		urgent.Name, urgent.Rank, urgent.Services = "urgent", 1, []router.Share{{Service: "app", Weight: 1}}
+		other.Name, other.Rank, other.Services = "other", 4, urgent.Services
+		d := router.NewDirectory(2, 0, []*router.Route{&urgent, &other}, []*router.Service{llm, app}, []*router.Endpoint{plain("a")})
+		r.SetDirectory(d.WithWorkspaces([]*router.Workspace{w}))
+		served := make(map[string]int)
+		const each = 1000
+		for range each {
+			for _, route := range []router.Route{urgent, other} {
+				if (&limitedCall{route, w}).send(r, t) == nil {
+					served[route.Name]++
+				}
+			}
+			time.Sleep(10 * time.Millisecond)
+		}
+		t.Logf("%d urgent and %d others of %d each", served["urgent"], served["other"], each)
+		assert.GreaterOrEqual(t, served["urgent"], each*95/100)
+		assert.Less(t, served["other"], each/2)
+	})
+}
