--- a/router/directory.go
+++ b/router/directory.go
@@ -155,6 +155,12 @@
 	}
 }
 
+// CallersDiffer reports whether the callers of a service differ in urgency or belong to
+// workspaces, so that it matters who is served first.
+func (d *Directory) CallersDiffer(service string) bool {
+	return d.RequiresKey() || len(d.ranks[service]) > 1
+}
+
 // HasMoreUrgent reports whether the service has a more urgent route than r.
 func (d *Directory) HasMoreUrgent(r *Route, service string) bool {
 	ranks := d.ranks[service]
