--- a/queue/queue.go
+++ b/queue/queue.go
@@ -4,6 +4,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"math"
 	"slices"
 	"time"
@@ -181,8 +182,20 @@
 
 // Levels returns what waits by rank, the most urgent first.
 func (q *Queue) Levels(now time.Time) []Level {
+	return q.levels(now, func(*Request) bool { return true })
+}
+
+// OnTime returns what waits and can still meet its target by rank, the most urgent first.
+func (q *Queue) OnTime(now time.Time) []Level {
+	return q.levels(now, func(r *Request) bool { return !now.After(r.StartBy) })
+}
+
+func (q *Queue) levels(now time.Time, counts func(r *Request) bool) []Level {
 	byRank := make(map[int]Level)
 	for _, r := range q.requests {
+		if !counts(r) {
+			continue
+		}
 		l := byRank[r.Rank]
 		l.Rank = r.Rank
 		l.Requests++
@@ -190,12 +203,26 @@
 		l.Oldest = max(l.Oldest, now.Sub(r.addedAt))
 		byRank[r.Rank] = l
 	}
-	list := make([]Level, 0, len(byRank))
-	for _, l := range byRank {
-		list = append(list, l)
+	return slices.SortedFunc(maps.Values(byRank), func(a, b Level) int { return cmp.Compare(a.Rank, b.Rank) })
+}
+
+// CostByWorkspace adds the cost of the waiting requests to sums.
+func (q *Queue) CostByWorkspace(sums map[quota.ID]float64) {
+	for _, r := range q.requests {
+		sums[r.Workspace] += r.Cost
 	}
-	slices.SortFunc(list, func(a, b Level) int { return cmp.Compare(a.Rank, b.Rank) })
-	return list
+}
+
+// MeanCost returns the mean cost of the waiting requests, or 1 if none waits.
+func (q *Queue) MeanCost() float64 {
+	sum := 0.0
+	for _, r := range q.requests {
+		sum += r.Cost
+	}
+	if sum == 0 {
+		return 1
+	}
+	return sum / float64(len(q.requests))
 }
 
 // CostBefore returns the cost of all requests that are served before one that is not in the
--- a/router/admit.go
+++ b/router/admit.go
@@ -41,6 +41,8 @@
 	work        *Work
 	reservation *Reservation
 	permits     permits
+	// share is what the generation holds of the room of its service; nil without a queue.
+	share *heldShare
 }
 
 // permits are the permits for the requests of a placement; nil where nothing is sent.
@@ -53,6 +55,7 @@
 	now := time.Now()
 	a.permits.prefill.release(now)
 	a.permits.decode.release(now)
+	a.share.end()
 	a.work.End()
 }
 
@@ -165,7 +168,7 @@
 func (g *generationRun) pollForRoom(ctx context.Context) (admission, error) {
 	began := time.Now()
 	for {
-		p, ok, err := g.tryPlace(time.Now(), began)
+		p, ok, err := g.tryPlace(time.Now(), began, false)
 		if err != nil {
 			return admission{}, err
 		}
@@ -181,8 +184,9 @@
 	}
 }
 
-// tryPlace makes one attempt to place the generation. An error refuses it.
-func (g *generationRun) tryPlace(now, began time.Time) (placement, bool, error) {
+// tryPlace makes one attempt to place the generation. An error refuses it. A generation that has
+// to leave the room to others is not placed.
+func (g *generationRun) tryPlace(now, began time.Time, leave bool) (placement, bool, error) {
 	g.expireKept(now)
 	if eng := g.c.Service.Engine; eng != nil && g.c.PromptTokens > eng.KVCapacity {
 		return placement{}, false, errNoEndpoint.New("the prompt of %d tokens exceeds an engine's memory", g.c.PromptTokens)
@@ -191,7 +195,11 @@
 	if g.kept != nil {
 		rule.fill = maxFill // its prompt is already prefilled, and the result expires soon
 	}
-	p, ok := g.r.place(now, g.c, placeOptions{tried: g.tried, limited: g.limited, kept: g.kept, warm: g.warm, fill: rule.fill})
+	var p placement
+	ok := false
+	if !leave {
+		p, ok = g.r.place(now, g.c, placeOptions{tried: g.tried, limited: g.limited, kept: g.kept, warm: g.warm, fill: rule.fill})
+	}
 	if ok && g.kept == nil && g.policy.defers(now, p, rule) {
 		ok = false
 		rule.refuse = rule.refuse || !g.policy.retried && now.Sub(began) >= minWait
--- a/router/queued.go
+++ b/router/queued.go
@@ -10,22 +10,25 @@
 
 // roomQueues holds the queues of generations that wait for room, by service.
 type roomQueues struct {
+	r         *Router
 	mu        sync.RWMutex
-	byService map[string]*waitList
+	byService map[string]*roomQueue
 }
 
-func newRoomQueues() *roomQueues { return &roomQueues{byService: make(map[string]*waitList)} }
+func newRoomQueues(r *Router) *roomQueues {
+	return &roomQueues{r: r, byService: make(map[string]*roomQueue)}
+}
 
 // of returns the queue of a service.
-func (q *roomQueues) of(service string) *waitList {
+func (q *roomQueues) of(service string) *roomQueue {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	l := q.byService[service]
-	if l == nil {
-		l = newWaitList(queue.ByUrgency)
-		q.byService[service] = l
+	list := q.byService[service]
+	if list == nil {
+		list = newRoomQueue(q.r, service)
+		q.byService[service] = list
 	}
-	return l
+	return list
 }
 
 // wakeSoon wakes the queues because room may have appeared.
@@ -41,15 +44,18 @@
 // queueForRoom waits in the queue of the service until the generation is placed or refused.
 func (g *generationRun) queueForRoom(ctx context.Context) (admission, error) {
 	began := time.Now()
-	list := g.r.rooms.of(g.c.Service.Name)
+	q := g.r.rooms.of(g.c.Service.Name)
 	request := g.queueRequest(began)
 	for {
 		var a admission
-		err := list.wait(ctx, request, func(now time.Time) (bool, error) {
-			p, ok, err := g.tryPlace(now, began)
+		err := q.wait(ctx, request, func(now time.Time) (bool, error) {
+			p, ok, err := g.tryPlace(now, began, q.mustLeave(now, request))
 			if ok {
 				a, ok = g.account(now, p)
 			}
+			if ok {
+				a.share = q.started(now, request)
+			}
 			return ok, err
 		})
 		if err != nil {
--- a/router/router.go
+++ b/router/router.go
@@ -85,7 +85,6 @@
 		paces:           pace.NewTracker(),
 		shares:          share.NewTable(),
 		calendar:        returns.NewCalendar(),
-		rooms:           newRoomQueues(),
 		log:             log,
 		metrics:         m,
 		budgets:         make(map[string]*limit.RetryBudget),
@@ -95,6 +94,7 @@
 		rnd:             rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 	}
 	r.crashes.OnBlocked = r.poisonFound
+	r.rooms = newRoomQueues(r)
 	r.loads.onRoom = r.rooms.wakeSoon
 	r.directory.Store(NewDirectory(0, 0, nil, nil, nil))
 	return r
--- a/router/waiting.go
+++ b/router/waiting.go
@@ -16,6 +16,8 @@
 	mu      sync.Mutex
 	queue   *queue.Queue
 	waiters map[*queue.Request]*waiter
+	// beforePass and afterPass are called at each pass, with mu held; they may be nil.
+	beforePass, afterPass func(now time.Time)
 	// timer fires when the order changes or a request expires, and each maxPassInterval, in
 	// case the list was not woken.
 	timer *time.Timer
@@ -124,7 +126,13 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	began := time.Now()
+	if l.beforePass != nil {
+		l.beforePass(began)
+	}
 	l.pass(began)
+	if l.afterPass != nil {
+		l.afterPass(began)
+	}
 	l.length.Store(int64(l.queue.Len()))
 	now := time.Now()
 	interval := max(min(maxPassTime*now.Sub(began), maxPassInterval), minPassInterval)
