Plain calls wait at their entries, within each entry's share of the endpoints

Cause: a plain call went at once to the endpoint of the lowest cost. In a burst all entries choose the same endpoints by the same stale reports, calls are late behind full queues, and the rest is turned away.

Change: on services whose endpoints say how loaded they are, calls wait in order of their deadlines. Entries tell each other how many wait; each may have its part of the slots and of a short queue, by demand, the fraction drawn anew each call time. Late calls get the slots that are left. What has no chance is refused as not run.

--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -84,6 +84,7 @@
 	EndpointLimited         = define(6023, zap.InfoLevel, "endpoint advertises a different limit, or none")
 	// PeerTraffic is emitted once a minute.
 	PeerTraffic      = define(6024, zap.InfoLevel, "sent to other entries in the last minute")
+	RoomShort        = define(6040, zap.InfoLevel, "room for plain calls became short, or suffices again")
 	DirectoryChanged = define(6006, zap.InfoLevel, "published directory changed")
 )
 
--- /dev/null
+++ b/router/hold_test.go
@@ -0,0 +1,457 @@
+package router_test
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"strconv"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+
+	"ebonypulley/event"
+	"ebonypulley/metrics"
+	"ebonypulley/pace"
+	"ebonypulley/router"
+	"ebonypulley/share"
+)
+
+// plainLoad is the load of a test: calls at entries before endpoints of 6 slots.
+type plainLoad struct {
+	entries, endpoints int
+	work, target       time.Duration
+	deadline           time.Duration
+	// calm and burst are the arrivals per second, in multiples of what the slots run.
+	calm, burst float64
+	// even says that all entries get as many calls; otherwise a tenth of them gets half.
+	even bool
+	// silent says that the endpoints don't say how loaded they are.
+	silent bool
+	// retryable calls are idempotent, with two attempts.
+	retryable bool
+	// deaf says that no news passes between entries.
+	deaf bool
+	// during is called each 100 ms of the burst.
+	during func(s *plainSite, since time.Duration)
+}
+
+const (
+	plainSlots      = 6
+	plainQueue      = 24
+	calmBefore      = 2 * time.Second
+	burstLength     = 4 * time.Second
+	calmAfter       = 2 * time.Second
+	newsInterval    = 100 * time.Millisecond
+	newsDelay       = 100 * time.Millisecond // with the interval, news is 150 ms old
+	newsLost        = 0.05
+	entryToEndpoint = 500 * time.Microsecond
+)
+
+// offered is a call of a load.
+type offered struct {
+	at    time.Duration
+	entry int
+	work  time.Duration
+}
+
+// calls returns the calls of a load in the order of their arrival.
+func (l plainLoad) calls(rnd *rand.Rand) []offered {
+	var list []offered
+	perSecond := float64(l.endpoints*plainSlots) / l.work.Seconds()
+	for at := time.Duration(0); at < calmBefore+burstLength+calmAfter; {
+		factor := l.calm
+		if at >= calmBefore && at < calmBefore+burstLength {
+			factor = l.burst
+		}
+		at += time.Duration(rnd.ExpFloat64() / (factor * perSecond) * float64(time.Second))
+		o := offered{at: at, entry: rnd.IntN(l.entries), work: time.Duration(max(0.1, 1+0.5*rnd.NormFloat64()) * float64(l.work))}
+		if few := max(l.entries/10, 1); !l.even && rnd.IntN(2) == 0 {
+			o.entry = rnd.IntN(few)
+		}
+		if rnd.IntN(100) == 0 {
+			o.work *= 5
+		}
+		list = append(list, o)
+	}
+	return list
+}
+
+// plainServer is an endpoint with slots, a FIFO queue of limited length, and a VM that is
+// slow at times.
+type plainServer struct {
+	mu      sync.Mutex
+	running int
+	queue   []chan struct{}
+	gone    bool
+	slow    []time.Duration // the times at which it becomes slow for slowFor
+	began   time.Time
+	turned  int
+	busy    time.Duration
+}
+
+const (
+	slowFor    = 600 * time.Millisecond
+	slowFactor = 2.5
+	slowShare  = 0.15
+)
+
+func newPlainServer(rnd *rand.Rand) *plainServer {
+	s := &plainServer{began: time.Now()}
+	for at := time.Duration(0); at < time.Minute; at += slowFor {
+		at += time.Duration(rnd.ExpFloat64() * float64(slowFor) * (1 - slowShare) / slowShare)
+		s.slow = append(s.slow, at)
+	}
+	return s
+}
+
+func (s *plainServer) slowdown(since time.Duration) float64 {
+	for _, at := range s.slow {
+		if since >= at && since < at+slowFor {
+			return slowFactor
+		}
+	}
+	return 1
+}
+
+// run runs a call, or returns false if the queue is full.
+func (s *plainServer) run(ctx context.Context, work time.Duration) error {
+	s.mu.Lock()
+	if s.gone {
+		s.mu.Unlock()
+		return router.ErrNotListening.New("gone")
+	}
+	if s.running >= plainSlots {
+		if len(s.queue) >= plainQueue {
+			s.turned++
+			s.mu.Unlock()
+			return router.ErrNotRun.New("full")
+		}
+		turn := make(chan struct{})
+		s.queue = append(s.queue, turn)
+		s.mu.Unlock()
+		select {
+		case <-turn:
+		case <-ctx.Done():
+			s.mu.Lock()
+			defer s.mu.Unlock()
+			if i := slices.Index(s.queue, turn); i >= 0 {
+				s.queue = slices.Delete(s.queue, i, i+1)
+				return router.ErrLost.Wrap(ctx.Err(), "queued")
+			}
+			s.release()
+			return router.ErrLost.Wrap(ctx.Err(), "started")
+		}
+	} else {
+		s.running++
+		s.mu.Unlock()
+	}
+	took := time.Duration(s.slowdown(time.Since(s.began)) * float64(work))
+	burst := time.Since(s.began) > calmBefore+200*time.Millisecond && time.Since(s.began) < calmBefore+burstLength
+	time.Sleep(took)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if burst {
+		s.busy += took
+	}
+	s.release()
+	if s.gone {
+		return router.ErrLost.New("crashed")
+	}
+	return nil
+}
+
+// release passes the slot on. The caller holds s.mu.
+func (s *plainServer) release() {
+	if len(s.queue) == 0 {
+		s.running--
+		return
+	}
+	close(s.queue[0])
+	s.queue = s.queue[1:]
+}
+
+func (s *plainServer) load() *pace.Load {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return &pace.Load{Running: s.running, Waiting: len(s.queue), Slots: plainSlots}
+}
+
+// plainSite is a set of entries before endpoints.
+type plainSite struct {
+	plainLoad
+	servers map[string]*plainServer
+	list    []*router.Endpoint
+	entries []*router.Router
+	dead    map[int]bool
+	// cut holds the links, from and to, that pass no news; doubled news arrives twice.
+	cut     func(from, to int) bool
+	doubled bool
+	rnd     *rand.Rand
+	mu      sync.Mutex
+	result  plainResult
+	metrics []*metrics.Set
+}
+
+// plainResult counts calls by what became of them.
+type plainResult struct {
+	calls, onTime, late, refused, failed, turned int
+	// refusedLate counts the calls refused after more than 50 ms.
+	refusedLate int
+	startedLate int
+	busy        time.Duration
+	latency     time.Duration
+}
+
+func (r plainResult) String() string {
+	return fmt.Sprintf("calls %d, on time %.3f, late %.3f, refused %.3f (after 50 ms %.3f), failed %.3f, turned away %.3f, latency %v, started late %.3f busy %.3f", r.calls, r.rate(r.onTime), r.rate(r.late), r.rate(r.refused), r.rate(r.refusedLate), r.rate(r.failed), r.rate(r.turned), r.latency.Round(time.Millisecond), r.rate(r.startedLate), r.busy.Seconds())
+}
+
+func (r plainResult) rate(n int) float64 { return float64(n) / float64(max(r.calls, 1)) }
+
+// siteClient is the client of one entry.
+type siteClient struct {
+	router.EndpointClient
+	site   *plainSite
+	router *router.Router
+}
+
+func (c *siteClient) Call(ctx context.Context, e *router.Endpoint, call *router.Call) (*router.Answer, error) {
+	s := c.site.servers[e.ID]
+	time.Sleep(entryToEndpoint)
+	err := s.run(ctx, call.Message.(time.Duration))
+	load := s.load()
+	time.Sleep(entryToEndpoint)
+	if !c.site.silent {
+		c.router.HandleNotice(e, router.Notice{Load: load})
+	}
+	if err != nil {
+		return nil, err
+	}
+	return &router.Answer{Body: e.ID}, nil
+}
+
+func newPlainSite(l plainLoad, rnd *rand.Rand) *plainSite {
+	s := &plainSite{plainLoad: l, servers: make(map[string]*plainServer), dead: make(map[int]bool), rnd: rnd, cut: func(int, int) bool { return false }}
+	for i := range l.endpoints {
+		e := plain("a" + strconv.Itoa(i))
+		s.list = append(s.list, e)
+		s.servers[e.ID] = newPlainServer(rnd)
+	}
+	for range l.entries {
+		s.addEntry()
+	}
+	return s
+}
+
+func (s *plainSite) addEntry() {
+	c, m := &siteClient{site: s}, metrics.NewSet()
+	s.metrics = append(s.metrics, m)
+	c.router = router.New(router.Settings{DataCentre: "dc-1", RetryRatio: 0.2, RetryWindow: 10 * time.Second, RetrySlack: 96}, c, event.Nop(), m)
+	c.router.SetDirectory(router.NewDirectory(1, 0, nil, []*router.Service{app}, s.list))
+	c.router.SetFleetSize(s.plainLoad.entries)
+	s.entries = append(s.entries, c.router)
+}
+
+// exchange passes what each entry reports to the others until ctx ends.
+func (s *plainSite) exchange(ctx context.Context) {
+	for ctx.Err() == nil {
+		for i, r := range s.entries {
+			if s.dead[i] || s.deaf {
+				continue
+			}
+			loads, _ := r.Loads().OwnLoads()
+			demand, _ := r.Shares().Own()
+			time.AfterFunc(newsDelay, func() { s.deliver(i, loads, demand) })
+		}
+		time.Sleep(newsInterval)
+	}
+}
+
+func (s *plainSite) deliver(from int, loads map[string]router.Load, demand []share.Demand) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for to, r := range s.entries {
+		if to == from || s.rnd.Float64() < newsLost || s.cut(from, to) {
+			continue
+		}
+		for range 1 + b2i(s.doubled) {
+			r.Loads().SetPeerReport(time.Now(), strconv.Itoa(from), loads, nil)
+			r.Shares().Merge(time.Now(), strconv.Itoa(from), demand, nil)
+		}
+	}
+}
+
+func b2i(b bool) int {
+	if b {
+		return 1
+	}
+	return 0
+}
+
+// call sends a call through its entry and counts its result.
+func (s *plainSite) call(ctx context.Context, id int, o offered) {
+	route := router.Route{Name: "booking", Kind: router.NonIdempotent, MaxAttempts: 1, LatencyTarget: s.target}
+	if s.retryable {
+		route.Kind, route.MaxAttempts = router.Idempotent, 2
+	}
+	now := time.Now()
+	c := &router.Call{ID: strconv.Itoa(id), Route: &route, Service: app, ReceivedAt: now, Deadline: now.Add(s.deadline), Timeout: s.deadline, Message: o.work}
+	_, f := s.entries[o.entry].Call(ctx, c)
+	took := time.Since(now)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	r := &s.result
+	r.calls++
+	switch {
+	case f == nil && took <= s.target:
+		r.onTime++
+		r.latency += took
+	case f == nil:
+		r.late++
+	case f.Reason == router.NotRun:
+		r.refused++
+		r.refusedLate += b2i(took > 50*time.Millisecond)
+	default:
+		r.failed++
+	}
+}
+
+// play plays a load with the calls drawn from a seed.
+func (l plainLoad) play(t *testing.T, seed uint64) (result plainResult) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newPlainSite(l, rand.New(rand.NewPCG(seed, 1)))
+		calls := l.calls(rand.New(rand.NewPCG(seed, 2)))
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		go s.exchange(ctx)
+		began := time.Now()
+		var wg sync.WaitGroup
+		next := calmBefore
+		for i, o := range calls {
+			time.Sleep(time.Until(began.Add(o.at)))
+			if l.during != nil && o.at > next {
+				l.during(s, o.at)
+				next += newsInterval
+			}
+			if !s.dead[o.entry] {
+				wg.Go(func() { s.call(ctx, i, o) })
+			}
+		}
+		wg.Wait()
+		cancel()
+		for _, server := range s.servers {
+			s.result.turned += server.turned
+			s.result.busy += server.busy / time.Duration(len(s.servers)*plainSlots)
+		}
+		time.Sleep(time.Second)
+		synctest.Wait()
+		for _, m := range s.metrics {
+			s.result.startedLate += int(m.Count("plain_started_late"))
+		}
+		result = s.result
+		result.latency /= time.Duration(max(result.onTime, 1))
+	})
+	return result
+}
+
+// best returns how many calls one queue before all endpoints serves on time that knows all
+// waiting calls and the speed of each endpoint, with the best latest start.
+func (l plainLoad) best(t *testing.T, seed uint64) (onTime int) {
+	for _, margin := range []float64{1, 1.5, 2, 2.5, 3} {
+		synctest.Test(t, func(t *testing.T) { onTime = max(onTime, l.oneQueue(seed, margin)) })
+	}
+	return onTime
+}
+
+// oneQueue serves calls by their deadline that start at least margin call times before it.
+func (l plainLoad) oneQueue(seed uint64, margin float64) (onTime int) {
+	rnd := rand.New(rand.NewPCG(seed, 1))
+	var servers []*plainServer
+	for range l.endpoints {
+		servers = append(servers, newPlainServer(rnd))
+	}
+	free := make([]time.Duration, l.endpoints*plainSlots) // when each slot becomes free
+	for _, o := range l.calls(rand.New(rand.NewPCG(seed, 2))) {
+		at := max(slices.Min(free), o.at)
+		best, slow := 0, 0.0
+		for i, f := range free {
+			if s := servers[i/plainSlots].slowdown(at); f <= at && (slow == 0 || s < slow) {
+				best, slow = i, s
+			}
+		}
+		if at+time.Duration(margin*slow*float64(l.work)) > o.at+l.target {
+			continue
+		}
+		free[best] = at + time.Duration(slow*float64(o.work)) + 2*entryToEndpoint
+		if free[best] <= o.at+l.target {
+			onTime++
+		}
+	}
+	return onTime
+}
+
+var (
+	shortCalls = plainLoad{entries: 24, endpoints: 3, work: 30 * time.Millisecond, target: 150 * time.Millisecond, deadline: 1500 * time.Millisecond, calm: 0.5, burst: 1.6}
+	longCalls  = plainLoad{entries: 28, endpoints: 3, work: 60 * time.Millisecond, target: 300 * time.Millisecond, deadline: 1500 * time.Millisecond, calm: 0.5, burst: 1.6}
+)
+
+// TestPlainCallsInBursts replays bursts of 4 s with 1.2, 1.6 and 2 times the calls that the
+// endpoints run, half of them at a tenth of the entries, and news that is 150 ms old.
+func TestPlainCallsInBursts(t *testing.T) {
+	for _, l := range []plainLoad{longCalls.at(5, 3), longCalls.at(28, 3), shortCalls.at(5, 3), shortCalls.at(24, 3)} {
+		for _, burst := range []float64{1.2, 1.6, 2} {
+			l := l
+			l.burst = burst
+			t.Run(l.String(), func(t *testing.T) {
+				t.Parallel()
+				l.assertServed(t)
+			})
+		}
+	}
+}
+
+// assertServed requires that nearly as many calls are on time as with one queue, and few are
+// turned away by endpoints.
+func (l plainLoad) assertServed(t *testing.T) {
+	best, r := l.best(t, 1), l.play(t, 1)
+	t.Logf("%.3f of the best: %v", float64(r.onTime)/float64(best), r)
+	assert.Greater(t, float64(r.onTime), 0.9*float64(best))
+	assert.Less(t, r.rate(r.turned), 0.02)
+}
+
+func (l plainLoad) String() string {
+	return fmt.Sprintf("%d entries, %d endpoints, %v, %.1f", l.entries, l.endpoints, l.work, l.burst)
+}
+
+func (l plainLoad) at(entries, endpoints int) plainLoad {
+	l.entries, l.endpoints = entries, endpoints
+	return l
+}
+
+// TestPlainCallsWithRoom guards against calls that wait although there is room: at half of
+// what the endpoints run, calls take as long as without any hold.
+func TestPlainCallsWithRoom(t *testing.T) {
+	for _, l := range []plainLoad{longCalls.at(5, 3), longCalls.at(28, 3), shortCalls.at(28, 15)} {
+		l.burst = 0.5
+		t.Run(l.String(), func(t *testing.T) {
+			t.Parallel()
+			var held, sent time.Duration
+			late := 0.0
+			for seed := range uint64(3) {
+				l.silent = false
+				a := l.play(t, seed)
+				l.silent = true
+				b := l.play(t, seed)
+				late += b.rate(b.onTime) - a.rate(a.onTime)
+				held, sent = held+a.latency, sent+b.latency
+			}
+			t.Logf("held %v, sent at once %v, fraction less on time %.3f", held/3, sent/3, late/3)
+			assert.Less(t, late/3, 0.02)
+			assert.LessOrEqual(t, float64(held), 1.02*float64(sent))
+		})
+	}
+}
--- a/router/plain.go
+++ b/router/plain.go
@@ -39,6 +39,8 @@
 	next    *Endpoint
 	permit  *permit
 	limited limitedUntil
+	// ended ends the accounting of an attempt that has waited for room.
+	ended func()
 }
 
 // Call serves a plain call. It returns the answer, or why the call was given up.
@@ -99,8 +101,11 @@
 	if p.sent >= p.c.Route.MaxAttempts || ctx.Err() != nil || p.c.TimeLeft(now) <= 0 {
 		return false
 	}
-	if p.next = p.pick(now); p.next == nil {
-		return false
+	held := p.r.holdOf(p.c) != nil
+	if !held {
+		if p.next = p.pick(now); p.next == nil {
+			return false
+		}
 	}
 	if !p.r.budget(p.c.Service.Name).TakeRetry(now) {
 		p.permit.release(now)
@@ -134,21 +139,25 @@
 		p.permit.release(time.Now())
 		return nil, err
 	}
-	began := time.Now()
-	e, err := p.choose(ctx, began)
+	e, err := p.choose(ctx, time.Now())
 	if err != nil {
 		return nil, err
 	}
+	began := time.Now()
 	defer func() { p.permit.release(time.Now()) }()
 	p.tried[e.ID] = true
 	p.sent++
 	ctx, cancel := context.WithDeadline(ctx, p.attemptDeadline(began))
 	defer cancel()
-	work := r.loads.Begin(e.ID, Load{Calls: 1})
+	end := p.begin(e)
 	a, err := r.endpoints.Call(ctx, e, c)
 	p.permit.markSent(err)
-	work.End()
-	r.recordAttempt(ctx, e, a, err, time.Since(began))
+	end()
+	if h := r.holdOf(c); h != nil && isFull(err) && ctx.Err() == nil {
+		h.recordFull(time.Now(), e)
+	} else {
+		r.recordAttempt(ctx, e, a, err, time.Since(began))
+	}
 	switch {
 	case err == nil:
 		r.crashes.RecordSuccess(time.Now(), c.ContentHash)
@@ -164,6 +173,11 @@
 	if p.r.usesAgents() {
 		return p.r.choose(ctx, p.c, Plain, p.tried)
 	}
+	if h := p.r.holdOf(p.c); h != nil && p.next == nil {
+		if err := h.wait(ctx, p); err != nil {
+			return nil, err
+		}
+	}
 	e := p.next
 	p.next = nil
 	if e == nil {
@@ -175,6 +189,15 @@
 	return nil, errNoEndpoint.New("no endpoint of %s can take the call", p.c.Service.Name)
 }
 
+// begin accounts for an attempt until the function that it returns is called.
+func (p *plainRun) begin(e *Endpoint) func() {
+	if end := p.ended; end != nil {
+		p.ended = nil
+		return end
+	}
+	return p.r.loads.Begin(e.ID, Load{Calls: 1}).End
+}
+
 // attemptDeadline returns when an attempt is abandoned for another one.
 func (p *plainRun) attemptDeadline(now time.Time) time.Time {
 	if most := p.c.Route.MaxAttempts; p.c.Route.Kind != Idempotent || most > 0 && p.sent >= most {
@@ -268,7 +291,7 @@
 		if tried[e.ID] || now.Before(limited[e.ID]) || r.loads.backoffLeft(now, e.ID) > 0 {
 			continue
 		}
-		cost := r.plainCost(now, e, expected)
+		cost := r.plainCost(r.loads.View(now, e.ID), e, expected)
 		if best == nil || cost < bestCost {
 			best, bestCost = e, cost
 		}
@@ -279,8 +302,7 @@
 // plainCost returns the cost of a call at an endpoint in nanoseconds: its expected
 // duration, and penalties for slots in use, failures, distance and avoided endpoints.
 // expected is the expected duration for the service.
-func (r *Router) plainCost(now time.Time, e *Endpoint, expected float64) float64 {
-	v := r.loads.View(now, e.ID)
+func (r *Router) plainCost(v View, e *Endpoint, expected float64) float64 {
 	slots := max(e.Slots, 1)
 	fill := float64(v.Calls+1) / float64(slots)
 	cost := expected*v.Slowdown*max(1, fill) + fill*float64(remoteDCCost) + v.FailureRate*failureCostCalls*expected
--- a/router/router.go
+++ b/router/router.go
@@ -68,6 +68,8 @@
 	crashChecks map[string]*crashCheck
 	// longestTimeouts holds the longest timeout that callers of each route have requested.
 	longestTimeouts map[string]time.Duration
+	// holds holds the waiting plain calls, by service.
+	holds map[string]*hold
 }
 
 // New returns a router with an empty directory.
@@ -90,6 +92,7 @@
 		draining:        make(map[string]time.Time),
 		crashChecks:     make(map[string]*crashCheck),
 		longestTimeouts: make(map[string]time.Duration),
+		holds:           make(map[string]*hold),
 		rnd:             rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 	}
 	r.crashes.OnBlocked = r.poisonFound
@@ -188,6 +191,13 @@
 	return r.rnd.IntN(n)
 }
 
+// randomFraction returns a random number in [0, 1).
+func (r *Router) randomFraction() float64 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.rnd.Float64()
+}
+
 // jitter returns a random duration in [from, from+spread).
 func (r *Router) jitter(from, spread time.Duration) time.Duration {
 	return from + time.Duration(r.random(int(spread)))
--- a/share/share.go
+++ b/share/share.go
@@ -11,6 +11,13 @@
 // reportTTL is how long the demand of another entry counts without a new report.
 const reportTTL = time.Second
 
+// Ranks of the demand for plain services.
+const (
+	// OnTime is the rank of calls that can still meet their target, Late that of the others.
+	OnTime = 0
+	Late   = 1
+)
+
 // Demand is what one entry has of the requests for a service, of one rank.
 type Demand struct {
 	Service string
@@ -35,6 +42,15 @@
 	mu    sync.Mutex
 	own   map[string]ownDemand
 	peers map[string]peerDemand
+	// sums is the demand of all other entries; its cost must not grow with the fleet.
+	sums map[sumKey]Demand
+	// nextExpiry is the earliest time at which a report may expire.
+	nextExpiry time.Time
+}
+
+type sumKey struct {
+	service string
+	rank    int
 }
 
 // ownDemand is this entry's demand for one service.
@@ -52,7 +68,7 @@
 
 // NewTable returns an empty table.
 func NewTable() *Table {
-	return &Table{own: make(map[string]ownDemand), peers: make(map[string]peerDemand)}
+	return &Table{own: make(map[string]ownDemand), peers: make(map[string]peerDemand), sums: make(map[sumKey]Demand)}
 }
 
 // SetOwn replaces this entry's demand for a service. Without any, the service has room enough
@@ -82,11 +98,62 @@
 func (t *Table) Merge(now time.Time, from string, demand []Demand, byWorkspace []WorkspaceDemand) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	t.remove(from)
 	if len(demand) == 0 {
-		delete(t.peers, from)
 		return
 	}
 	t.peers[from] = peerDemand{demand: demand, byWorkspace: byWorkspace, at: now}
+	for _, d := range demand {
+		t.addSum(d, 1)
+	}
+	if len(t.peers) == 1 {
+		t.nextExpiry = now.Add(reportTTL)
+	}
+}
+
+// remove drops the report of an entry. The caller holds t.mu.
+func (t *Table) remove(from string) {
+	for _, d := range t.peers[from].demand {
+		t.addSum(d, -1)
+	}
+	delete(t.peers, from)
+	if len(t.peers) == 0 {
+		clear(t.sums) // drops rounding errors as well
+	}
+}
+
+func (t *Table) addSum(d Demand, sign float64) {
+	key := sumKey{d.Service, d.Rank}
+	s := t.sums[key]
+	s.Waiting += sign * d.Waiting
+	s.Running += sign * d.Running
+	t.sums[key] = s
+}
+
+// expire removes the reports older than reportTTL. The caller holds t.mu.
+func (t *Table) expire(now time.Time) {
+	if !now.After(t.nextExpiry) {
+		return
+	}
+	t.nextExpiry = now.Add(reportTTL)
+	for from, p := range t.peers {
+		until := p.at.Add(reportTTL)
+		switch {
+		case now.After(until):
+			t.remove(from)
+		case until.Before(t.nextExpiry):
+			t.nextExpiry = until
+		}
+	}
+}
+
+// Sum returns the demand of all other entries for a service, of one rank.
+func (t *Table) Sum(now time.Time, service string, rank int) (waiting, running float64) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.expire(now)
+	s := t.sums[sumKey{service, rank}]
+	return max(s.Waiting, 0), max(s.Running, 0)
 }
 
 // Others returns what the other entries demand of a service, one element for each entry and
@@ -94,11 +161,8 @@
 func (t *Table) Others(now time.Time, service string) (demand []Demand, byWorkspace []WorkspaceDemand) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	for from, p := range t.peers {
-		if now.Sub(p.at) > reportTTL {
-			delete(t.peers, from)
-			continue
-		}
+	t.expire(now)
+	for _, p := range t.peers {
 		demand = append(demand, p.demand...)
 		byWorkspace = append(byWorkspace, p.byWorkspace...)
 	}
