--- a/router/hold_test.go
+++ b/router/hold_test.go
@@ -94,9 +94,9 @@
 }
 
 const (
-	slowFor    = 600 * time.Millisecond
-	slowFactor = 2.5
-	slowTimeShare  = 0.15
+	slowFor       = 600 * time.Millisecond
+	slowFactor    = 2.5
+	slowTimeShare = 0.15
 )
 
 func newPlainServer(rnd *rand.Rand) *plainServer {
