--- a/pace/pace.go
+++ b/pace/pace.go
@@ -53,7 +53,6 @@
 }
 
 // Tracker holds the latest load of each endpoint. It is safe for concurrent use.
-
 type Tracker struct {
 	mu        sync.Mutex
 	endpoints map[string]*endpoint
--- a/router/router.go
+++ b/router/router.go
@@ -57,6 +57,7 @@
 	metrics    *metrics.Set
 	directory  atomic.Pointer[Directory]
 	cacheIndex cacheIndex
+	rooms      *roomQueues
 
 	mu      sync.Mutex
 	budgets map[string]*limit.RetryBudget
@@ -68,6 +69,8 @@
 	crashChecks map[string]*crashCheck
 	// longestTimeouts holds the longest timeout that callers of each route have requested.
 	longestTimeouts map[string]time.Duration
+	// holds holds the waiting plain calls, by service.
+	holds map[string]*hold
 }
 
 // New returns a router with an empty directory.
@@ -90,9 +93,12 @@
 		draining:        make(map[string]time.Time),
 		crashChecks:     make(map[string]*crashCheck),
 		longestTimeouts: make(map[string]time.Duration),
+		holds:           make(map[string]*hold),
 		rnd:             rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 	}
 	r.crashes.OnBlocked = r.poisonFound
+	r.rooms = newRoomQueues(r)
+	r.loads.onRoom = r.rooms.wakeSoon
 	r.loads.paces = r.paces
 	r.directory.Store(NewDirectory(0, 0, nil, nil, nil))
 	return r
@@ -118,6 +124,7 @@
 	r.loads.setCold(time.Now(), d)
 	r.loads.Retain(func(id string) bool { return known[id] })
 	r.paces.Retain(func(id string) bool { return known[id] })
+	r.rooms.wakeSoon()
 }
 
 // Loads returns the load and health records of the endpoints.
@@ -190,6 +197,13 @@
 	return r.rnd.IntN(n)
 }
 
+// randomFraction returns a random number in [0, 1).
+func (r *Router) randomFraction() float64 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.rnd.Float64()
+}
+
 // jitter returns a random duration in [from, from+spread).
 func (r *Router) jitter(from, spread time.Duration) time.Duration {
 	return from + time.Duration(r.random(int(spread)))
