--- a/pace/pace.go
+++ b/pace/pace.go
@@ -145,12 +145,12 @@
 }
 
 // Latest returns the latest load of an endpoint and its age, or false if the endpoint never
-// said any.
+// said how many requests it has.
 func (t *Tracker) Latest(now time.Time, id string) (l Load, age time.Duration, ok bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	e := t.endpoints[id]
-	if e == nil || e.at.IsZero() {
+	if e == nil || e.load.Slots == 0 {
 		return Load{}, 0, false
 	}
 	return e.load, now.Sub(e.at), true
