--- a/line/line.go
+++ b/line/line.go
@@ -31,6 +31,9 @@
 	Rank int
 	// Late says that the request can no longer meet its target. It comes after all that can.
 	Late bool
+	// Starved says that far fewer of the latest requests of the rank were served than of all.
+	// It leaves nothing to more urgent ones.
+	Starved bool
 	// Workspace is the caller's workspace, zero without one, and Running what it has running
 	// from this entry, in tokens.
 	Workspace uint64
@@ -40,8 +43,8 @@
 
 // class is a kind of requests that leave room to the same others.
 type class struct {
-	rank int
-	late bool
+	rank          int
+	late, starved bool
 	// over says that the workspace uses more than its fair share.
 	over bool
 }
@@ -116,7 +119,7 @@
 }
 
 func (l *Line) classOf(r Request) class {
-	return class{rank: r.Rank, late: r.Late, over: l.fair.over(r.Workspace, r.Running+r.Cost)}
+	return class{rank: r.Rank, late: r.Late, starved: r.Starved && !r.Late, over: l.fair.over(r.Workspace, r.Running+r.Cost)}
 }
 
 // ahead returns the tokens that wait elsewhere and go before a class.
@@ -124,7 +127,7 @@
 	sum := 0.0
 	for rank, waiting := range l.others {
 		switch {
-		case c.late || rank < c.rank:
+		case c.late || rank < c.rank && !c.starved:
 			sum += waiting
 		case rank == c.rank && c.over:
 			sum += waiting * (1 - l.fair.part(workspace))
--- a/queue/queue.go
+++ b/queue/queue.go
@@ -42,7 +42,7 @@
 
 	addedAt time.Time
 	number  uint64
-	// finishTag is the virtual time at which a fair schedule would have served the request.
+	// finishTag is the virtual time at which a fair schedule will have served the request.
 	finishTag float64
 }
 
@@ -52,7 +52,7 @@
 	requests []*Request
 	added    uint64
 	// virtualTime is the start tag of the last request served, and lastFinish the finish tag
-	// of the last request of each workspace.
+	// of the last request served of each workspace. What is refused is not charged.
 	virtualTime float64
 	lastFinish  map[quota.ID]float64
 	// outcomes holds what became of the latest requests, by rank.
@@ -70,12 +70,11 @@
 	if r.number > 0 {
 		q.requests = append(q.requests, r)
 		q.outcomes.undoServed(r.Rank)
+		q.lastFinish[r.Workspace] -= r.Cost
 		return
 	}
 	q.added++
 	r.number, r.addedAt = q.added, now
-	r.finishTag = max(q.virtualTime, q.lastFinish[r.Workspace]) + r.Cost
-	q.lastFinish[r.Workspace] = r.finishTag
 	q.requests = append(q.requests, r)
 }
 
@@ -108,8 +107,9 @@
 	if i < 0 {
 		return
 	}
+	startTag := max(q.virtualTime, q.lastFinish[r.Workspace])
+	q.virtualTime, q.lastFinish[r.Workspace] = startTag, startTag+r.Cost
 	q.take(i)
-	q.virtualTime = max(q.virtualTime, r.finishTag-r.Cost)
 	q.outcomes.record(r.Rank, outcomes{served: 1})
 }
 
@@ -120,18 +120,47 @@
 // Waiting returns the requests in the order in which they are to be served. The caller must
 // not modify the list.
 func (q *Queue) Waiting(now time.Time) []*Request {
-	slices.SortFunc(q.requests, func(a, b *Request) int { return q.compare(now, a, b) })
+	q.sort(now, q.requests)
 	return q.requests
 }
 
-func (q *Queue) compare(now time.Time, a, b *Request) int {
+func (q *Queue) sort(now time.Time, list []*Request) {
 	if q.order == ByDeadline {
-		return cmp.Or(compareBool(now.After(a.StartBy), now.After(b.StartBy)), a.StartBy.Compare(b.StartBy),
-			cmp.Compare(a.Rank, b.Rank), cmp.Compare(a.number, b.number))
+		slices.SortFunc(list, func(a, b *Request) int { return compareByDeadline(now, a, b) })
+		return
+	}
+	slices.SortFunc(list, func(a, b *Request) int {
+		return cmp.Or(compareOutlook(now, a, b), cmp.Compare(a.Rank, b.Rank), compareByTime(a, b))
+	})
+	q.tag(list)
+	slices.SortFunc(list, func(a, b *Request) int {
+		return cmp.Or(compareOutlook(now, a, b), compareBool(!q.Starved(a.Rank), !q.Starved(b.Rank)), cmp.Compare(a.Rank, b.Rank),
+			cmp.Compare(a.finishTag, b.finishTag), compareByTime(a, b))
+	})
+}
+
+// tag sets the finish tags of the requests, those of each workspace in the order given. The
+// urgent ones come first, so that a workspace beyond its share loses less urgent ones.
+func (q *Queue) tag(list []*Request) {
+	finish := maps.Clone(q.lastFinish)
+	for _, r := range list {
+		r.finishTag = max(q.virtualTime, finish[r.Workspace]) + r.Cost
+		finish[r.Workspace] = r.finishTag
 	}
-	return cmp.Or(compareBool(!a.Begun, !b.Begun), compareBool(now.After(a.StartBy), now.After(b.StartBy)),
-		compareBool(!q.Starved(a.Rank), !q.Starved(b.Rank)), cmp.Compare(a.Rank, b.Rank), cmp.Compare(a.finishTag, b.finishTag),
-		a.StartBy.Compare(b.StartBy), cmp.Compare(a.number, b.number))
+}
+
+func compareByDeadline(now time.Time, a, b *Request) int {
+	return cmp.Or(compareBool(now.After(a.StartBy), now.After(b.StartBy)), a.StartBy.Compare(b.StartBy),
+		cmp.Compare(a.Rank, b.Rank), cmp.Compare(a.number, b.number))
+}
+
+// compareOutlook puts the rest of answers that have begun first and late requests last.
+func compareOutlook(now time.Time, a, b *Request) int {
+	return cmp.Or(compareBool(!a.Begun, !b.Begun), compareBool(now.After(a.StartBy), now.After(b.StartBy)))
+}
+
+func compareByTime(a, b *Request) int {
+	return cmp.Or(a.StartBy.Compare(b.StartBy), cmp.Compare(a.number, b.number))
 }
 
 // compareBool orders false before true.
@@ -230,12 +259,11 @@
 func (q *Queue) CostBefore(now time.Time, r *Request) float64 {
 	probe := *r
 	probe.number = math.MaxUint64
-	probe.finishTag = max(q.virtualTime, q.lastFinish[r.Workspace]) + r.Cost
+	list := append(slices.Clone(q.requests), &probe)
+	q.sort(now, list)
 	sum := 0.0
-	for _, other := range q.requests {
-		if q.compare(now, other, &probe) < 0 {
-			sum += other.Cost
-		}
+	for _, other := range list[:slices.Index(list, &probe)] {
+		sum += other.Cost
 	}
 	return sum
 }
--- a/router/line.go
+++ b/router/line.go
@@ -18,7 +18,9 @@
 
 const (
 	// lineInterval is the minimum time between two updates of the line: reports are older.
+	// With many reports it is longer by reportCost each.
 	lineInterval = 20 * time.Millisecond
+	reportCost   = 100 * time.Microsecond
 	// maxWorkspacesReported bounds the workspaces that a report lists.
 	maxWorkspacesReported = 4
 )
@@ -30,7 +32,8 @@
 	r       *Router
 	service string
 	line    *line.Line
-	lineAt  time.Time
+	// nextLine is when the line may be updated again.
+	nextLine time.Time
 
 	heldMu          sync.Mutex
 	heldByRank      map[int]float64
@@ -49,15 +52,12 @@
 // mustLeave reports whether a request must leave the room to others that wait elsewhere. The
 // caller holds q.mu.
 func (q *roomQueue) mustLeave(now time.Time, r *queue.Request) bool {
-	if r.Begun || q.queue.Starved(r.Rank) {
-		return false
-	}
-	return q.line.Admit(now, q.inLine(now, r)).Leave
+	return !r.Begun && q.line.Admit(now, q.inLine(now, r)).Leave
 }
 
 // inLine returns a request as the line sees it.
 func (q *roomQueue) inLine(now time.Time, r *queue.Request) line.Request {
-	return line.Request{Rank: r.Rank, Late: now.After(r.StartBy), Workspace: uint64(r.Workspace), Running: q.held(r.Workspace), Cost: r.Cost}
+	return line.Request{Rank: r.Rank, Late: now.After(r.StartBy), Starved: q.queue.Starved(r.Rank), Workspace: uint64(r.Workspace), Running: q.held(r.Workspace), Cost: r.Cost}
 }
 
 // started records that a request takes room. The caller holds q.mu.
@@ -68,15 +68,15 @@
 
 // updateLine brings the line up to date while requests wait. The caller holds q.mu.
 func (q *roomQueue) updateLine(now time.Time) {
-	if q.queue.Len() == 0 || now.Sub(q.lineAt) < lineInterval {
+	if q.queue.Len() == 0 || now.Before(q.nextLine) {
 		return
 	}
 	s := q.r.Directory().Service(q.service)
 	if s == nil || s.Engine == nil {
 		return // nothing is known of the room
 	}
-	q.lineAt = now
 	others, othersBy := q.r.shares.Others(now, q.service)
+	q.nextLine = now.Add(lineInterval + time.Duration(len(others))*reportCost)
 	demand, byWorkspace := q.demand(now)
 	q.line.Update(q.room(now, s), demand, others, byWorkspace, othersBy)
 }
