Refused callers come back when there will be room

Change: returns.Calendar books returns in slots of 100 ms from what more urgent requests leave; returns.Limiter refuses callers with a booking last and tells the others to come late. Services with callers of unlike urgency book the same way; others as before. Events 6031 and 6032, counters returns_*. Conclusion: never fewer served than by chance under lost, doubled, late, one-way reports and without any, by more than 0.03.

--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -85,6 +85,8 @@
 	// PeerTraffic is emitted once a minute.
 	PeerTraffic      = define(6024, zap.InfoLevel, "sent to other entries in the last minute")
 	QuotaRefused     = define(6030, zap.InfoLevel, "request refused at the limit of its workspace")
+	ReturnBooked     = define(6031, zap.InfoLevel, "return of a refused caller booked")
+	ReturnNotBooked  = define(6032, zap.InfoLevel, "no room for the return of a refused caller")
 	DirectoryChanged = define(6006, zap.InfoLevel, "published directory changed")
 )
 
--- a/quota/quota.go
+++ b/quota/quota.go
@@ -197,6 +197,8 @@
 	kinds  int
 	costs  costs
 	cutoff cutoff
+	// byKind is this entry's own recent use by requests of each kind.
+	byKind [MaxClasses + 1]decayingSum
 	// expectedRate is the rate at which others are expected to use the workspace, in tokens a
 	// second, and expectedThrough the time up to which that has been taken from the bucket.
 	expectedRate    float64
@@ -220,6 +222,8 @@
 	Level float64
 	// Share is the share of the limit that applies; it is below 1 while entries are unreachable.
 	Share float64
+	// Rate is how many tokens a second are left by more urgent requests of the workspace.
+	Rate float64
 	// Threshold is the level from which on all requests are admitted, Admitted the fraction of
 	// the requests of this kind that are admitted at this level; both are for the log.
 	Threshold, Admitted float64
--- a/quota/urgency.go
+++ b/quota/urgency.go
@@ -35,7 +35,10 @@
 	Urgency, Classes int
 	// FixedCost says that all requests of this kind cost the same, unlike generations.
 	FixedCost bool
-	// Reserved is what is kept for others of the tokens in the bucket.
+	// Returning says that the caller comes back when it was told to, so that its request is
+	// among the last to be refused.
+	Returning bool
+	// Reserved is what is kept of the bucket for others, which return.
 	Reserved float64
 }
 
@@ -56,10 +59,14 @@
 	a.chargeExpected(now)
 	a.updateCutoff(now)
 	a.costs.record(c.FixedCost, float64(tokens))
-	p := a.costs.place(c)
-	a.kinds = p.kinds
-	level := a.bucket.TokensAt(now) - c.Reserved
-	v := Decision{Limited: true, Level: level, Share: a.share, Threshold: a.refusalThreshold(now, a.share)}
+	own := a.costs.place(c)
+	a.kinds = own.kinds
+	p := own
+	if c.Returning {
+		p = place{index: 0, kinds: max(own.kinds, 2)}
+	}
+	level := a.bucket.TokensAt(now) - l.reserved(a, c)
+	v := Decision{Limited: true, Level: level, Share: a.share, Threshold: a.refusalThreshold(now, a.share), Rate: a.rateFor(now, own)}
 	v.Admitted = a.admitted(p, level, v.Threshold)
 	v.OK = v.Admitted >= 1 || v.Admitted > l.rnd.Float64()
 	if !v.OK {
@@ -69,10 +76,39 @@
 	a.spend(now, float64(tokens))
 	a.taken += uint64(tokens)
 	a.recent.add(now, float64(tokens))
+	a.byKind[own.index].add(now, float64(tokens))
 	l.startReporting(now, a)
 	return v
 }
 
+// reserved returns by how much the bucket seems lower to a new request than it is, or negative
+// to a returning one: that is admitted although others have taken what was kept for it, as far
+// as a part of the tolerance allows. The caller holds l.mu.
+func (l *Ledger) reserved(a *account, c Class) float64 {
+	if !c.Returning {
+		return c.Reserved
+	}
+	return -toleranceDepthFraction * l.toleranceOf(a.full).excess(a.full) * a.share
+}
+
+// rateFor returns how many tokens a second more urgent requests leave to those at a place, as
+// far as this entry's own recent use tells.
+func (a *account) rateFor(now time.Time, p place) float64 {
+	var more, all float64
+	for i := range a.byKind {
+		use := a.byKind[i].value(now)
+		all += use
+		if i < p.index {
+			more += use
+		}
+	}
+	rate := a.full.Rate * a.share
+	if all <= 0 {
+		return rate
+	}
+	return rate * (1 - more/all)
+}
+
 // place is the position of a kind of requests among a number of them, 0 being the last to be
 // refused.
 type place struct{ index, kinds int }
--- a/returns/returns.go
+++ b/returns/returns.go
@@ -4,6 +4,7 @@
 package returns
 
 import (
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -13,19 +14,28 @@
 // SlotTime is the span of one slot of the calendar.
 const SlotTime = 100 * time.Millisecond
 
+const (
+	// rankFraction is the fraction of what one rank may book in a slot that the next less
+	// urgent one may; the rest is kept for more urgent ones.
+	rankFraction = 0.75
+	// newsTime is the time after which others know of a booking.
+	newsTime = 300 * time.Millisecond
+	// lateSlots is the number of slots after its own in which a return still finds room kept,
+	// earlySlots that before it: the promises of others may count a slot late.
+	lateSlots  = 2
+	earlySlots = 1
+	// bookedFraction is the fraction of the longest useful wait in which returns are booked.
+	// Callers without a booking return after unbookedFraction of it, and up to bookedUntil of it
+	// a caller is taken for one with a booking.
+	bookedFraction   = 0.7
+	bookedUntil      = 0.75
+	unbookedFraction = 0.8
+)
+
 // Key identifies what callers come back to: a workspace at its limit, or a service without
 // room.
 type Key = quota.ID
 
-// Promise is what one entry promised for one key, as it tells others.
-type Promise struct {
-	Key Key
-	// First is the time until the first slot begins, Cost the promised cost of that slot and
-	// those after it.
-	First time.Duration
-	Cost  []float64
-}
-
 // Request is a request that is refused.
 type Request struct {
 	// Cost is what it will use when it comes back, Rate what becomes available a second.
@@ -38,27 +48,203 @@
 
 // Calendar holds the promised returns. It is safe for concurrent use.
 type Calendar struct {
-	mu sync.Mutex
+	mu    sync.Mutex
+	rnd   *rand.Rand
+	fleet int
+	own   map[Key]*schedule
+	peers map[string]*peer
+}
+
+// schedule is what this process promised for one key.
+type schedule struct {
+	booked slots
+	// recent are the bookings that others may not know of yet.
+	recent []booking
+	// returned is what came back of the bookings of all processes.
+	returned slots
+}
+
+type booking struct {
+	slot slot
+	cost float64
+	at   time.Time
 }
 
 // NewCalendar returns an empty calendar.
-func NewCalendar() *Calendar { return &Calendar{} }
+func NewCalendar() *Calendar { return NewSeeded(rand.Uint64()) }
+
+// NewSeeded returns an empty calendar whose random choices are determined by a seed.
+func NewSeeded(seed uint64) *Calendar {
+	return &Calendar{rnd: rand.New(rand.NewPCG(seed, seed)), own: make(map[Key]*schedule), peers: make(map[string]*peer)}
+}
+
+// SetFleetSize sets the number of entries that book, this one included; zero if unknown.
+func (c *Calendar) SetFleetSize(n int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.fleet = n
+}
 
 // Book returns how long a refused caller is to wait, and books its return. It returns false if
 // no slot before the latest return has room: nothing is booked then.
-func (c *Calendar) Book(_ time.Time, _ Key, r Request) (wait time.Duration, ok bool) {
-	return r.Earliest, true
+func (c *Calendar) Book(now time.Time, key Key, r Request) (wait time.Duration, ok bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.forget(now)
+	s := c.own[key]
+	if s == nil {
+		s = &schedule{booked: make(slots), returned: make(slots)}
+		c.own[key] = s
+	}
+	at, ok := c.find(now, key, s, r)
+	if !ok {
+		return c.without(r), false
+	}
+	return at.begin().Sub(now) + time.Duration(c.rnd.Int64N(int64(SlotTime))), true
+}
+
+// without returns when a caller without a booking is to return: late, when the most others
+// have been served, and not all at once.
+func (c *Calendar) without(r Request) time.Duration {
+	latest := max(r.Latest, 0)
+	fraction := unbookedFraction + (1-unbookedFraction)*c.rnd.Float64()
+	return min(max(time.Duration(fraction*float64(latest)), r.Earliest), latest)
 }
 
-// Due returns the cost of the returns booked for the current slot that have not come yet, for
-// which room is kept.
-func (c *Calendar) Due(time.Time, Key) float64 { return 0 }
+// find books the room that a request needs and returns the slot in which it has become
+// available.
+func (c *Calendar) find(now time.Time, key Key, s *schedule, r Request) (at slot, ok bool) {
+	first, last := slotAt(now.Add(max(r.Earliest, 0)))+1, slotAt(now.Add(time.Duration(bookedFraction*float64(r.Latest))))-1
+	last = min(last, first+maxSlots)
+	if !positive(r.Cost) || !positive(r.Rate) || last < first {
+		return 0, false
+	}
+	b := c.bookable(now, key, s, r)
+	var room float64
+	for at := first; at <= last; at++ {
+		if room += b.share(at); room >= r.Cost {
+			s.book(now, r.Cost, first, at, b.share)
+			return at, true
+		}
+	}
+	// The share of this process is smaller than the request. In the mean of many processes
+	// the right number is booked.
+	if c.rnd.Float64()*r.Cost >= room {
+		return 0, false
+	}
+	return c.findWhole(now, s, r, b, first, last)
+}
 
-// Returned records that a caller with a booking has come back.
-func (c *Calendar) Returned(time.Time, Key, float64) {}
+// findWhole books the room of a request in the slots from a random one on, beyond the share of
+// this process.
+func (c *Calendar) findWhole(now time.Time, s *schedule, r Request, b bookable, first, last slot) (at slot, ok bool) {
+	from := first + slot(c.rnd.Int64N(int64(last-first+1)))
+	var room float64
+	for at = from; at <= last; at++ {
+		if room += b.free(at); room >= r.Cost {
+			s.book(now, r.Cost, from, at, b.free)
+			return at, true
+		}
+	}
+	return 0, false
+}
 
-// Own returns this process's own promises, to be reported to others.
-func (c *Calendar) Own(time.Time) []Promise { return nil }
+// book books a cost in the slots from first to last, as much in each as it has room.
+func (s *schedule) book(now time.Time, cost float64, first, last slot, room func(slot) float64) {
+	for at := first; at <= last && cost > 0; at++ {
+		part := min(room(at), cost)
+		if part <= 0 {
+			continue
+		}
+		cost -= part
+		s.booked[at] += part
+		s.recent = append(s.recent, booking{at, part, now})
+	}
+}
+
+// bookable is what may be booked of one key for a request.
+type bookable struct {
+	// perSlot is what a slot has for requests of its rank, fraction the share of this process.
+	perSlot, fraction   float64
+	own, recent, others slots
+}
+
+// free returns what is left of a slot.
+func (b bookable) free(at slot) float64 {
+	return max(b.perSlot-b.others[at]-b.own[at], 0)
+}
+
+// share returns what this process may book of a slot before others know of it.
+func (b bookable) share(at slot) float64 {
+	known := b.own[at] - b.recent[at]
+	return min(max(b.fraction*(b.perSlot-b.others[at]-known)-b.recent[at], 0), b.free(at))
+}
+
+func (c *Calendar) bookable(now time.Time, key Key, s *schedule, r Request) bookable {
+	b := bookable{perSlot: r.Rate * SlotTime.Seconds(), own: s.booked, recent: make(slots), others: make(slots)}
+	b.fraction = c.fraction(now, key, s, b.perSlot, b.others)
+	for range min(r.Rank, maxRank) {
+		b.perSlot *= rankFraction
+	}
+	for _, x := range s.recent {
+		b.recent[x.slot] += x.cost
+	}
+	return b
+}
 
-// Merge replaces the promises of another process.
-func (c *Calendar) Merge(time.Time, string, []Promise) {}
+// fraction returns the share of this process in the bookings of all, and adds those of others.
+// Processes that have not reported are taken to book as much as this one.
+func (c *Calendar) fraction(now time.Time, key Key, s *schedule, perSlot float64, others slots) float64 {
+	own := perSlot + s.booked.total()
+	all, heard := own, 1
+	for _, p := range c.peers {
+		p.each(key, func(at slot, cost float64) {
+			others[at] += cost
+			all += cost
+		})
+		if p.alive(now, c.fleet) {
+			heard++
+			all += perSlot
+		}
+	}
+	all += own * float64(max(c.fleet-heard, 0))
+	return own / all
+}
+
+// Due returns the cost of the returns booked for about now that have not come yet, for which
+// room is kept.
+func (c *Calendar) Due(now time.Time, key Key) (cost float64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for at := slotAt(now) - lateSlots; at <= slotAt(now)+earlySlots; at++ {
+		cost += c.due(key, at)
+	}
+	return cost
+}
+
+// due returns the cost of the returns booked for a slot that have not come yet.
+func (c *Calendar) due(key Key, at slot) (cost float64) {
+	for _, p := range c.peers {
+		cost += p.booked[key][at] + p.former[key][at]
+	}
+	if s := c.own[key]; s != nil {
+		cost += s.booked[at] - s.returned[at]
+	}
+	return max(cost, 0)
+}
+
+// Returned records that a caller with a booking has come back.
+func (c *Calendar) Returned(now time.Time, key Key, cost float64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	s := c.own[key]
+	if s == nil {
+		s = &schedule{booked: make(slots), returned: make(slots)}
+		c.own[key] = s
+	}
+	for at := slotAt(now) - lateSlots; at <= slotAt(now)+earlySlots && cost > 0; at++ {
+		part := min(c.due(key, at), cost)
+		s.returned[at] += part
+		cost -= part
+	}
+}
--- /dev/null
+++ b/returns/returns_test.go
@@ -0,0 +1,360 @@
+package returns_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"pgregory.net/rapid"
+
+	_ "ebonypulley/internal/fixedseed"
+	"ebonypulley/quota"
+	"ebonypulley/returns"
+)
+
+var (
+	start     = time.Unix(1000, 0)
+	workspace = quota.NewID("w")
+	tolerance = quota.Tolerance{Window: 8 * time.Second, Overrun: 0.25, Slack: 140_000}
+	limit     = quota.Limit{Rate: 47_000, Burst: 47_000}
+)
+
+func at(d time.Duration) time.Time { return start.Add(d) }
+
+// TestPromisesStayWithinRoom: whatever is booked, merged and returned, nothing is negative, no
+// wait exceeds the latest one, and no slot is promised beyond its room by one process.
+func TestPromisesStayWithinRoom(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		c, now := returns.NewSeeded(1), start
+		c.SetFleetSize(rapid.IntRange(0, 5).Draw(t, "fleet"))
+		const rate = 10_000.0
+		for range rapid.IntRange(1, 100).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 300).Draw(t, "ms")) * time.Millisecond)
+			cost := rapid.Float64Range(-10, 5000).Draw(t, "cost")
+			switch rapid.IntRange(0, 4).Draw(t, "what") {
+			case 0:
+				c.Returned(now, workspace, cost)
+			case 1:
+				first := time.Duration(rapid.IntRange(-3000, 3000).Draw(t, "first")) * time.Millisecond
+				c.Merge(now, "b", []returns.Promise{{Key: workspace, First: first, Cost: []float64{cost, -cost, 0, cost}}})
+			default:
+				latest := time.Duration(rapid.IntRange(-100, 5000).Draw(t, "latest")) * time.Millisecond
+				wait, _ := c.Book(now, workspace, returns.Request{Cost: cost, Rate: rate, Rank: rapid.IntRange(0, 5).Draw(t, "rank"), Earliest: returns.MinDelay, Latest: latest})
+				assert.GreaterOrEqual(t, wait, time.Duration(0))
+				assert.LessOrEqual(t, wait, max(latest, 0))
+			}
+			assert.GreaterOrEqual(t, c.Due(now, workspace), 0.0)
+			for _, p := range c.Own(now) {
+				for _, promised := range p.Cost {
+					assert.GreaterOrEqual(t, promised, 0.0)
+					assert.LessOrEqual(t, promised, rate*returns.SlotTime.Seconds()+1e-6)
+				}
+			}
+		}
+	})
+}
+
+// TestUrgentReturnsFindRoom: when less urgent callers have booked what they may, more urgent
+// ones still get a slot.
+func TestUrgentReturnsFindRoom(t *testing.T) {
+	c := returns.NewSeeded(1)
+	book := func(rank int) bool {
+		_, ok := c.Book(start, workspace, returns.Request{Cost: 100, Rate: 1000, Rank: rank, Earliest: returns.MinDelay, Latest: 2 * time.Second})
+		return ok
+	}
+	for book(2) {
+	}
+	assert.True(t, book(1))
+	for book(1) {
+	}
+	assert.True(t, book(0))
+}
+
+// TestPromisesPass: promises decay to nothing by themselves; those of a process that is killed
+// or restarted count until they have passed, because its callers come back to others.
+func TestPromisesPass(t *testing.T) {
+	c := returns.NewSeeded(1)
+	wait, ok := c.Book(start, workspace, returns.Request{Cost: 10, Rate: 1000, Earliest: returns.MinDelay, Latest: time.Second})
+	assert.True(t, ok)
+	assert.Len(t, c.Own(start), 1)
+	assert.Positive(t, c.Due(start.Add(wait), workspace))
+	assert.Empty(t, c.Own(at(2*time.Second)))
+	for _, restarted := range []bool{false, true} {
+		c = returns.NewSeeded(1)
+		c.Merge(start, "b", []returns.Promise{{Key: workspace, First: 2 * time.Second, Cost: []float64{5}}})
+		if restarted {
+			c.Merge(at(time.Second), "b", nil)
+		}
+		assert.InDelta(t, 5, c.Due(at(2050*time.Millisecond), workspace), 0)
+		assert.Zero(t, c.Due(at(3*time.Second), workspace))
+	}
+	assert.Empty(t, returns.NewSeeded(1).Own(start), "after a restart of all")
+}
+
+// site is a workspace's callers before a fleet of entries.
+type site struct {
+	t       *testing.T
+	entries []*entry
+	rnd     *rand.Rand
+	// withoutCalendar lets callers come back at random instead.
+	withoutCalendar bool
+	// arrive returns which entries hear a report that is sent, and how often.
+	arrive func(from, to int) int
+	delay  time.Duration
+	kill   time.Duration
+	agenda map[time.Duration][]caller
+	// demand is the demand as a multiple of the limit.
+	demand func(time.Duration) float64
+	// abusers is the fraction of callers that repeat at once.
+	abusers float64
+	kinds   [len(classes)]tally
+	abuse   tally
+	// admitted holds the tokens admitted in each second.
+	admitted map[time.Duration]int
+}
+
+// mostAdmitted returns the most tokens admitted in the window of the tolerance.
+func (s *site) mostAdmitted() (most int) {
+	for from := time.Duration(0); from < lasting; from += time.Second {
+		sum := 0
+		for d := from; d < from+tolerance.Window; d += time.Second {
+			sum += s.admitted[d]
+		}
+		most = max(most, sum)
+	}
+	return most
+}
+
+// tolerated is what may be admitted in that window.
+var tolerated = (limit.Rate*tolerance.Window.Seconds()+limit.Burst)*(1+tolerance.Overrun) + tolerance.Slack
+
+type tally struct{ first, served, back, backServed int }
+
+// share returns the fraction of callers that were served in the end.
+func (t tally) share() float64 { return float64(t.served) / float64(t.first) }
+
+type entry struct {
+	returns.Limiter
+	incarnation byte
+}
+
+type caller struct {
+	class           int
+	first           time.Duration
+	attempt         int
+	booked, abusive bool
+}
+
+const (
+	lasting = 20 * time.Second
+	tokens  = 1200
+	timeout = 14 * time.Second
+	step    = 10 * time.Millisecond
+)
+
+// classes holds the share of each class in the demand.
+var classes = [...]float64{0.25, 0.4, 0.35}
+
+func newSite(t *testing.T, entries int, demand func(time.Duration) float64) *site {
+	s := &site{t: t, rnd: rand.New(rand.NewPCG(9, 9)), demand: demand, agenda: make(map[time.Duration][]caller), admitted: make(map[time.Duration]int), arrive: func(int, int) int { return 1 }, delay: 70 * time.Millisecond}
+	for i := range entries {
+		s.entries = append(s.entries, new(entry))
+		s.start(i, false)
+	}
+	return s
+}
+
+func (s *site) start(i int, restarted bool) {
+	e := s.entries[i]
+	e.incarnation++
+	e.Ledger = quota.NewLedger(quota.Settings{Tolerance: tolerance, Restarted: restarted, Seed: uint64(i)})
+	e.Ledger.SetLimits(map[quota.ID]quota.Limit{workspace: limit})
+	e.Ledger.SetFleetSize(len(s.entries))
+	e.Calendar = returns.NewSeeded(uint64(i))
+	e.Calendar.SetFleetSize(len(s.entries))
+}
+
+type report struct {
+	from     int
+	uses     []quota.Use
+	promises []returns.Promise
+	run      byte
+}
+
+func (s *site) run(lasting time.Duration) {
+	var sent []report
+	for d := time.Duration(0); d < lasting; d += step {
+		if d == 0 || d%(150*time.Millisecond) == s.delay/step*step {
+			s.deliver(at(d), sent)
+		}
+		if d%(150*time.Millisecond) == 0 {
+			sent = sent[:0]
+			for i, e := range s.entries {
+				sent = append(sent, report{i, e.Ledger.OwnUse(at(d)), e.Calendar.Own(at(d)), e.incarnation})
+			}
+			if d == 0 {
+				s.deliver(at(d), sent)
+			}
+		}
+		if s.kill > 0 && d == s.kill {
+			for i := 0; i < len(s.entries); i += 3 {
+				s.start(i, true)
+			}
+		}
+		s.arrivals(d)
+		for _, c := range s.agenda[d] {
+			s.attempt(d, c)
+		}
+		delete(s.agenda, d)
+	}
+}
+
+func (s *site) deliver(now time.Time, sent []report) {
+	for _, r := range sent {
+		for j, to := range s.entries {
+			for range s.arrive(r.from, j) {
+				if r.from != j {
+					to.Ledger.MergeUse(now, fmt.Sprint(r.from), quota.Incarnation{r.run}, r.uses)
+					to.Calendar.Merge(now, fmt.Sprint(r.from), r.promises)
+				}
+			}
+		}
+	}
+}
+
+func (s *site) arrivals(d time.Duration) {
+	for class, share := range classes {
+		mean := limit.Rate * s.demand(d) * share * step.Seconds() / tokens
+		for n := mean + s.rnd.Float64(); n >= 1; n-- {
+			s.attempt(d, caller{class: class, first: d, abusive: s.rnd.Float64() < s.abusers})
+		}
+	}
+}
+
+func (s *site) tallyOf(c caller) *tally {
+	if c.abusive {
+		return &s.abuse
+	}
+	return &s.kinds[c.class]
+}
+
+func (s *site) attempt(d time.Duration, c caller) {
+	count := s.tallyOf(c)
+	if c.attempt == 0 {
+		count.first++
+	}
+	e := s.entries[s.rnd.IntN(len(s.entries))]
+	a := returns.Attempt{Workspace: workspace, Tokens: tokens, Class: quota.Class{Urgency: c.class, Classes: len(classes)}, Waited: d - c.first, Latest: (timeout - (d - c.first)) * 32 / 100, FirstLatest: timeout * 32 / 100}
+	var v returns.Decision
+	if s.withoutCalendar {
+		v.Decision = e.Ledger.TakeClass(at(d), workspace, tokens, a.Class)
+	} else {
+		v = e.Take(at(d), a)
+	}
+	if c.booked {
+		count.back++
+	}
+	if v.OK {
+		count.served++
+		s.admitted[d.Truncate(time.Second)] += tokens
+		if c.booked {
+			count.backServed++
+		}
+		return
+	}
+	if c.attempt > 0 && !c.abusive || c.attempt > 3 {
+		return
+	}
+	wait := v.Delay
+	if s.withoutCalendar {
+		wait = v.Wait + time.Duration(s.rnd.Float64()*float64(250*time.Millisecond))
+	}
+	if c.abusive {
+		wait = 0
+	}
+	c.booked, c.attempt = v.Booked && !c.abusive, c.attempt+1
+	back := (d + wait + step).Truncate(step)
+	s.agenda[back] = append(s.agenda[back], c)
+}
+
+// total returns the sum over all classes.
+func (s *site) total() (sum tally) {
+	for _, k := range s.kinds {
+		sum.first, sum.served = sum.first+k.first, sum.served+k.served
+		sum.back, sum.backServed = sum.back+k.back, sum.backServed+k.backServed
+	}
+	return sum
+}
+
+// TestBookedReturnsAreServed: for 10 s a workspace sends more than its limit. Callers for whom a
+// return is booked are served when they come back, also when a third of the entries is killed.
+func TestBookedReturnsAreServed(t *testing.T) {
+	for _, factor := range []float64{1.2, 1.6, 2} {
+		for _, kill := range []time.Duration{0, 6 * time.Second} {
+			s := newSite(t, 24, burst(factor))
+			s.kill = kill
+			s.run(lasting)
+			sum := s.total()
+			t.Logf("%.1f times the limit, kill %v: %d of %d served, %d of %d booked returns", factor, kill, sum.served, sum.first, sum.backServed, sum.back)
+			assert.LessOrEqual(t, float64(s.mostAdmitted()), tolerated)
+			if sum.back > 0 {
+				assert.GreaterOrEqual(t, float64(sum.backServed)/float64(sum.back), 0.97)
+			}
+		}
+	}
+}
+
+// burst returns a demand that is a multiple of the limit for ten seconds.
+func burst(factor float64) func(time.Duration) float64 {
+	return func(d time.Duration) float64 {
+		if d >= 4*time.Second && d < 14*time.Second {
+			return factor
+		}
+		return 0.6
+	}
+}
+
+// TestCalendarUnderFailures: reports are lost, doubled, late or one-way, or entries are killed,
+// while a workspace sends several times its limit. No fewer callers are served than without a
+// calendar, but for 3 in 100.
+func TestCalendarUnderFailures(t *testing.T) {
+	failures := map[string]func(*site){
+		"none":    func(*site) {},
+		"lost":    func(s *site) { s.arrive = func(int, int) int { return s.rnd.IntN(10) / 3 % 2 } },
+		"doubled": func(s *site) { s.arrive = func(int, int) int { return 2 } },
+		"late":    func(s *site) { s.delay = 140 * time.Millisecond },
+		"one-way": func(s *site) { s.arrive = func(from, to int) int { return min(1, max(to-from, 0)) } },
+		"killed":  func(s *site) { s.kill = 7 * time.Second },
+		"silent":  func(s *site) { s.arrive = func(int, int) int { return 0 } },
+	}
+	for name, fail := range failures {
+		for _, factor := range []float64{1.6, 4} {
+			var share [2]float64
+			for i := range share {
+				s := newSite(t, 12, burst(factor))
+				fail(s)
+				s.withoutCalendar = i == 1
+				s.run(lasting)
+				share[i] = s.total().share()
+			}
+			t.Logf("%s, %.1f times the limit: %.3f served, without the calendar %.3f", name, factor, share[0], share[1])
+			assert.GreaterOrEqual(t, share[0], share[1]-0.03, name)
+		}
+	}
+}
+
+// TestRepeatingAtOnceGainsNothing: a fifth of the callers repeat at once, up to four times. They
+// are not served more often than without a calendar.
+func TestRepeatingAtOnceGainsNothing(t *testing.T) {
+	var share [2]float64
+	for i := range share {
+		s := newSite(t, 12, burst(2))
+		s.abusers, s.withoutCalendar = 0.2, i == 1
+		s.run(lasting)
+		share[i] = s.abuse.share()
+	}
+	t.Logf("%.3f served, without the calendar %.3f", share[0], share[1])
+	assert.LessOrEqual(t, share[0], share[1]+0.01)
+}
--- a/router/late.go
+++ b/router/late.go
@@ -122,20 +122,6 @@
 	return lateFill
 }
 
-// retryDelay returns the delay after which a refused caller may retry.
-func (g *generationRun) retryDelay() time.Duration {
-	m := g.r.loads.EngineModel(g.c.Service)
-	duration := m.AnswerDuration(g.c.Timeout)
-	minDelay := time.Duration(minRetryAnswers * float64(duration))
-	spread := time.Duration(retrySpreadAnswers * float64(duration))
-	maxDelay := time.Duration(maxRetryFraction * float64(g.c.Timeout))
-	if minDelay+spread > maxDelay {
-		minDelay, spread = max(maxDelay-spread, maxDelay/2), min(spread, maxDelay/2)
-	}
-	unavailable := g.r.unavailableFor(time.Now(), g.c.Service.Name, Decode, g.limited)
-	return unavailable + g.r.jitter(minDelay, max(spread, time.Millisecond))
-}
-
 // newAdmissionPolicy derives the policy from the target, the time that the caller has
 // spent on earlier attempts and the expected time to the first event on idle engines. A
 // caller that retries requests a shorter timeout than at first; the longest timeout of
--- a/router/plain.go
+++ b/router/plain.go
@@ -240,13 +240,6 @@
 	return f
 }
 
-// retryDelay returns the delay after which a refused call may be retried.
-func (p *plainRun) retryDelay() time.Duration {
-	call := float64(p.r.loads.CallTime(p.c.Service.Name, p.c.Route.LatencyTarget).Mean)
-	unavailable := p.r.unavailableFor(time.Now(), p.c.Service.Name, Plain, p.limited)
-	return unavailable + p.r.jitter(time.Duration(plainRetryCalls*call), max(time.Duration(plainRetrySpreadCalls*call), time.Millisecond))
-}
-
 // failureCostCalls is the cost of a certain failure, in expected call durations: the
 // failed call, and a second one queued behind others.
 const failureCostCalls = 6.5
--- a/router/quota.go
+++ b/router/quota.go
@@ -8,10 +8,11 @@
 
 	"ebonypulley/event"
 	"ebonypulley/quota"
+	"ebonypulley/returns"
 )
 
 // quotaRetrySpread is the time over which retries are spread when callers are refused
-// together because their workspace is at its limit.
+// together because this process has no share of the limit.
 const quotaRetrySpread = 250 * time.Millisecond
 
 // errQuota is returned for a call whose workspace is at its limit.
@@ -36,20 +37,30 @@
 		return nil
 	}
 	class := r.quotaClass(c)
-	v := r.quotas.TakeClass(time.Now(), c.Workspace.ID, c.Tokens, class)
+	limiter := returns.Limiter{Ledger: r.quotas, Calendar: r.calendar}
+	v := limiter.Take(time.Now(), returns.Attempt{
+		Workspace: c.Workspace.ID, Tokens: c.Tokens, Class: class,
+		Waited: r.waited(c), Latest: c.maxRetryDelay(), FirstLatest: maxRetryDelay(r.longestTimeout(c)),
+	})
 	if v.OK {
+		if v.OnTime {
+			r.metrics.Add("returns_on_time", 1)
+		}
 		return nil
 	}
-	r.recordQuotaRefusal(c, class, v)
-	why := OverQuota
-	if v.Share == 0 {
-		why = NotRun // this process has no share of the limit, and the workspace may be far below it
-	}
-	return &Failure{
-		Reason:     why,
-		RetryAfter: min(r.jitter(v.Wait, quotaRetrySpread), time.Duration(maxRetryFraction*float64(c.Timeout))),
+	r.recordQuotaRefusal(c, class, v.Decision)
+	f := &Failure{
+		Reason:     OverQuota,
+		RetryAfter: v.Delay,
 		Cause:      errQuota.New("workspace %s is at its limit: %d tokens requested, level %.0f, share of the limit %.2f", c.Workspace.Name, c.Tokens, v.Level, v.Share),
 	}
+	if v.Share == 0 {
+		// This process has no share of the limit, and the workspace may be far below it.
+		f.Reason, f.RetryAfter = NotRun, min(r.jitter(v.Wait, quotaRetrySpread), c.maxRetryDelay())
+		return f
+	}
+	r.recordReturn(c, "workspace "+c.Workspace.Name, v.Return, v.Delay, v.Booked)
+	return f
 }
 
 func (r *Router) recordQuotaRefusal(c *Call, class quota.Class, v quota.Decision) {
--- a/router/quota_test.go
+++ b/router/quota_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -121,3 +122,45 @@
 		assert.Less(t, served["other"], each/2)
 	})
 }
+
+// TestRefusedCallersAreTold: a workspace sends four times its limit. Each refused caller is told
+// at once when to come back, within the time that it respects; those with a booking are served.
+func TestRefusedCallersAreTold(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := &fakeEndpoints{call: func(context.Context, *router.Endpoint) (*router.Answer, error) { return &router.Answer{}, nil }}
+		r, w := newLimited(f, quota.Limit{Rate: 20_000, Burst: 20_000}, plain("a"))
+		const timeout, lasting = 2500 * time.Millisecond, 10 * time.Second
+		var told, back int
+		var served atomic.Int64
+		for began := time.Now(); time.Since(began) < lasting; time.Sleep(10 * time.Millisecond) {
+			for range 4 {
+				c := newCall(nonIdempotentRoute, app)
+				c.Workspace, c.Tokens, c.Timeout = w, 200, timeout
+				_, fail := r.Call(t.Context(), c)
+				if fail == nil {
+					continue
+				}
+				told++
+				assert.Equal(t, router.OverQuota, fail.Reason)
+				assert.GreaterOrEqual(t, fail.RetryAfter, 200*time.Millisecond)
+				assert.LessOrEqual(t, fail.RetryAfter, timeout/3)
+				if fail.RetryAfter > timeout/4 {
+					continue // told to come late, without a booking
+				}
+				back++
+				go func() {
+					time.Sleep(fail.RetryAfter)
+					again := newCall(nonIdempotentRoute, app)
+					again.Workspace, again.Tokens, again.Timeout = w, 200, timeout-fail.RetryAfter
+					if _, fail := r.Call(t.Context(), again); fail == nil {
+						served.Add(1)
+					}
+				}()
+			}
+		}
+		time.Sleep(timeout)
+		t.Logf("%d told, %d with a booking, of these %d served", told, back, served.Load())
+		assert.NotZero(t, back)
+		assert.GreaterOrEqual(t, int(served.Load()), back*97/100)
+	})
+}
--- a/router/router.go
+++ b/router/router.go
@@ -137,7 +137,10 @@
 
 // SetFleetSize sets the number of entries that share the retry budget and the limits,
 // including those that no longer report.
-func (r *Router) SetFleetSize(n int) { r.quotas.SetFleetSize(n) }
+func (r *Router) SetFleetSize(n int) {
+	r.quotas.SetFleetSize(n)
+	r.calendar.SetFleetSize(n)
+}
 
 // SetRetryBudget changes the parameters of the retry budget.
 func (r *Router) SetRetryBudget(ratio float64, window time.Duration, slack float64) {
