Returns use no tolerance while entries are unreachable; plain calls keep their place at an emptier bucket

Change: returning callers get no credit while the share of the limit is below 1; the first kind is refused at random below 0.1 of the threshold instead of 0.15.

--- a/quota/urgency.go
+++ b/quota/urgency.go
@@ -22,7 +22,7 @@
 	// nearlyEmpty is the level, as a fraction of the refusal threshold, below which even the
 	// first kind of requests is refused at random. Each further kind that is admitted in full,
 	// by at least fullMargin, has a range of the same width above.
-	nearlyEmpty = 0.15
+	nearlyEmpty = 0.1
 	fullMargin  = 0.25
 	// maxCorrectionTime bounds the time for which one level is assumed.
 	maxCorrectionTime = 200 * time.Millisecond
@@ -83,12 +83,16 @@
 
 // reserved returns by how much the bucket seems lower to a new request than it is, or negative
 // to a returning one: that is admitted although others have taken what was kept for it, as far
-// as a part of the tolerance allows. The caller holds l.mu.
+// as a part of the tolerance allows. While entries are unreachable, the shares of the limit use
+// all of that. The caller holds l.mu.
 func (l *Ledger) reserved(a *account, c Class) float64 {
-	if !c.Returning {
+	switch {
+	case !c.Returning:
 		return c.Reserved
+	case a.share < 1:
+		return 0
 	}
-	return -toleranceDepthFraction * l.toleranceOf(a.full).excess(a.full) * a.share
+	return -toleranceDepthFraction * l.toleranceOf(a.full).excess(a.full)
 }
 
 // rateFor returns how many tokens a second more urgent requests leave to those at a place, as
