--- a/returns/news.go
+++ b/returns/news.go
@@ -19,6 +19,8 @@
 	maxReportedKeys, maxReportedSlots = 8, 96
 	// lostFraction is the fraction of its former promises below which a process was restarted.
 	lostFraction = 0.5
+	// leastCost is the cost below which a sum is taken for rounding errors.
+	leastCost = 1e-6
 	// roundingMargin keeps a promise that arrives at once in its slot; one that travels longer
 	// than the rest of a slot counts one slot later.
 	roundingMargin = SlotTime / 10
@@ -44,16 +46,6 @@
 	former map[Key]slots
 }
 
-// each calls f for each slot that the process promised for a key.
-func (p *peer) each(key Key, f func(slot, float64)) {
-	for at, cost := range p.booked[key] {
-		f(at, cost)
-	}
-	for at, cost := range p.former[key] {
-		f(at, cost)
-	}
-}
-
 // after returns the cost of all promises in slots after one.
 func after(booked map[Key]slots, passed slot) (cost float64) {
 	for _, s := range booked {
@@ -138,41 +130,87 @@
 
 // Merge replaces the promises of another process, except those of an earlier incarnation.
 func (c *Calendar) Merge(now time.Time, from string, list []Promise) {
-	p := &peer{at: now, booked: make(map[Key]slots, min(len(list), maxReportedKeys))}
-	for _, promise := range list[:min(len(list), maxReportedKeys)] {
-		first := slotAt(now.Add(promise.First + roundingMargin))
-		booked := make(slots, len(promise.Cost))
-		for i, cost := range promise.Cost[:min(len(promise.Cost), maxSlots)] {
+	p := &peer{at: now, booked: decoded(now, list)}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if old := c.peers[from]; old != nil {
+		p.former = c.replace(now, old, p.booked)
+	}
+	c.count(now, p.booked, 1)
+	c.peers[from] = p
+}
+
+// decoded returns the promises of a report by key and slot.
+func decoded(now time.Time, list []Promise) map[Key]slots {
+	if len(list) == 0 {
+		return nil
+	}
+	booked := make(map[Key]slots, min(len(list), maxReportedKeys))
+	for _, p := range list[:min(len(list), maxReportedKeys)] {
+		first := slotAt(now.Add(p.First + roundingMargin))
+		s := make(slots, len(p.Cost))
+		for i, cost := range p.Cost[:min(len(p.Cost), maxSlots)] {
 			if positive(cost) {
-				booked[first+slot(i)] = cost
+				s[first+slot(i)] = cost
 			}
 		}
-		p.booked[promise.Key] = booked
+		booked[p.Key] = s
 	}
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if old := c.peers[from]; old != nil {
-		p.former = old.former
-		// Promises are never withdrawn: a process that lacks most of its own was restarted.
-		passed := slotAt(now) + earlySlots
-		if after(p.booked, passed) < lostFraction*after(old.booked, passed) {
-			p.former = old.booked
+	return booked
+}
+
+// replace no longer counts the promises of a process that newer ones replace. It returns those
+// that still count. Promises are never withdrawn, so that a process that lacks most of its own
+// was restarted.
+func (c *Calendar) replace(now time.Time, old *peer, newer map[Key]slots) (former map[Key]slots) {
+	passed := slotAt(now) + earlySlots
+	if after(newer, passed) < lostFraction*after(old.booked, passed) {
+		c.count(now, old.former, -1)
+		return old.booked
+	}
+	c.count(now, old.booked, -1)
+	return old.former
+}
+
+// count adds promises to those of all other processes, or with a sign of -1 removes them.
+func (c *Calendar) count(now time.Time, booked map[Key]slots, sign float64) {
+	passed := slotAt(now) - lateSlots
+	for key, s := range booked {
+		sum := c.others[key]
+		if sum == nil {
+			sum = make(slots)
+			c.others[key] = sum
+		}
+		for at, cost := range s {
+			if at < passed {
+				continue
+			}
+			if sum[at] += sign * cost; sum[at] < leastCost {
+				delete(sum, at)
+			}
 		}
 	}
-	c.peers[from] = p
 }
 
-// forget drops what has passed.
+// forget drops what has passed, once a slot.
 func (c *Calendar) forget(now time.Time) {
+	if now.Sub(c.forgot) < SlotTime {
+		return
+	}
+	c.forgot = now
 	passed := slotAt(now) - lateSlots
 	for key, s := range c.own {
 		s.booked.forget(passed)
 		s.returned.forget(passed)
-		s.recent = slices.DeleteFunc(s.recent, func(b booking) bool { return now.Sub(b.at) > newsTime })
 		if len(s.booked)+len(s.returned) == 0 {
 			delete(c.own, key)
 		}
 	}
+	for key, s := range c.others {
+		if s.forget(passed); len(s) == 0 {
+			delete(c.others, key)
+		}
+	}
 	for from, p := range c.peers {
 		if !p.alive(now, c.fleet) && after(p.booked, passed)+after(p.former, passed) <= 0 {
 			delete(c.peers, from)
--- a/returns/returns.go
+++ b/returns/returns.go
@@ -5,6 +5,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -53,6 +54,10 @@
 	fleet int
 	own   map[Key]*schedule
 	peers map[string]*peer
+	// others holds the sum of the promises of peers.
+	others map[Key]slots
+	// forgot is when what had passed was last dropped.
+	forgot time.Time
 }
 
 // schedule is what this process promised for one key.
@@ -75,7 +80,7 @@
 
 // NewSeeded returns an empty calendar whose random choices are determined by a seed.
 func NewSeeded(seed uint64) *Calendar {
-	return &Calendar{rnd: rand.New(rand.NewPCG(seed, seed)), own: make(map[Key]*schedule), peers: make(map[string]*peer)}
+	return &Calendar{rnd: rand.New(rand.NewPCG(seed, seed)), own: make(map[Key]*schedule), peers: make(map[string]*peer), others: make(map[Key]slots)}
 }
 
 // SetFleetSize sets the number of entries that book, this one included; zero if unknown.
@@ -181,33 +186,30 @@
 }
 
 func (c *Calendar) bookable(now time.Time, key Key, s *schedule, r Request) bookable {
-	b := bookable{perSlot: r.Rate * SlotTime.Seconds(), own: s.booked, recent: make(slots), others: make(slots)}
-	b.fraction = c.fraction(now, key, s, b.perSlot, b.others)
+	b := bookable{perSlot: r.Rate * SlotTime.Seconds(), own: s.booked, recent: make(slots), others: c.others[key]}
+	b.fraction = c.fraction(now, s, b.perSlot, b.others)
 	for range min(r.Rank, maxRank) {
 		b.perSlot *= rankFraction
 	}
+	s.recent = slices.DeleteFunc(s.recent, func(x booking) bool { return now.Sub(x.at) > newsTime })
 	for _, x := range s.recent {
 		b.recent[x.slot] += x.cost
 	}
 	return b
 }
 
-// fraction returns the share of this process in the bookings of all, and adds those of others.
-// Processes that have not reported are taken to book as much as this one.
-func (c *Calendar) fraction(now time.Time, key Key, s *schedule, perSlot float64, others slots) float64 {
-	own := perSlot + s.booked.total()
-	all, heard := own, 1
+// fraction returns the share of this process in the bookings of all. Processes that have not
+// reported are taken to book as much as this one.
+func (c *Calendar) fraction(now time.Time, s *schedule, perSlot float64, others slots) float64 {
+	heard := 0
 	for _, p := range c.peers {
-		p.each(key, func(at slot, cost float64) {
-			others[at] += cost
-			all += cost
-		})
 		if p.alive(now, c.fleet) {
 			heard++
-			all += perSlot
 		}
 	}
-	all += own * float64(max(c.fleet-heard, 0))
+	own := perSlot + s.booked.total()
+	all := own + others.total() + perSlot*float64(heard)
+	all += own * float64(max(c.fleet-heard-1, 0))
 	return own / all
 }
 
@@ -224,9 +226,7 @@
 
 // due returns the cost of the returns booked for a slot that have not come yet.
 func (c *Calendar) due(key Key, at slot) (cost float64) {
-	for _, p := range c.peers {
-		cost += p.booked[key][at] + p.former[key][at]
-	}
+	cost = c.others[key][at]
 	if s := c.own[key]; s != nil {
 		cost += s.booked[at] - s.returned[at]
 	}
--- a/returns/returns_test.go
+++ b/returns/returns_test.go
@@ -93,6 +93,38 @@
 	assert.Empty(t, returns.NewSeeded(1).Own(start), "after a restart of all")
 }
 
+// TestReportIsBounded: thousands of workspaces at their limits make no large report.
+func TestReportIsBounded(t *testing.T) {
+	c := returns.NewSeeded(1)
+	for key := range 5000 {
+		c.Book(start, returns.Key(key), returns.Request{Cost: 4000, Rate: 1000, Earliest: returns.MinDelay, Latest: 10 * time.Second})
+	}
+	promised := 0
+	for _, p := range c.Own(start) {
+		promised += len(p.Cost)
+	}
+	assert.Positive(t, promised)
+	assert.LessOrEqual(t, promised, 96)
+}
+
+// TestOthersAreUnaffected: one workspace sends eight times its usual, 4.8 times its limit.
+// Another one at 0.6 of its own limit is refused nothing.
+func TestOthersAreUnaffected(t *testing.T) {
+	s := newSite(t, 12, burst(4.8))
+	other := quota.NewID("other")
+	for _, e := range s.entries {
+		e.Ledger.SetLimits(map[quota.ID]quota.Limit{workspace: limit, other: limit})
+	}
+	refused := 0
+	s.beside = func(d time.Duration, e *entry) {
+		if d%(40*time.Millisecond) == 0 && !e.Take(at(d), returns.Attempt{Workspace: other, Tokens: tokens, Class: quota.Class{Urgency: 2, Classes: 3}}).OK {
+			refused++
+		}
+	}
+	s.run(lasting)
+	assert.Zero(t, refused)
+}
+
 // site is a workspace's callers before a fleet of entries.
 type site struct {
 	t       *testing.T
@@ -105,6 +137,8 @@
 	delay  time.Duration
 	kill   time.Duration
 	agenda map[time.Duration][]caller
+	// beside is called in each step with a random entry.
+	beside func(time.Duration, *entry)
 	// demand is the demand as a multiple of the limit.
 	demand func(time.Duration) float64
 	// abusers is the fraction of callers that repeat at once.
@@ -203,6 +237,9 @@
 				s.start(i, true)
 			}
 		}
+		if s.beside != nil {
+			s.beside(d, s.entries[s.rnd.IntN(len(s.entries))])
+		}
 		s.arrivals(d)
 		for _, c := range s.agenda[d] {
 			s.attempt(d, c)
