Operators see the pace of endpoints

Cause: nothing showed that an endpoint is slow by what it says, or that it says what its durations don't show.

Change: 6045 when an endpoint has been slow for some 15 s, or no longer is; 6046 when its pace stops to count since durations don't follow it, or counts again; both with hysteresis, so that short slow moments are not logged. pace in /debug/vars summarizes the endpoints of each service.

Measured: tests of pace only.

--- a/cmd/ebonypulley/platform.go
+++ b/cmd/ebonypulley/platform.go
@@ -46,5 +46,6 @@
 	e := platform.New(set, log)
 	e.ReadSettings = func() (platform.Settings, error) { return settings.LoadPlatformEntry(file) }
 	metrics.Publish("entry", func() any { return e.Metrics().Snapshot() })
+	metrics.Publish("pace", func() any { return e.PaceSummaries() })
 	return serve(ctx, e, log, signals, set.Metrics, file)
 }
--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -86,6 +86,8 @@
 	PeerTraffic      = define(6024, zap.InfoLevel, "sent to other entries in the last minute")
 	QuotaRefused     = define(6030, zap.InfoLevel, "request refused at the limit of its workspace")
 	RoomShort        = define(6040, zap.InfoLevel, "room for plain calls became short, or suffices again")
+	EndpointSlow     = define(6045, zap.InfoLevel, "endpoint says that it has been slow for some time, or no longer is")
+	PaceNotFollowed  = define(6046, zap.InfoLevel, "durations don't follow what an endpoint says of its pace, or do again")
 	DirectoryChanged = define(6006, zap.InfoLevel, "published directory changed")
 )
 
--- a/pace/pace.go
+++ b/pace/pace.go
@@ -76,6 +76,7 @@
 	reported bool
 	trust
 	told
+	standing
 }
 
 // NewTracker returns an empty tracker.
@@ -83,17 +84,18 @@
 	return &Tracker{endpoints: make(map[string]*endpoint), news: make(map[string]time.Time)}
 }
 
-// Observe records what an endpoint said to this process.
-func (t *Tracker) Observe(now time.Time, id string, l Load) {
+// Observe records what an endpoint said to this process. It returns what operators are to be
+// told of it.
+func (t *Tracker) Observe(now time.Time, id string, l Load) Change {
 	if !l.valid() {
-		return
+		return Unchanged
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	e := t.endpoint(id)
 	e.setLoad(now, l)
 	if l.Slowdown == 0 {
-		return
+		return Unchanged
 	}
 	t.slow.add(e.relative(l.Slowdown))
 	if e.reported {
@@ -105,6 +107,7 @@
 		e.told = told{pace: l.Slowdown, at: now}
 		t.news[id] = now
 	}
+	return e.change(e.usual, e.exponent())
 }
 
 // Merge records what endpoints said to another process.
@@ -231,6 +234,45 @@
 	e.trust.add(math.Log(e.factorDuring(from, now)), math.Log(ratio))
 }
 
+// Summary describes the paces of some endpoints.
+type Summary struct {
+	// Saying is the number of endpoints that say their pace, Slow that of those that are slow
+	// now. Slowest is one of the slowest, at SlowestPace times its usual pace.
+	Saying      int     `json:"saying"`
+	Slow        int     `json:"slow"`
+	Slowest     string  `json:"slowest"`
+	SlowestPace float64 `json:"slowest_pace"`
+	// LatestAge and OldestAge are the times since the endpoint said so that said it last, and
+	// first.
+	LatestAge time.Duration `json:"latest_age_ns"`
+	OldestAge time.Duration `json:"oldest_age_ns"`
+}
+
+// Summarize describes the paces of these endpoints.
+func (t *Tracker) Summarize(now time.Time, endpoints []string) (s Summary) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, id := range endpoints {
+		e := t.endpoints[id]
+		if e == nil || !e.series.known() {
+			continue
+		}
+		age, factor := now.Sub(e.series.at), e.factorAt(now)
+		if s.Saying == 0 || age < s.LatestAge {
+			s.LatestAge = age
+		}
+		s.OldestAge = max(s.OldestAge, age)
+		if factor > s.SlowestPace {
+			s.Slowest, s.SlowestPace = id, factor
+		}
+		if isSlow(factor) {
+			s.Slow++
+		}
+		s.Saying++
+	}
+	return s
+}
+
 // Retain drops the endpoints that are no longer published.
 func (t *Tracker) Retain(published func(endpoint string) bool) {
 	t.mu.Lock()
--- a/pace/pace_test.go
+++ b/pace/pace_test.go
@@ -135,3 +135,38 @@
 	assert.Less(t, factor(0), 1.2)
 	assert.InDelta(t, 1, factor(-1), 0.01)
 }
+
+// TestLastingChanges: an endpoint is slow for long, and another says what its durations don't
+// show. Operators must be told once, and once when it is over, not at each answer.
+func TestLastingChanges(t *testing.T) {
+	tr := NewTracker()
+	var told []Change
+	now := start
+	say := func(pace, ratio float64, lasting time.Duration) {
+		for end := now.Add(lasting); now.Before(end); now = now.Add(50 * time.Millisecond) {
+			if c := tr.Observe(now, "e", Load{Slowdown: pace}); c != Unchanged {
+				told = append(told, c)
+			}
+			tr.Learn(now.Add(-40*time.Millisecond), now, "e", ratio/tr.endpoints["e"].usual)
+		}
+	}
+	for range 20 {
+		say(2.5, 2.5, 150*time.Millisecond)
+		say(1, 1, 850*time.Millisecond)
+	}
+	assert.Empty(t, told, "short slow moments are usual")
+	say(2.5, 2.5, 30*time.Second)
+	say(1, 1, 30*time.Second)
+	assert.Equal(t, []Change{TurnedSlow, TurnedUsual}, told)
+	told = nil
+	for range 40 {
+		say(2.5, tr.endpoints["e"].usual, 100*time.Millisecond)
+		say(1, tr.endpoints["e"].usual, 900*time.Millisecond)
+	}
+	assert.Contains(t, told, Ignored)
+	assert.LessOrEqual(t, len(told), 3)
+	s := tr.Summarize(now.Add(time.Second), []string{"e", "unknown"})
+	assert.Equal(t, 1, s.Saying)
+	assert.Equal(t, "e", s.Slowest)
+	assert.InDelta(t, time.Second, s.OldestAge, float64(60*time.Millisecond))
+}
--- a/router/notice.go
+++ b/router/notice.go
@@ -49,13 +49,39 @@
 	}
 	r.noticeLimit(now, e, n)
 	if n.Load != nil {
-		r.paces.Observe(now, e.ID, *n.Load)
+		r.logPace(e, *n.Load, r.paces.Observe(now, e.ID, *n.Load))
 	}
 	if n.Draining && r.markDraining(now, e.ID) {
 		r.log.Emit(event.EndpointDraining, zap.String("endpoint", e.ID))
 	}
 }
 
+// logPace logs a lasting change of what an endpoint says of its pace.
+func (r *Router) logPace(e *Endpoint, l pace.Load, c pace.Change) {
+	fields := []zap.Field{zap.String("endpoint", e.ID), zap.String("service", e.Service), zap.Float64("pace", l.Slowdown)}
+	switch c {
+	case pace.TurnedSlow, pace.TurnedUsual:
+		r.log.Emit(event.EndpointSlow, append(fields, zap.Bool("slow", c == pace.TurnedSlow))...)
+	case pace.Ignored, pace.Counted:
+		r.log.Emit(event.PaceNotFollowed, append(fields, zap.Bool("ignored", c == pace.Ignored))...)
+	}
+}
+
+// PaceSummaries describes the paces of the endpoints of each service that say it.
+func (r *Router) PaceSummaries() map[string]pace.Summary {
+	out := make(map[string]pace.Summary)
+	for service, list := range r.Directory().endpoints {
+		ids := make([]string, 0, len(list))
+		for _, e := range list {
+			ids = append(ids, e.ID)
+		}
+		if s := r.paces.Summarize(time.Now(), ids); s.Saying > 0 {
+			out[service] = s
+		}
+	}
+	return out
+}
+
 // noticeLimit records an endpoint's advertised limit, or that it no longer has one.
 func (r *Router) noticeLimit(now time.Time, e *Endpoint, n Notice) {
 	s := quota.EndpointLimit{Endpoint: quota.EndpointID(e.ID), Advertised: n.Limit.Advertised, PerSecond: n.Limit.PerSecond}
--- a/router/pace_test.go
+++ b/router/pace_test.go
@@ -288,7 +288,8 @@
 		}
 		return n
 	}
-	t.Logf("of %d calls late: %d without, %d with, %d if known; mean %v, %v, %v", len(with), late(without), late(with), late(known), mean(without), mean(with), mean(known))
+	t.Logf("of %d calls late: %d without, %d with, %d if known; mean %v, %v, %v; p99 %v, %v, %v", len(with), late(without), late(with), late(known), mean(without), mean(with), mean(known),
+		quantile(without, 0.99), quantile(with, 0.99), quantile(known, 0.99))
 	assert.LessOrEqual(t, float64(quantile(with, 0.99)), 1.25*float64(quantile(known, 0.99)))
 	assert.LessOrEqual(t, float64(mean(with)), 1.03*float64(mean(without)))
 }
