Generations that can't be reached any more are refused at once

A generation behind more urgent ones waited until its time was over, although no room could become free for it. It is now refused when what goes first, here and elsewhere, is twice what becomes free by then.

--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -85,6 +85,8 @@
 	// PeerTraffic is emitted once a minute.
 	PeerTraffic      = define(6024, zap.InfoLevel, "sent to other entries in the last minute")
 	QuotaRefused     = define(6030, zap.InfoLevel, "request refused at the limit of its workspace")
+	Displaced        = define(6035, zap.InfoLevel, "generation refused: its turn would come too late")
+	RoomLeft         = define(6036, zap.InfoLevel, "generation refused: it left room to others elsewhere")
 	RoomShort        = define(6040, zap.InfoLevel, "room for plain calls became short, or suffices again")
 	DirectoryChanged = define(6006, zap.InfoLevel, "published directory changed")
 )
--- a/line/line_test.go
+++ b/line/line_test.go
@@ -84,6 +84,7 @@
 	ran []int
 	// busy sums the used fraction of the slots over the steps of the burst.
 	busy, steps float64
+	displaced   int
 }
 
 func newPlay(m mode, entries int, seed uint64) *play {
@@ -258,6 +259,9 @@
 		others, byOthers := e.table.Others(p.now, "llm")
 		e.line.Update(line.Room{Capacity: float64(p.slots), Free: float64(max(free, 0)), FreedPerSecond: float64(p.slots) / answer.Seconds()}, e.demand(p.now), others, e.byWorkspace(), byOthers)
 	}
+	if p.mode == inLine {
+		p.displace(e)
+	}
 	running := e.runningByWorkspace()
 	for _, r := range append([]*queue.Request(nil), e.queue.Waiting(p.now)...) {
 		if free <= 0 {
@@ -286,6 +290,14 @@
 	}
 }
 
+// displace refuses what can't be reached.
+func (p *play) displace(e *entryState) {
+	for _, u := range e.line.Unreachable(p.now, e.queue) {
+		e.queue.Remove(u.Request)
+		p.displaced++
+	}
+}
+
 // worth counts each rank twice as much as the next.
 func (p *play) worth() float64 {
 	return (4*p.byRank[0].onTime + 2*p.byRank[1].onTime + p.byRank[2].onTime + 0.1*(4*p.byRank[0].late+2*p.byRank[1].late+p.byRank[2].late)) /
@@ -299,6 +311,7 @@
 	for _, entries := range []int{5, 24, 300} {
 		t.Run(strconv.Itoa(entries), func(t *testing.T) {
 			var worth, busy [3]float64
+			displaced := 0
 			var byRank [3]outcome
 			var byBoth [workspaces][3]outcome
 			seeds := 2.0
@@ -310,6 +323,7 @@
 					p := newPlay(m, entries, seed)
 					p.run()
 					worth[m] += p.worth() / seeds
+					displaced += p.displaced
 					busy[m] += p.busy / p.steps / seeds
 					if m == inLine {
 						for r, o := range p.byRank {
@@ -321,7 +335,7 @@
 					}
 				}
 			}
-			t.Logf("%.3f %.3f %.3f worth by rank", byRank[0].worth(), byRank[1].worth(), byRank[2].worth())
+			t.Logf("%.3f %.3f %.3f worth by rank, %d displaced", byRank[0].worth(), byRank[1].worth(), byRank[2].worth(), displaced)
 			t.Logf("worth %.3f, room used %.3f (in line, local, one queue)", worth, busy)
 			mean := (byRank[0].worth() + byRank[1].worth() + byRank[2].worth()) / 3
 			for rank := range byRank {
--- a/router/line.go
+++ b/router/line.go
@@ -32,8 +32,8 @@
 	r       *Router
 	service string
 	line    *line.Line
-	// nextLine is when the line may be updated again.
-	nextLine time.Time
+	// lineAt is when the line was last updated, nextLine when it may be again.
+	lineAt, nextLine time.Time
 
 	heldMu          sync.Mutex
 	heldByRank      map[int]float64
@@ -45,14 +45,30 @@
 		waitList: newWaitList(queue.ByUrgency), r: r, service: service, line: line.New(),
 		heldByRank: make(map[int]float64), heldByWorkspace: make(map[quota.ID]float64),
 	}
-	q.beforePass, q.afterPass = q.updateLine, q.report
+	q.beforePass, q.afterPass = q.updateLine, func(now time.Time) {
+		q.refuseUnreachable(now)
+		q.report(now)
+	}
 	return q
 }
 
-// mustLeave reports whether a request must leave the room to others that wait elsewhere. The
+// errDisplaced refuses a generation whose turn would come too late.
+var errDisplaced = errNoEndpoint.NewSubtype("displaced")
+
+// refuseUnreachable refuses the requests whose turn would come too late. The caller holds q.mu.
+func (q *roomQueue) refuseUnreachable(now time.Time) {
+	for _, u := range q.line.Unreachable(now, q.queue) {
+		q.end(u.Request, errDisplaced.New("%.0f tokens go first and %.0f become free within %v", u.Ahead, u.Room, u.Left))
+	}
+}
+
+// admit decides whether a request must leave the room to others that wait elsewhere. The
 // caller holds q.mu.
-func (q *roomQueue) mustLeave(now time.Time, r *queue.Request) bool {
-	return !r.Begun && q.line.Admit(now, q.inLine(now, r)).Leave
+func (q *roomQueue) admit(now time.Time, r *queue.Request) line.Decision {
+	if r.Begun {
+		return line.Decision{}
+	}
+	return q.line.Admit(now, q.inLine(now, r))
 }
 
 // inLine returns a request as the line sees it.
@@ -76,6 +92,7 @@
 		return // nothing is known of the room
 	}
 	others, othersBy := q.r.shares.Others(now, q.service)
+	q.lineAt = now
 	q.nextLine = now.Add(lineInterval + time.Duration(len(others))*reportCost)
 	demand, byWorkspace := q.demand(now)
 	q.line.Update(q.room(now, s), demand, others, byWorkspace, othersBy)
--- a/router/queued.go
+++ b/router/queued.go
@@ -2,9 +2,15 @@
 
 import (
 	"context"
+	"strconv"
 	"sync"
 	"time"
 
+	"github.com/joomcode/errorx"
+	"go.uber.org/zap"
+
+	"ebonypulley/event"
+	"ebonypulley/line"
 	"ebonypulley/queue"
 )
 
@@ -47,22 +53,13 @@
 	q := g.r.rooms.of(g.c.Service.Name)
 	request := g.queueRequest(began)
 	for {
-		var a admission
-		err := q.wait(ctx, request, func(now time.Time) (bool, error) {
-			p, ok, err := g.tryPlace(now, began, q.mustLeave(now, request))
-			if ok {
-				a, ok = g.account(now, p)
-			}
-			if ok {
-				a.share = q.started(now, request)
-			}
-			return ok, err
-		})
+		a, err := g.waitInQueue(ctx, q, request, began)
 		if err != nil {
 			return admission{}, err
 		}
 		if g.reserve(ctx, &a) {
 			g.r.metrics.Histogram("queue." + g.c.class()).Record(time.Since(began))
+			g.r.metrics.Histogram("queue_of_rank." + strconv.Itoa(request.Rank)).Record(time.Since(began))
 			return a, nil
 		}
 		if ctx.Err() != nil {
@@ -71,6 +68,42 @@
 	}
 }
 
+// waitInQueue waits until the generation has a placement, whose memory is not reserved yet.
+func (g *generationRun) waitInQueue(ctx context.Context, q *roomQueue, request *queue.Request, began time.Time) (a admission, err error) {
+	g.r.metrics.Add("waiting."+q.service, 1)
+	defer g.r.metrics.Add("waiting."+q.service, -1)
+	var decision line.Decision
+	var lineAge time.Duration
+	err = q.wait(ctx, request, func(now time.Time) (bool, error) {
+		decision, lineAge = q.admit(now, request), now.Sub(q.lineAt)
+		p, ok, err := g.tryPlace(now, began, decision.Leave)
+		if ok {
+			a, ok = g.account(now, p)
+		}
+		if ok {
+			a.share = q.started(now, request)
+		}
+		return ok, err
+	})
+	if err != nil {
+		g.logRefusal(request, decision, lineAge, err)
+	}
+	return a, err
+}
+
+// logRefusal logs why the queue refused the generation, unless it merely found no room.
+func (g *generationRun) logRefusal(request *queue.Request, d line.Decision, age time.Duration, err error) {
+	fields := []zap.Field{zap.String("request", g.c.ID), zap.Int("rank", request.Rank), zap.Duration("age", age)}
+	switch {
+	case errorx.IsOfType(err, errDisplaced):
+		g.r.metrics.Add("displaced."+g.c.class(), 1)
+		g.r.log.Emit(event.Displaced, append(fields, event.Err(err))...)
+	case d.Leave && errorx.IsOfType(err, errNoEndpoint):
+		g.r.metrics.Add("left_room."+g.c.class(), 1)
+		g.r.log.Emit(event.RoomLeft, append(fields, zap.Float64("ahead", d.Ahead), zap.Float64("room", d.Room), zap.Bool("over_share", d.OverShare))...)
+	}
+}
+
 // queueRequest returns the generation as its queue sees it.
 func (g *generationRun) queueRequest(began time.Time) *queue.Request {
 	r := &queue.Request{
