--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -87,6 +87,8 @@
 	QuotaRefused     = define(6030, zap.InfoLevel, "request refused at the limit of its workspace")
 	ReturnBooked     = define(6031, zap.InfoLevel, "return of a refused caller booked")
 	ReturnNotBooked  = define(6032, zap.InfoLevel, "no room for the return of a refused caller")
+	Displaced        = define(6035, zap.InfoLevel, "generation refused: its turn would come too late")
+	RoomLeft         = define(6036, zap.InfoLevel, "generation refused: it left room to others elsewhere")
 	RoomShort        = define(6040, zap.InfoLevel, "room for plain calls became short, or suffices again")
 	DirectoryChanged = define(6006, zap.InfoLevel, "published directory changed")
 )
