Entries' random numbers in tests of limits get a seed

Cause: a failure of TestEndpointLimit could not be played again: the entries drew their random numbers from the process. Change: router.Settings.Seed seeds the router's and the quota's random numbers; zero, as everywhere outside these tests, draws a random seed as before. emulator gives each entry its own.

--- a/emulator/limit_test.go
+++ b/emulator/limit_test.go
@@ -55,7 +55,7 @@
 		spec := smallBatchSpec()
 		fleet := emulator.NewFleet(&spec, 9, 3, nil)
 		fleet.AddPlainService(3, 6)
-		cluster := emulator.NewCluster(fleet, router.Settings{RetryRatio: 0.2, RetryWindow: 10 * time.Second, RetrySlack: 56, EndpointTolerance: endpointTolerance})
+		cluster := emulator.NewCluster(fleet, router.Settings{RetryRatio: 0.2, RetryWindow: 10 * time.Second, RetrySlack: 56, EndpointTolerance: endpointTolerance, Seed: seed<<16 + 1})
 		for i := range entries {
 			_, err := cluster.StartEntry(t.Context(), fmt.Sprintf("dc-%d", i%3), wideLink)
 			require.NoError(t, err)
--- a/emulator/site.go
+++ b/emulator/site.go
@@ -38,7 +38,8 @@
 // networkLatency is the one-way latency between two entries.
 const networkLatency = time.Millisecond
 
-// NewCluster returns a cluster without entries.
+// NewCluster returns a cluster without entries. A seed in settings gives each entry a seed of
+// its own.
 func NewCluster(fleet *Fleet, settings router.Settings) *Cluster {
 	s := &Cluster{Net: simnet.New(), Fleet: fleet, settings: settings}
 	s.Net.Latency = networkLatency
@@ -53,6 +54,9 @@
 	e := &Entry{Name: fmt.Sprintf("entry-%03d", len(s.Entries)), DataCentre: dataCentre, Metrics: metrics.NewSet(), cancel: end}
 	settings := s.settings
 	settings.DataCentre = dataCentre
+	if settings.Seed != 0 {
+		settings.Seed += uint64(len(s.Entries))
+	}
 	e.Router = router.New(settings, &entryClient{Fleet: s.Fleet, entry: e, limitSeen: make(map[string]time.Time)}, event.Nop(), e.Metrics)
 	addr := e.Name + ":1"
 	ln, err := s.Net.Listen(e.Name, addr)
--- a/router/router.go
+++ b/router/router.go
@@ -35,6 +35,9 @@
 	// SingleEntry says that no other entry shares the retry budget, until SetFleetSize
 	// reports others.
 	SingleEntry bool
+	// Seed seeds the random numbers, so that a test can be repeated; zero means a random
+	// seed.
+	Seed uint64
 	// Chooser is set for fleets with an agent in front of each endpoint; see Chooser.
 	Chooser Chooser
 }
@@ -66,6 +69,10 @@
 
 // New returns a router with an empty directory.
 func New(set Settings, endpoints EndpointClient, log *event.Log, m *metrics.Set) *Router {
+	seed := set.Seed
+	if seed == 0 {
+		seed = rand.Uint64()
+	}
 	r := &Router{
 		set:       set,
 		endpoints: endpoints,
@@ -73,7 +80,7 @@
 		crashes:   poison.NewDetector(),
 		quotas: quota.NewLedger(quota.Settings{
 			Tolerance: set.QuotaTolerance, EndpointTolerance: set.EndpointTolerance,
-			Started: time.Now(), Restarted: set.Restarted, SingleEntry: set.SingleEntry, Seed: rand.Uint64(),
+			Started: time.Now(), Restarted: set.Restarted, SingleEntry: set.SingleEntry, Seed: seed,
 		}),
 		log:             log,
 		metrics:         m,
@@ -81,7 +88,7 @@
 		draining:        make(map[string]time.Time),
 		crashChecks:     make(map[string]*crashCheck),
 		longestTimeouts: make(map[string]time.Duration),
-		rnd:             rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+		rnd:             rand.New(rand.NewPCG(seed, seed+1)),
 	}
 	r.crashes.OnBlocked = r.poisonFound
 	r.directory.Store(NewDirectory(0, 0, nil, nil, nil))
