upstream: Close ends all idle connections; interim answers are bounded

Cause: Pool.Close closed what expires within an hour, so that a connection whose endpoint advertised a longer Keep-Alive stayed open. readHead skipped 1xx answers without bound, until the deadline of the request. Change: Close closes every idle connection. More than five interim answers end the exchange as lost, since the request was sent. Figures: TestCloseEndsLongIdleConnections and TestInterimAnswersAreBounded fail without the change and pass with it, -race too.

--- a/upstream/exchange.go
+++ b/upstream/exchange.go
@@ -38,6 +38,9 @@
 	maxStaleBody    = 64 << 10
 )
 
+// maxInterimAnswers is the number of 1xx answers that are skipped before an answer.
+const maxInterimAnswers = 5
+
 // Response is an answer. The caller reads its body with Read and must call Close.
 type Response struct {
 	Status  int
@@ -140,12 +143,15 @@
 // readHead reads the header of an answer and skips answers that don't match.
 func (r *Response) readHead(hr *http.Request, matches func(http.Header, bool) bool) error {
 	first := !r.conn.reused
-	for stale := 0; ; {
+	for stale, interim := 0, 0; ; {
 		resp, err := http.ReadResponse(r.conn.br, hr)
 		if err != nil {
 			return err
 		}
 		if resp.StatusCode < http.StatusOK {
+			if interim++; interim > maxInterimAnswers {
+				return ErrLost.New("%d interim answers", interim)
+			}
 			continue
 		}
 		if matches != nil && !matches(resp.Header, first) {
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -241,7 +241,14 @@
 
 // Close closes all idle connections.
 func (p *Pool) Close() {
-	p.CloseExpired(time.Now().Add(time.Hour))
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, list := range p.idle {
+		for _, c := range list {
+			_ = c.nc.Close()
+		}
+	}
+	clear(p.idle)
 }
 
 // keepAliveTimeout returns how long an idle connection may be kept according to
--- a/upstream/upstream_test.go
+++ b/upstream/upstream_test.go
@@ -359,3 +359,43 @@
 		assert.Zero(t, read)
 	})
 }
+
+// An endpoint that advertises an idle timeout of two hours keeps its connection when the
+// pool is closed.
+func TestCloseEndsLongIdleConnections(t *testing.T) {
+	ended := make(chan struct{})
+	target, _ := serveConns(t, func(_ int, c net.Conn) {
+		defer close(ended)
+		br := bufio.NewReader(c)
+		for r := readRequest(t, br); r != nil; r = readRequest(t, br) {
+			_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nId: a\r\nKeep-Alive: timeout=7200\r\nContent-Length: 2\r\n\r\nok")
+		}
+	})
+	p := upstream.NewPool(nil)
+	_, err := call(p, target, getRequest("a"))
+	require.NoError(t, err)
+	p.Close()
+	select {
+	case <-ended:
+	case <-time.After(2 * time.Second):
+		t.Error("the connection is still open")
+	}
+}
+
+// An endpoint sends interim answers without end. The request must fail soon instead of
+// reading them until its deadline.
+func TestInterimAnswersAreBounded(t *testing.T) {
+	target, _ := serveConns(t, func(_ int, c net.Conn) {
+		readRequest(t, bufio.NewReader(c))
+		for range 200 {
+			if _, err := io.WriteString(c, "HTTP/1.1 100 Continue\r\n\r\n"); err != nil {
+				return
+			}
+		}
+		_, _ = io.WriteString(c, rawAnswer("a", "ok"))
+	})
+	p := upstream.NewPool(nil)
+	defer p.Close()
+	_, err := call(p, target, getRequest("a"))
+	assert.True(t, errorx.IsOfType(err, upstream.ErrLost), "%v", err)
+}
