Among calls of equal rank the rank of their routes decides

Ruled out: routes without ranks (the operators set them; Directory.Urgency knows three). Change: Call.Precedence orders by the rank of the workspace, then by that of the route; the class at a limit is the route's, since it compares calls of one workspace only. Test: TestRankOfWorkspace.

--- a/router/comeback.go
+++ b/router/comeback.go
@@ -42,10 +42,7 @@
 // bookServiceReturn returns the delay after which a call that a service had no room for may
 // retry, and books its return. rate is what becomes available a second.
 func (r *Router) bookServiceReturn(c *Call, cost, rate float64, earliest time.Duration) time.Duration {
-	urgency := c.Rank()
-	if !c.ranked() {
-		urgency, _ = r.Directory().Urgency(c.Route, c.Service.Name)
-	}
+	urgency, _ := r.Directory().Urgency(c.Route, c.Service.Name)
 	if r.waited(c) >= returns.MinDelay {
 		rate = 0 // it has hardly a retry left
 	}
--- a/router/late.go
+++ b/router/late.go
@@ -124,14 +124,15 @@
 	m := r.loads.EngineModel(c.Service)
 	ttft := m.PrefillTime(c.PromptTokens, c.PromptTokens, c.slo()).Add(m.HandoffTime(false, c.slo())).Mean
 	spent := r.longestTimeout(c) - c.Timeout
+	queued := r.Directory().CallersDiffer(c.Service.Name)
 	return admissionPolicy{
 		placeBy:      c.ReceivedAt.Add(c.Route.LatencyTarget - spent - ttft),
 		dueAt:        c.ReceivedAt.Add(c.Route.LatencyTarget - spent),
 		unattainable: ttft > c.Route.LatencyTarget,
 		retried:      spent > retryThreshold,
 		begun:        c.ResumeAfter != NoEvent,
-		lessUrgent:   !c.ranked() && r.Directory().HasMoreUrgent(c.Route, c.Service.Name),
-		queued:       r.Directory().CallersDiffer(c.Service.Name),
+		lessUrgent:   (queued || !c.ranked()) && r.Directory().HasMoreUrgent(c.Route, c.Service.Name),
+		queued:       queued,
 		maxWait:      max(g.silenceTimeout()-2*ttft, minWait),
 	}
 }
--- a/router/model.go
+++ b/router/model.go
@@ -222,6 +222,13 @@
 	return c.Route.Rank
 }
 
+// rankSpan is the number of ranks of routes that Precedence tells apart.
+const rankSpan = 16
+
+// Precedence returns the place of the call among those of all callers, 0 being the first: by
+// Rank, and among calls of equal rank by that of their routes.
+func (c *Call) Precedence() int { return c.Rank()*rankSpan + min(c.Route.Rank, rankSpan-1) }
+
 // ranked reports whether the workspace's rank overrides that of the route.
 func (c *Call) ranked() bool { return c.Workspace != nil && c.Workspace.Rank != NoRank }
 
--- a/router/queued.go
+++ b/router/queued.go
@@ -107,7 +107,7 @@
 // queueRequest returns the generation as its queue sees it.
 func (g *generationRun) queueRequest(began time.Time) *queue.Request {
 	r := &queue.Request{
-		Rank: g.c.Rank(), Cost: float64(g.c.initialTokens()), StartBy: g.policy.placeBy, GiveUpAt: g.policy.giveUpAt(began),
+		Rank: g.c.Precedence(), Cost: float64(g.c.initialTokens()), StartBy: g.policy.placeBy, GiveUpAt: g.policy.giveUpAt(began),
 		// A prefill result that needs an engine is lost if it waits.
 		Begun: g.policy.begun || g.begun || g.kept != nil,
 	}
--- a/router/quota.go
+++ b/router/quota.go
@@ -21,13 +21,12 @@
 // Quotas returns the ledger of workspace and endpoint limits.
 func (r *Router) Quotas() *quota.Ledger { return r.quotas }
 
-// quotaClass returns how urgent a call is among those of its workspace. Ranks are compared
-// among the routes of one service only, and a rank of the workspace applies to all its calls.
+// quotaClass returns how urgent a call is among those of its workspace: ranks of routes are
+// compared among the routes of one service only, and a rank of the workspace applies to all its
+// calls alike.
 func (r *Router) quotaClass(c *Call) quota.Class {
 	class := quota.Class{FixedCost: c.Service.Engine == nil}
-	if !c.ranked() {
-		class.Urgency, class.Classes = r.Directory().Urgency(c.Route, c.Service.Name)
-	}
+	class.Urgency, class.Classes = r.Directory().Urgency(c.Route, c.Service.Name)
 	return class
 }
 
--- a/router/quota_test.go
+++ b/router/quota_test.go
@@ -94,6 +94,11 @@
 	assert.Equal(t, 2, c.Rank())
 	c.Workspace = &router.Workspace{Rank: 0}
 	assert.Equal(t, 0, c.Rank())
+	bulk := newCall(router.Route{Rank: 3}, app)
+	bulk.Workspace = &router.Workspace{Rank: 1}
+	assert.Less(t, c.Precedence(), bulk.Precedence())
+	bulk.Workspace = c.Workspace
+	assert.Less(t, c.Precedence(), bulk.Precedence(), "equal ranks: by that of the route")
 }
 
 // TestLimitIsSpentByUrgency: a workspace sends twice its limit on routes of two ranks. The
