--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -85,6 +85,10 @@
 	// PeerTraffic is emitted once a minute.
 	PeerTraffic      = define(6024, zap.InfoLevel, "sent to other entries in the last minute")
 	QuotaRefused     = define(6030, zap.InfoLevel, "request refused at the limit of its workspace")
+	ReturnBooked     = define(6031, zap.InfoLevel, "return of a refused caller booked")
+	ReturnNotBooked  = define(6032, zap.InfoLevel, "no room for the return of a refused caller")
+	Displaced        = define(6035, zap.InfoLevel, "generation refused: its turn would come too late")
+	RoomLeft         = define(6036, zap.InfoLevel, "generation refused: it left room to others elsewhere")
 	RoomShort        = define(6040, zap.InfoLevel, "room for plain calls became short, or suffices again")
 	EndpointSlow     = define(6045, zap.InfoLevel, "endpoint says that it has been slow for some time, or no longer is")
 	PaceNotFollowed  = define(6046, zap.InfoLevel, "durations don't follow what an endpoint says of its pace, or do again")
--- a/router/late.go
+++ b/router/late.go
@@ -115,20 +115,6 @@
 	return maxFill
 }
 
-// retryDelay returns the delay after which a refused caller may retry.
-func (g *generationRun) retryDelay() time.Duration {
-	m := g.r.loads.EngineModel(g.c.Service)
-	duration := m.AnswerDuration(g.c.Timeout)
-	minDelay := time.Duration(minRetryAnswers * float64(duration))
-	spread := time.Duration(retrySpreadAnswers * float64(duration))
-	maxDelay := time.Duration(maxRetryFraction * float64(g.c.Timeout))
-	if minDelay+spread > maxDelay {
-		minDelay, spread = max(maxDelay-spread, maxDelay/2), min(spread, maxDelay/2)
-	}
-	unavailable := g.r.unavailableFor(time.Now(), g.c.Service.Name, Decode, g.limited)
-	return unavailable + g.r.jitter(minDelay, max(spread, time.Millisecond))
-}
-
 // newAdmissionPolicy derives the policy from the target, the time that the caller has
 // spent on earlier attempts and the expected time to the first event on idle engines. A
 // caller that retries requests a shorter timeout than at first; the longest timeout of
@@ -138,14 +124,15 @@
 	m := r.loads.EngineModel(c.Service)
 	ttft := m.PrefillTime(c.PromptTokens, c.PromptTokens, c.slo()).Add(m.HandoffTime(false, c.slo())).Mean
 	spent := r.longestTimeout(c) - c.Timeout
+	queued := r.Directory().CallersDiffer(c.Service.Name)
 	return admissionPolicy{
 		placeBy:      c.ReceivedAt.Add(c.Route.LatencyTarget - spent - ttft),
 		dueAt:        c.ReceivedAt.Add(c.Route.LatencyTarget - spent),
 		unattainable: ttft > c.Route.LatencyTarget,
 		retried:      spent > retryThreshold,
 		begun:        c.ResumeAfter != NoEvent,
-		lessUrgent:   !c.ranked() && r.Directory().HasMoreUrgent(c.Route, c.Service.Name),
-		queued:       r.Directory().CallersDiffer(c.Service.Name),
+		lessUrgent:   (queued || !c.ranked()) && r.Directory().HasMoreUrgent(c.Route, c.Service.Name),
+		queued:       queued,
 		maxWait:      max(g.silenceTimeout()-2*ttft, minWait),
 	}
 }
--- a/router/line.go
+++ b/router/line.go
@@ -18,7 +18,9 @@
 
 const (
 	// lineInterval is the minimum time between two updates of the line: reports are older.
+	// With many reports it is longer by reportCost each.
 	lineInterval = 20 * time.Millisecond
+	reportCost   = 100 * time.Microsecond
 	// maxWorkspacesReported bounds the workspaces that a report lists.
 	maxWorkspacesReported = 4
 )
@@ -30,7 +32,8 @@
 	r       *Router
 	service string
 	line    *line.Line
-	lineAt  time.Time
+	// lineAt is when the line was last updated, nextLine when it may be again.
+	lineAt, nextLine time.Time
 
 	heldMu          sync.Mutex
 	heldByRank      map[int]float64
@@ -42,22 +45,35 @@
 		waitList: newWaitList(queue.ByUrgency), r: r, service: service, line: line.New(),
 		heldByRank: make(map[int]float64), heldByWorkspace: make(map[quota.ID]float64),
 	}
-	q.beforePass, q.afterPass = q.updateLine, q.report
+	q.beforePass, q.afterPass = q.updateLine, func(now time.Time) {
+		q.refuseUnreachable(now)
+		q.report(now)
+	}
 	return q
 }
 
-// mustLeave reports whether a request must leave the room to others that wait elsewhere. The
+// errDisplaced refuses a generation whose turn would come too late.
+var errDisplaced = errNoEndpoint.NewSubtype("displaced")
+
+// refuseUnreachable refuses the requests whose turn would come too late. The caller holds q.mu.
+func (q *roomQueue) refuseUnreachable(now time.Time) {
+	for _, u := range q.line.Unreachable(now, q.queue) {
+		q.end(u.Request, errDisplaced.New("%.0f tokens go first and %.0f become free within %v", u.Ahead, u.Room, u.Left))
+	}
+}
+
+// admit decides whether a request must leave the room to others that wait elsewhere. The
 // caller holds q.mu.
-func (q *roomQueue) mustLeave(now time.Time, r *queue.Request) bool {
-	if r.Begun || q.queue.Starved(r.Rank) {
-		return false
+func (q *roomQueue) admit(now time.Time, r *queue.Request) line.Decision {
+	if r.Begun {
+		return line.Decision{}
 	}
-	return q.line.Admit(now, q.inLine(now, r)).Leave
+	return q.line.Admit(now, q.inLine(now, r))
 }
 
 // inLine returns a request as the line sees it.
 func (q *roomQueue) inLine(now time.Time, r *queue.Request) line.Request {
-	return line.Request{Rank: r.Rank, Late: now.After(r.StartBy), Workspace: uint64(r.Workspace), Running: q.held(r.Workspace), Cost: r.Cost}
+	return line.Request{Rank: r.Rank, Late: now.After(r.StartBy), Starved: q.queue.Starved(r.Rank), Workspace: uint64(r.Workspace), Running: q.held(r.Workspace), Cost: r.Cost}
 }
 
 // started records that a request takes room. The caller holds q.mu.
@@ -68,15 +84,16 @@
 
 // updateLine brings the line up to date while requests wait. The caller holds q.mu.
 func (q *roomQueue) updateLine(now time.Time) {
-	if q.queue.Len() == 0 || now.Sub(q.lineAt) < lineInterval {
+	if q.queue.Len() == 0 || now.Before(q.nextLine) {
 		return
 	}
 	s := q.r.Directory().Service(q.service)
 	if s == nil || s.Engine == nil {
 		return // nothing is known of the room
 	}
-	q.lineAt = now
 	others, othersBy := q.r.shares.Others(now, q.service)
+	q.lineAt = now
+	q.nextLine = now.Add(lineInterval + time.Duration(len(others))*reportCost)
 	demand, byWorkspace := q.demand(now)
 	q.line.Update(q.room(now, s), demand, others, byWorkspace, othersBy)
 }
--- a/router/router.go
+++ b/router/router.go
@@ -38,6 +38,9 @@
 	// SingleEntry says that no other entry shares the retry budget, until SetFleetSize
 	// reports others.
 	SingleEntry bool
+	// Seed seeds the random numbers, so that a test can be repeated; zero means a random
+	// seed.
+	Seed uint64
 	// Chooser is set for fleets with an agent in front of each endpoint; see Chooser.
 	Chooser Chooser
 }
@@ -75,6 +78,10 @@
 
 // New returns a router with an empty directory.
 func New(set Settings, endpoints EndpointClient, log *event.Log, m *metrics.Set) *Router {
+	seed := set.Seed
+	if seed == 0 {
+		seed = rand.Uint64()
+	}
 	r := &Router{
 		set:       set,
 		endpoints: endpoints,
@@ -82,7 +89,7 @@
 		crashes:   poison.NewDetector(),
 		quotas: quota.NewLedger(quota.Settings{
 			Tolerance: set.QuotaTolerance, EndpointTolerance: set.EndpointTolerance,
-			Started: time.Now(), Restarted: set.Restarted, SingleEntry: set.SingleEntry, Seed: rand.Uint64(),
+			Started: time.Now(), Restarted: set.Restarted, SingleEntry: set.SingleEntry, Seed: seed,
 		}),
 		paces:           pace.NewTracker(),
 		shares:          share.NewTable(),
@@ -94,7 +101,7 @@
 		crashChecks:     make(map[string]*crashCheck),
 		longestTimeouts: make(map[string]time.Duration),
 		holds:           make(map[string]*hold),
-		rnd:             rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+		rnd:             rand.New(rand.NewPCG(seed, seed+1)),
 	}
 	r.crashes.OnBlocked = r.poisonFound
 	r.rooms = newRoomQueues(r)
@@ -141,7 +148,10 @@
 
 // SetFleetSize sets the number of entries that share the retry budget and the limits,
 // including those that no longer report.
-func (r *Router) SetFleetSize(n int) { r.quotas.SetFleetSize(n) }
+func (r *Router) SetFleetSize(n int) {
+	r.quotas.SetFleetSize(n)
+	r.calendar.SetFleetSize(n)
+}
 
 // SetRetryBudget changes the parameters of the retry budget.
 func (r *Router) SetRetryBudget(ratio float64, window time.Duration, slack float64) {
