--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -90,6 +90,8 @@
 	Displaced        = define(6035, zap.InfoLevel, "generation refused: its turn would come too late")
 	RoomLeft         = define(6036, zap.InfoLevel, "generation refused: it left room to others elsewhere")
 	RoomShort        = define(6040, zap.InfoLevel, "room for plain calls became short, or suffices again")
+	EndpointSlow     = define(6045, zap.InfoLevel, "endpoint says that it has been slow for some time, or no longer is")
+	PaceNotFollowed  = define(6046, zap.InfoLevel, "durations don't follow what an endpoint says of its pace, or do again")
 	DirectoryChanged = define(6006, zap.InfoLevel, "published directory changed")
 )
 
--- a/pace/pace.go
+++ b/pace/pace.go
@@ -58,6 +58,8 @@
 	endpoints map[string]*endpoint
 	// slow describes the slow moments of all endpoints.
 	slow slowMoments
+	// reports is how far what others report has agreed with what the endpoints said next.
+	reports trust
 	// news holds the endpoints whose pace is news to other processes, and since when.
 	news map[string]time.Time
 	// published reports whether an endpoint is published; nil until that is known.
@@ -70,8 +72,11 @@
 	load Load
 	at   time.Time
 	series
+	// reported says that another process reported the latest pace.
+	reported bool
 	trust
 	told
+	standing
 }
 
 // NewTracker returns an empty tracker.
@@ -79,24 +84,30 @@
 	return &Tracker{endpoints: make(map[string]*endpoint), news: make(map[string]time.Time)}
 }
 
-// Observe records what an endpoint said to this process.
-func (t *Tracker) Observe(now time.Time, id string, l Load) {
+// Observe records what an endpoint said to this process. It returns what operators are to be
+// told of it.
+func (t *Tracker) Observe(now time.Time, id string, l Load) Change {
 	if !l.valid() {
-		return
+		return Unchanged
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	e := t.endpoint(id)
 	e.setLoad(now, l)
 	if l.Slowdown == 0 {
-		return
+		return Unchanged
 	}
 	t.slow.add(e.relative(l.Slowdown))
-	e.series.add(now, l.Slowdown)
+	if e.reported {
+		t.reports.add(math.Log(e.factorAt(now)), math.Log(e.relative(l.Slowdown)))
+		e.reported = false
+	}
+	e.addOwn(now, l.Slowdown)
 	if e.isNews(now, l.Slowdown, e.timeConstant()) {
 		e.told = told{pace: l.Slowdown, at: now}
 		t.news[id] = now
 	}
+	return e.change(e.usual, e.exponent())
 }
 
 // Merge records what endpoints said to another process.
@@ -113,6 +124,7 @@
 		}
 		if r.Slowdown > 0 && e.isNewer(at, r.Slowdown) {
 			e.series.add(at, r.Slowdown)
+			e.reported = true
 			e.told = told{pace: r.Slowdown, at: at}
 			delete(t.news, r.Endpoint)
 		}
@@ -180,7 +192,7 @@
 	if e == nil || !e.series.known() {
 		return usualNow, false
 	}
-	exponent, remaining := e.exponent(), e.remaining(now)
+	exponent, remaining := t.exponent(e), e.remaining(now)
 	n := Now{Factor: math.Pow(e.factorAt(now), exponent), SlowFactor: math.Pow(t.slow.factor(), exponent), SlowShare: t.slow.share(), Lasts: e.timeConstant()}
 	n.QuickFactor = (1 - n.SlowShare*n.SlowFactor) / (1 - n.SlowShare)
 	n.SlowChance = n.SlowShare * (1 - remaining)
@@ -190,6 +202,14 @@
 	return n, true
 }
 
+// exponent returns the power of an endpoint's latest pace that counts. The caller holds t.mu.
+func (t *Tracker) exponent(e *endpoint) float64 {
+	if e.reported {
+		return e.exponent() * t.reports.exponent()
+	}
+	return e.exponent()
+}
+
 // During returns the pace of an endpoint over a time that ends now, or false if it never
 // said any.
 func (t *Tracker) During(from, now time.Time, id string) (float64, bool) {
@@ -199,7 +219,7 @@
 	if e == nil || !e.series.known() {
 		return 1, false
 	}
-	return math.Pow(e.factorDuring(from, now), e.exponent()), true
+	return math.Pow(e.factorDuring(from, now), t.exponent(e)), true
 }
 
 // Learn records that work at an endpoint, which ended now, took ratio times as long as
@@ -214,6 +234,45 @@
 	e.trust.add(math.Log(e.factorDuring(from, now)), math.Log(ratio))
 }
 
+// Summary describes the paces of some endpoints.
+type Summary struct {
+	// Saying is the number of endpoints that say their pace, Slow that of those that are slow
+	// now. Slowest is one of the slowest, at SlowestPace times its usual pace.
+	Saying      int     `json:"saying"`
+	Slow        int     `json:"slow"`
+	Slowest     string  `json:"slowest"`
+	SlowestPace float64 `json:"slowest_pace"`
+	// LatestAge and OldestAge are the times since the endpoint said so that said it last, and
+	// first.
+	LatestAge time.Duration `json:"latest_age_ns"`
+	OldestAge time.Duration `json:"oldest_age_ns"`
+}
+
+// Summarize describes the paces of these endpoints.
+func (t *Tracker) Summarize(now time.Time, endpoints []string) (s Summary) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, id := range endpoints {
+		e := t.endpoints[id]
+		if e == nil || !e.series.known() {
+			continue
+		}
+		age, factor := now.Sub(e.series.at), e.factorAt(now)
+		if s.Saying == 0 || age < s.LatestAge {
+			s.LatestAge = age
+		}
+		s.OldestAge = max(s.OldestAge, age)
+		if factor > s.SlowestPace {
+			s.Slowest, s.SlowestPace = id, factor
+		}
+		if isSlow(factor) {
+			s.Slow++
+		}
+		s.Saying++
+	}
+	return s
+}
+
 // Retain drops the endpoints that are no longer published.
 func (t *Tracker) Retain(published func(endpoint string) bool) {
 	t.mu.Lock()
