Room that those in front leave unused is taken

What is said to wait elsewhere may be gone, wrong, or unable to use the room. Room that stays free for 200 ms, beyond what becomes free in that time, is now taken.

--- a/line/line.go
+++ b/line/line.go
@@ -63,6 +63,7 @@
 	own, others map[int]float64
 	fair        fairShares
 	credits     map[class]*credit
+	idle        idleRoom
 }
 
 // New returns a line in which nobody waits.
@@ -71,8 +72,9 @@
 }
 
 // Update replaces what is known of the room and of the requests that wait.
-func (l *Line) Update(room Room, own, others []share.Demand, ownBy, othersBy []share.WorkspaceDemand) {
+func (l *Line) Update(now time.Time, room Room, own, others []share.Demand, ownBy, othersBy []share.WorkspaceDemand) {
 	l.room = room
+	l.idle.observe(now, room.Free)
 	l.own, l.others = waitingByRank(own), waitingByRank(others)
 	l.fair = newFairShares(room.Capacity, append(append([]share.Demand(nil), own...), others...), ownBy, othersBy)
 	if len(l.others) == 0 {
@@ -105,7 +107,7 @@
 func (l *Line) Admit(now time.Time, r Request) Decision {
 	c := l.classOf(r)
 	d := Decision{Ahead: l.ahead(c, r.Workspace), Room: l.room.expected(), OverShare: c.over}
-	if d.Ahead > 0 {
+	if d.Ahead > 0 && l.unused() < r.Cost {
 		d.Leave = l.creditOf(now, c, r.Cost, d).tokens < r.Cost
 	}
 	return d
@@ -113,6 +115,7 @@
 
 // Start records that a request has started.
 func (l *Line) Start(r Request) {
+	l.idle.take(r.Cost)
 	if credit := l.credits[l.classOf(r)]; credit != nil {
 		credit.tokens -= r.Cost
 	}
@@ -136,6 +139,12 @@
 	return sum
 }
 
+// unused is the room that others left unused: what stayed free for the horizon, less what
+// becomes free in that time, which they may not have seen yet.
+func (l *Line) unused() float64 {
+	return l.idle.least() - l.room.FreedPerSecond*horizon.Seconds()
+}
+
 // creditOf returns the credit of a class. What remains of the room after those ahead is shared
 // among the entries by what waits there of the same rank. It accumulates up to what remains
 // within the horizon, or one request.
--- a/router/line.go
+++ b/router/line.go
@@ -95,7 +95,7 @@
 	q.lineAt = now
 	q.nextLine = now.Add(lineInterval + time.Duration(len(others))*reportCost)
 	demand, byWorkspace := q.demand(now)
-	q.line.Update(q.room(now, s), demand, others, byWorkspace, othersBy)
+	q.line.Update(now, q.room(now, s), demand, others, byWorkspace, othersBy)
 }
 
 // report tells the other entries what waits here; nothing while nothing does. The caller holds
