A paused watchdog ignores a timer that has fired

Cause: pause stopped the timer, but one that had fired and whose function had not yet locked the watchdog read the epoch after the pause, and could then end an answer for a silence before the event that was being delivered. Change: the watchdog keeps that it is paused until the next reset. Figures: TestPausedWatchdogIgnoresFiredTimer fails without the change and passes with it; go test -race ./router passes.

--- a/router/watch.go
+++ b/router/watch.go
@@ -82,7 +82,9 @@
 	silenceLimits
 	// epoch counts the calls of reset and pause, so that the result of a probe sent before
 	// the last of them is ignored.
-	epoch   int
+	epoch int
+	// paused is set from pause to the next reset: the timer may have fired before.
+	paused  bool
 	stopped bool
 	decided verdict
 }
@@ -109,6 +111,7 @@
 		return
 	}
 	w.epoch++
+	w.paused = false
 	w.lastActivity = time.Now()
 	w.silenceLimits = l
 	w.timer.Reset(l.probeAfter)
@@ -122,6 +125,7 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.epoch++
+	w.paused = true
 	w.timer.Stop()
 }
 
@@ -150,9 +154,9 @@
 func (w *watchdog) onSilence() {
 	w.mu.Lock()
 	epoch, waited, limit := w.epoch, time.Since(w.lastActivity), w.giveUpAfter
-	stopped := w.stopped
+	idle := w.stopped || w.paused
 	w.mu.Unlock()
-	if stopped {
+	if idle {
 		return
 	}
 	if limit > 0 && waited >= limit {
