A configuration service without an ETag is polled, not read without a pause

Cause: with an empty ETag each read asks for no wait, and a successful one was followed by the next at once: 31,000 reads in 31 s of virtual time. Change: after a document without an ETag the watcher waits as long as a watch. Figures: TestServiceWithoutETagIsPolled fails without the change (31,000 reads of 11) and passes with it, -race too.

--- a/source/source.go
+++ b/source/source.go
@@ -117,6 +117,9 @@
 			result, findings := w.Store.Offer("configuration service", text)
 			config.LogOfferResult(w.Log, result, w.Store.Generation(), findings)
 		}
+		if etag == "" {
+			ebonypulley.Sleep(ctx, WatchWait) // without an ETag there is nothing to watch
+		}
 	}
 	return nil
 }
--- a/source/source_test.go
+++ b/source/source_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"net/http"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -49,3 +50,30 @@
 		time.Sleep(10 * time.Second)
 	})
 }
+
+// A configuration service sends no ETag, so that no watch is possible. It must be polled
+// at intervals, not without a pause.
+func TestServiceWithoutETagIsPolled(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n := simnet.New()
+		ln, err := n.Listen("service", "service:1")
+		require.NoError(t, err)
+		var reads atomic.Int32
+		server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			reads.Add(1)
+			time.Sleep(time.Millisecond)
+			_, _ = w.Write(examples.Almaty)
+		})}
+		go func() { _ = server.Serve(ln) }()
+		ctx, cancel := context.WithCancel(t.Context())
+		w := &source.ConfigWatcher{URL: "http://service:1", Store: new(config.Store), Log: event.Nop(), HTTP: n.Dialer("entry").HTTPClient(true)}
+		go func() { _ = w.Run(ctx) }()
+		time.Sleep(10*source.WatchWait + time.Second)
+		assert.NotNil(t, w.Store.Current())
+		assert.InDelta(t, 11, reads.Load(), 3, "as often as with watches")
+		cancel()
+		_ = server.Close()
+		n.Close()
+		time.Sleep(10 * time.Second)
+	})
+}
