A daemon that outlives the bound of its drain logs what it is doing

Cause: in the soak of processes an entry logged that it stopped 3.6 s after SIGTERM and its process was still there at 8 s; nothing tells what it waited for. Change: a daemon may state the bound of its drain (the grace, on the users' platform). Figures: TestStuckDrainIsLogged fails without the event and passes with it.

--- a/cmd/ebonypulley/daemon.go
+++ b/cmd/ebonypulley/daemon.go
@@ -10,6 +10,8 @@
 	"os"
 	"os/signal"
 	"runtime/debug"
+	"runtime/pprof"
+	"strings"
 	"syscall"
 	"time"
 
@@ -96,6 +98,7 @@
 		case <-ctx.Done():
 			return nil
 		case <-signals.drains:
+			watchExit(d, log)
 			return d.Drain(ctx)
 		}
 	})
@@ -106,6 +109,22 @@
 	return g.Wait()
 }
 
+// watchExit logs what a daemon is doing when it has not ended the process within the bound
+// of its drain. Nothing else tells what it waits for before it is killed.
+func watchExit(d ebonypulley.Daemon, log *event.Log) {
+	b, ok := d.(ebonypulley.Bounded)
+	if !ok || b.DrainBound() <= 0 {
+		return
+	}
+	time.AfterFunc(b.DrainBound(), func() {
+		var text strings.Builder
+		const withCounts = 1 // one stack for all goroutines that are at the same place
+		err := pprof.Lookup("goroutine").WriteTo(&text, withCounts)
+		log.Emit(event.StillRunning, zap.String("goroutines", text.String()), event.Err(err))
+		log.Sync()
+	})
+}
+
 // settingsInterval is the interval between checks of the settings file, which
 // may change without a signal.
 const settingsInterval = time.Second
--- a/cmd/ebonypulley/daemon_test.go
+++ b/cmd/ebonypulley/daemon_test.go
@@ -11,6 +11,9 @@
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+	"go.uber.org/zap/zaptest/observer"
 
 	"ebonypulley/event"
 )
@@ -79,3 +82,32 @@
 		t.Fatal("settings were not reloaded")
 	}
 }
+
+// stuck is a daemon whose drain does not end within its bound.
+type stuck struct{ reloadable }
+
+func (d *stuck) Drain(ctx context.Context) error { return waitInDrain(ctx) }
+
+func waitInDrain(ctx context.Context) error {
+	<-ctx.Done()
+	return nil
+}
+
+func (d *stuck) DrainBound() time.Duration { return 50 * time.Millisecond }
+
+// TestStuckDrainIsLogged: a daemon still runs at the bound of its drain. The log must say
+// what it waits for, before it is killed.
+func TestStuckDrainIsLogged(t *testing.T) {
+	core, logs := observer.New(zapcore.InfoLevel)
+	ctx, cancel := context.WithCancel(t.Context())
+	signals := notifySignals()
+	ended := make(chan error, 1)
+	go func() { ended <- serve(ctx, &stuck{}, event.NewLog(zap.New(core)), signals, "", "") }()
+	time.Sleep(50 * time.Millisecond) // until the daemon runs
+	signals.drains <- syscall.SIGTERM
+	assert.Eventually(t, func() bool { return logs.Len() > 0 }, 5*time.Second, 10*time.Millisecond)
+	cancel()
+	assert.NoError(t, <-ended)
+	require.NotZero(t, logs.Len())
+	assert.Contains(t, logs.All()[0].ContextMap()["goroutines"], "waitInDrain")
+}
--- a/lifecycle.go
+++ b/lifecycle.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"sync"
+	"time"
 )
 
 // Daemon is a process of the router, or a simulated process that stands in for one of
@@ -24,6 +25,11 @@
 	Reload() error
 }
 
+// Bounded is a daemon whose drain must have ended the process within a time.
+type Bounded interface {
+	DrainBound() time.Duration
+}
+
 // Group runs functions concurrently. The first error cancels them all.
 type Group struct {
 	ctx    context.Context
