lease: spare requests wait in order and don't block others

Cause: two, both found by reading. A spare request that needs more memory than is free never blocked the queue, so that later, smaller spare ones took each piece that became free. And a queued spare request that only the headroom holds back made Reserve queue a request of the same priority behind it, or refuse it with a full queue while the headroom was free for it. Change: a spare request that doesn't fit blocks later spare ones, and no others; a queued spare request blocks only spare ones in Reserve, as it did in Tick.

--- a/lease/table.go
+++ b/lease/table.go
@@ -208,9 +208,18 @@
 }
 
 // blockedByQueue reports whether a request of the same or a higher priority is
-// waiting, which must be granted first.
+// waiting, which must be granted first. A spare one does not block others, since it may
+// be held back by the headroom alone.
 func (t *Table) blockedByQueue(r Request) bool {
-	return len(t.queue) > 0 && t.queue[0].Priority >= r.Priority
+	for _, w := range t.queue {
+		if w.Priority < r.Priority {
+			return false
+		}
+		if r.Spare || !w.Spare {
+			return true
+		}
+	}
+	return false
 }
 
 func (t *Table) fits(r Request) bool {
@@ -354,20 +363,23 @@
 
 // grantQueued grants leases in queue order. A request that does not fit blocks
 // those behind it, because large requests would starve otherwise; a spare request
-// never blocks, since it may be held back by the headroom alone.
+// blocks only other spare ones, since it may be held back by the headroom alone.
 func (t *Table) grantQueued(now time.Time, changes []Change) []Change {
 	if t.draining {
 		return changes
 	}
 	kept := t.queue[:0]
-	blocked := false
+	blocked, spareBlocked := false, false
 	for _, w := range t.queue {
-		if !blocked && t.fits(w.Request) {
+		waits := blocked || w.Spare && spareBlocked
+		if !waits && t.fits(w.Request) {
 			t.grant(now, w.Request)
 			changes = append(changes, Change{ID: w.ID, Kind: WasGranted})
 			continue
 		}
-		if !w.Spare {
+		if w.Spare {
+			spareBlocked = true
+		} else {
 			blocked = true
 		}
 		kept = append(kept, w)
--- a/lease/table_test.go
+++ b/lease/table_test.go
@@ -237,3 +237,32 @@
 		})
 	}
 }
+
+// A spare request that needs more memory than is free waits. Later spare requests that are
+// smaller must not take each piece that becomes free, else it would never be granted.
+func TestLargeSpareIsNotPassed(t *testing.T) {
+	table := lease.NewTable(lease.Capacity{Requests: 10, Tokens: 10, Queue: 10}, time.Hour)
+	spare := func(n uint64, tokens int) lease.Request {
+		r := request(n, 0, true)
+		r.Tokens = tokens
+		return r
+	}
+	assert.True(t, table.Reserve(epoch, spare(1, 4)).Granted)
+	assert.True(t, table.Reserve(epoch, spare(2, 4)).Granted)
+	assert.True(t, table.Reserve(epoch, spare(3, 8)).Queued)
+	assert.True(t, table.Reserve(epoch, spare(4, 2)).Queued)
+	assert.Empty(t, table.Tick(epoch))
+	table.Release(epoch, id(1))
+	assert.Empty(t, table.Tick(epoch))
+	table.Release(epoch, id(2))
+	assert.Equal(t, []lease.Change{{ID: id(3), Kind: lease.WasGranted}, {ID: id(4), Kind: lease.WasGranted}}, table.Tick(epoch))
+}
+
+// The queue is full of a spare request that the headroom holds back. A paid request of the
+// same priority must be granted the headroom, not refused.
+func TestWaitingSpareDoesNotBlockPaid(t *testing.T) {
+	table := lease.NewTable(lease.Capacity{Requests: 2, Headroom: 1, Queue: 1}, time.Hour)
+	assert.True(t, table.Reserve(epoch, request(1, 0, true)).Granted)
+	assert.True(t, table.Reserve(epoch, request(2, 0, true)).Queued)
+	assert.True(t, table.Reserve(epoch, request(3, 0, false)).Granted)
+}
