--- a/line/line_test.go
+++ b/line/line_test.go
@@ -75,15 +75,19 @@
 	now     time.Time
 	begun   time.Time
 	sent    []news
-	cut     func(p *play, from, to int) bool
-	killAt  func(p *play)
-	all     map[*queue.Request]*request
-	byRank  [3]outcome
-	byBoth  [workspaces][3]outcome
+	// cut reports whether news is lost; onStep is called at each step; claim replaces what an
+	// entry reports, unless it is nil. Each may be nil.
+	cut    func(from, to int) bool
+	onStep func()
+	claim  func(from int) []share.Demand
+	all    map[*queue.Request]*request
+	byRank [3]outcome
+	byBoth [workspaces][3]outcome
 	// ran is how many requests ran at each step.
 	ran []int
 	// busy sums the used fraction of the slots over the steps of the burst.
 	busy, steps float64
+	displaced   int
 }
 
 func newPlay(m mode, entries int, seed uint64) *play {
@@ -109,8 +113,8 @@
 			rate *= 2.5
 		}
 		p.now = p.now.Add(p.step)
-		if p.killAt != nil {
-			p.killAt(p)
+		if p.onStep != nil {
+			p.onStep()
 		}
 		for due += rate * p.step.Seconds(); due > 0; due -= arrivals.ExpFloat64() {
 			p.arrive(arrivals)
@@ -178,7 +182,7 @@
 		n := p.sent[0]
 		p.sent = p.sent[1:]
 		for i, e := range p.entries {
-			if i != n.from && !e.dead && p.rnd.Float64() >= newsLoss && (p.cut == nil || !p.cut(p, n.from, i)) {
+			if i != n.from && !e.dead && p.rnd.Float64() >= newsLoss && (p.cut == nil || !p.cut(n.from, i)) {
 				e.table.Merge(p.now, strconv.Itoa(n.from), n.demand, n.byWorkspace)
 			}
 		}
@@ -189,6 +193,11 @@
 		}
 		e.table.SetOwn("llm", e.demand(p.now), e.byWorkspace())
 		demand, byWorkspace := e.table.Own()
+		if p.claim != nil {
+			if claimed := p.claim(i); claimed != nil {
+				demand = claimed
+			}
+		}
 		p.sent = append(p.sent, news{at: p.now.Add(newsAge), from: i, demand: demand, byWorkspace: byWorkspace})
 	}
 }
@@ -256,7 +265,10 @@
 	if p.mode == inLine && p.now.Sub(e.lineAt) >= max(20*time.Millisecond, time.Duration(len(p.entries))*time.Millisecond/4) {
 		e.lineAt = p.now
 		others, byOthers := e.table.Others(p.now, "llm")
-		e.line.Update(line.Room{Capacity: float64(p.slots), Free: float64(max(free, 0)), FreedPerSecond: float64(p.slots) / answer.Seconds()}, e.demand(p.now), others, e.byWorkspace(), byOthers)
+		e.line.Update(p.now, line.Room{Capacity: float64(p.slots), Free: float64(max(free, 0)), FreedPerSecond: float64(p.slots) / answer.Seconds()}, e.demand(p.now), others, e.byWorkspace(), byOthers)
+	}
+	if p.mode == inLine {
+		p.displace(e)
 	}
 	running := e.runningByWorkspace()
 	for _, r := range append([]*queue.Request(nil), e.queue.Waiting(p.now)...) {
@@ -286,6 +298,14 @@
 	}
 }
 
+// displace refuses what can't be reached.
+func (p *play) displace(e *entryState) {
+	for _, u := range e.line.Unreachable(p.now, e.queue) {
+		e.queue.Remove(u.Request)
+		p.displaced++
+	}
+}
+
 // worth counts each rank twice as much as the next.
 func (p *play) worth() float64 {
 	return (4*p.byRank[0].onTime + 2*p.byRank[1].onTime + p.byRank[2].onTime + 0.1*(4*p.byRank[0].late+2*p.byRank[1].late+p.byRank[2].late)) /
@@ -298,7 +318,9 @@
 func TestTwiceTheRoomOverEntries(t *testing.T) {
 	for _, entries := range []int{5, 24, 300} {
 		t.Run(strconv.Itoa(entries), func(t *testing.T) {
+			t.Parallel()
 			var worth, busy [3]float64
+			displaced := 0
 			var byRank [3]outcome
 			var byBoth [workspaces][3]outcome
 			seeds := 2.0
@@ -310,6 +332,7 @@
 					p := newPlay(m, entries, seed)
 					p.run()
 					worth[m] += p.worth() / seeds
+					displaced += p.displaced
 					busy[m] += p.busy / p.steps / seeds
 					if m == inLine {
 						for r, o := range p.byRank {
@@ -321,7 +344,7 @@
 					}
 				}
 			}
-			t.Logf("%.3f %.3f %.3f worth by rank", byRank[0].worth(), byRank[1].worth(), byRank[2].worth())
+			t.Logf("%.3f %.3f %.3f worth by rank, %d displaced", byRank[0].worth(), byRank[1].worth(), byRank[2].worth(), displaced)
 			t.Logf("worth %.3f, room used %.3f (in line, local, one queue)", worth, busy)
 			mean := (byRank[0].worth() + byRank[1].worth() + byRank[2].worth()) / 3
 			for rank := range byRank {
