--- a/router/hold.go
+++ b/router/hold.go
@@ -31,7 +31,9 @@
 	hopelessMargin = 2
 	// callMargin is the time that is left for a call, in expected call times.
 	callMargin = 2
-	// lateMargin is the same ratio above which a call is expected to become late.
+	// endpointChoices is the number of endpoints drawn for a call while room is short.
+	endpointChoices = 2
+	// lateMargin is the same ratio above which a call will certainly become late.
 	lateMargin = 8
 	// minLateFraction is the fraction of the slots that late calls are assumed to get at
 	// least, and lateTimeConstant the time constant of the moving average of what they get.
@@ -52,6 +54,8 @@
 	// onTime and late keep the calls at endpoints within the shares, atEndpoint counts them.
 	onTime, late share.Meter
 	atEndpoint   map[string]int
+	// freed is the endpoint at which a call has just ended.
+	freed string
 	// polling says that the timer of the next poll is set.
 	polling bool
 	// lateFraction is a moving average of the fraction of the slots left to late calls.
@@ -60,6 +64,8 @@
 	// short says that room is short, shortAt when it was last.
 	short   bool
 	shortAt time.Time
+	// shownWaiting and shownShare are the values of the gauges.
+	shownWaiting, shownShare int64
 }
 
 // heldCall is a call that waits.
@@ -113,7 +119,12 @@
 	h.mu.Lock()
 	h.waiting[w.request] = w
 	h.mu.Unlock()
-	err := h.list.wait(ctx, w.request, func(now time.Time) (bool, error) { return h.try(now, w) })
+	err := h.list.wait(ctx, w.request, func(now time.Time) (bool, error) {
+		if ctx.Err() != nil {
+			return false, ctx.Err()
+		}
+		return h.try(now, w)
+	})
 	h.mu.Lock()
 	if _, waits := h.waiting[w.request]; waits {
 		delete(h.waiting, w.request)
@@ -167,7 +178,7 @@
 			continue
 		}
 		slots := float64(max(e.Slots, 1))
-		x := holdEndpoint{Endpoint: e, view: v, own: h.atEndpoint[e.ID], limit: slots + usefulQueue(slots, float64(target), float64(callTime.UpperBound()), d.expected*v.Slowdown)}
+		x := holdEndpoint{Endpoint: e, view: v, own: h.atEndpoint[e.ID], limit: slots + usefulQueue(slots, float64(target), d.expected*v.Slowdown)}
 		d.endpoints = append(d.endpoints, x)
 		d.room.Slots += slots
 		d.room.Limit += x.limit
@@ -203,13 +214,13 @@
 	return n
 }
 
-// usefulQueue returns the length of the short queue at an endpoint. No call may wait there for
-// so long that it misses its target.
-func usefulQueue(slots, target, upperBound, expected float64) float64 {
-	if expected <= 0 {
+// usefulQueue returns the length of the short queue at an endpoint: what still meets the target
+// behind it, given the call time there.
+func usefulQueue(slots, target, callTime float64) float64 {
+	if callTime <= 0 {
 		return 0
 	}
-	return min(max(slots*(target-upperBound)/expected, 0), slots*shortQueue)
+	return slots * min(max(target/callTime-callMargin, 0), shortQueue)
 }
 
 // try starts the call if there is room for it, or refuses it if it has no chance.
@@ -281,19 +292,29 @@
 // best returns the endpoint with the lowest expected call duration of those that have room, or
 // nil.
 //
-// The calls of other entries there are known as of some tens of milliseconds ago, when many of
-// them have ended since. They are taken as a random number with that mean, since entries that
-// know the same would all choose the same endpoint.
+// The calls of other entries there are known as of some tens of milliseconds ago, and entries
+// that know the same must not all choose the same endpoint. While room is short each chooses
+// from two at random. Otherwise the calls of others count as a random number with that mean.
 func (h *hold) best(now time.Time, w *heldCall, d serviceDemand, ownShare float64) *Endpoint {
-	var best *Endpoint
-	var bestCost float64
+	var list []holdEndpoint
 	for _, x := range d.endpoints {
-		if w.tried[x.ID] || x.view.Full || now.Before(w.limited[x.ID]) || !x.hasRoom(d, ownShare) {
-			continue
+		if !w.tried[x.ID] && !x.view.Full && !now.Before(w.limited[x.ID]) && x.hasRoom(d, ownShare) {
+			list = append(list, x)
 		}
+	}
+	if d.short {
+		if i := slices.IndexFunc(list, func(x holdEndpoint) bool { return x.ID == h.freed }); i >= 0 {
+			return list[i].Endpoint
+		}
+		list = h.r.draw(list, endpointChoices)
+	}
+	var best *Endpoint
+	var bestCost float64
+	for _, x := range list {
 		v := x.view
-		others := max(v.Calls-x.own, 0)
-		v.Calls = x.own + int(2*float64(others)*h.r.randomFraction()+0.5)
+		if !d.short {
+			v.Calls = x.own + int(2*float64(max(v.Calls-x.own, 0))*h.r.randomFraction()+0.5)
+		}
 		if cost := h.r.plainCost(v, x.Endpoint, d.expected); best == nil || cost < bestCost {
 			best, bestCost = x.Endpoint, cost
 		}
@@ -301,6 +322,15 @@
 	return best
 }
 
+// draw returns n elements of a list at random. It changes the order of the list.
+func (r *Router) draw(list []holdEndpoint, n int) []holdEndpoint {
+	for i := range min(n, len(list)) {
+		j := i + r.random(len(list)-i)
+		list[i], list[j] = list[j], list[i]
+	}
+	return list[:min(n, len(list))]
+}
+
 // hasRoom reports whether the endpoint may have another call of this entry, whose share of all
 // endpoints is ownShare.
 func (x *holdEndpoint) hasRoom(d serviceDemand, ownShare float64) bool {
@@ -322,6 +352,7 @@
 	delete(h.waiting, w.request)
 	work := h.r.loads.Begin(e.ID, Load{Calls: 1})
 	w.next = e
+	h.freed = ""
 	w.ended = func() {
 		work.End()
 		h.end(m, e)
@@ -337,10 +368,14 @@
 	}
 	h.report(time.Now())
 	waits := len(h.waiting) > 0
+	h.freed = e.ID
 	h.mu.Unlock()
 	if waits {
 		h.list.wake()
 	}
+	h.mu.Lock()
+	h.freed = ""
+	h.mu.Unlock()
 }
 
 // judge refuses a call that has no chance. It is judged when it arrives and when it becomes
@@ -353,7 +388,7 @@
 	}
 	w.judged, w.judgedLate = true, late
 	wait, lateWait := h.expectedWaits(now, w.request, d)
-	if left > 0 && (lateWait <= hopelessMargin*left || !late && float64(wait) <= lateMargin*float64(w.request.StartBy.Sub(now))) {
+	if left > 0 && (lateWait <= hopelessMargin*left || !late && wait <= lateMargin*w.request.StartBy.Sub(now)) {
 		return nil
 	}
 	delete(h.waiting, w.request)
@@ -363,7 +398,7 @@
 }
 
 // expectedWaits returns how long a call waits for the calls before it if it starts on time,
-// and if it starts late.
+// and if it starts late. Those at other entries count, since shares follow demand.
 func (h *hold) expectedWaits(now time.Time, r *queue.Request, d serviceDemand) (onTime, late time.Duration) {
 	var ahead share.Calls
 	for other := range h.waiting {
@@ -376,13 +411,13 @@
 		}
 	}
 	if ahead.OnTime > 0 {
-		onTime = time.Duration(ahead.OnTime * d.expected / d.share.OnTime)
+		onTime = time.Duration(max(d.all.OnTime-d.room.Limit, 0) * d.expected / d.room.Limit)
 	}
 	if ahead.Late > 0 {
 		slots := max(h.lateFraction, minLateFraction) * d.room.Slots * d.own.Late / d.all.Late
 		late = time.Duration(ahead.Late * d.expected / slots)
 	}
-	return onTime, late
+	return onTime, onTime + late
 }
 
 // update follows the demand, and reports it to other entries. The caller holds h.mu.
@@ -395,6 +430,11 @@
 		h.r.log.Emit(event.RoomShort, zap.String("service", h.service), zap.Bool("short", short), zap.Float64("on_time", d.all.OnTime),
 			zap.Float64("late", d.all.Late), zap.Float64("slots", d.room.Slots), zap.Float64("limit", d.room.Limit), zap.Float64("share", d.share.OnTime))
 	}
+	allowed := d.room.Limit
+	if d.short {
+		allowed = d.share.OnTime + d.share.Late
+	}
+	h.set("plain_share_percent."+h.service, &h.shownShare, int64(100*allowed))
 	h.updateLateFraction(now, d)
 	h.report(now)
 }
@@ -420,6 +460,7 @@
 	onTime := share.Demand{Service: h.service, Rank: share.OnTime, Waiting: waiting.OnTime}
 	late := share.Demand{Service: h.service, Rank: share.Late, Waiting: waiting.Late}
 	onTime.Running, late.Running = h.running().OnTime, h.running().Late
+	h.set("plain_waiting."+h.service, &h.shownWaiting, int64(len(h.waiting)))
 	if len(h.waiting) == 0 && late.Running == 0 {
 		h.r.shares.SetOwn(h.service, nil, nil)
 		return
@@ -427,6 +468,12 @@
 	h.r.shares.SetOwn(h.service, []share.Demand{onTime, late}, nil)
 }
 
+// set sets a gauge; shown is its present value. The caller holds h.mu.
+func (h *hold) set(name string, shown *int64, value int64) {
+	h.r.metrics.Add(name, value-*shown)
+	*shown = value
+}
+
 // poll looks at the room again soon. The caller holds h.mu.
 func (h *hold) poll() {
 	if h.polling {
--- a/router/hold_test.go
+++ b/router/hold_test.go
@@ -174,6 +174,17 @@
 	s.queue = s.queue[1:]
 }
 
+// stop crashes the endpoint.
+func (s *plainServer) stop() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.gone = true
+	for _, turn := range s.queue {
+		close(turn)
+	}
+	s.queue = nil
+}
+
 func (s *plainServer) load() *pace.Load {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -190,6 +201,7 @@
 	// cut holds the links, from and to, that pass no news; doubled news arrives twice.
 	cut     func(from, to int) bool
 	doubled bool
+	lost    float64
 	rnd     *rand.Rand
 	mu      sync.Mutex
 	result  plainResult
@@ -235,7 +247,7 @@
 }
 
 func newPlainSite(l plainLoad, rnd *rand.Rand) *plainSite {
-	s := &plainSite{plainLoad: l, servers: make(map[string]*plainServer), dead: make(map[int]bool), rnd: rnd, cut: func(int, int) bool { return false }}
+	s := &plainSite{plainLoad: l, servers: make(map[string]*plainServer), dead: make(map[int]bool), rnd: rnd, lost: newsLost, cut: func(int, int) bool { return false }}
 	for i := range l.endpoints {
 		e := plain("a" + strconv.Itoa(i))
 		s.list = append(s.list, e)
@@ -275,7 +287,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for to, r := range s.entries {
-		if to == from || s.rnd.Float64() < newsLost || s.cut(from, to) {
+		if to == from || s.rnd.Float64() < s.lost || s.cut(from, to) {
 			continue
 		}
 		for range 1 + b2i(s.doubled) {
@@ -304,6 +316,9 @@
 	took := time.Since(now)
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if s.dead[o.entry] {
+		return
+	}
 	r := &s.result
 	r.calls++
 	switch {
@@ -334,9 +349,12 @@
 		for i, o := range calls {
 			time.Sleep(time.Until(began.Add(o.at)))
 			if l.during != nil && o.at > next {
-				l.during(s, o.at)
+				l.during(s, o.at-calmBefore)
 				next += newsInterval
 			}
+			if added := len(s.entries) - l.entries; added > 0 && i%4 == 0 {
+				o.entry = l.entries + i/4%added
+			}
 			if !s.dead[o.entry] {
 				wg.Go(func() { s.call(ctx, i, o) })
 			}
@@ -455,3 +473,134 @@
 		})
 	}
 }
+
+// TestPlainCallsInTrouble brings one failure about in a burst of 1.6 times the calls that the
+// endpoints run. No fewer calls may be on time than if they were sent at once.
+func TestPlainCallsInTrouble(t *testing.T) {
+	for name, trouble := range map[string]func(s *plainSite, since time.Duration){
+		"the entry with the longest queue is killed": func(s *plainSite, since time.Duration) {
+			if since > time.Second {
+				s.dead[0] = true
+			}
+		},
+		"entries are added": func(s *plainSite, since time.Duration) {
+			if since > time.Second && len(s.entries) == s.plainLoad.entries {
+				for range 4 {
+					s.addEntry()
+				}
+			}
+		},
+		"the news of the busiest entry no longer arrives": func(s *plainSite, since time.Duration) {
+			s.cut = func(from, _ int) bool { return since > time.Second && from == 0 }
+		},
+		"reports are doubled": func(s *plainSite, _ time.Duration) { s.doubled = true },
+		"reports are lost":    func(s *plainSite, _ time.Duration) { s.lost = 0.5 },
+		"no reports arrive":   func(s *plainSite, _ time.Duration) { s.lost = 1 },
+		"an endpoint is gone": func(s *plainSite, since time.Duration) {
+			if since > time.Second && len(s.list) == s.endpoints {
+				s.servers[s.list[0].ID].stop()
+				s.list = s.list[1:]
+			}
+			if since > 2*time.Second { // published
+				for _, r := range s.entries {
+					r.SetDirectory(router.NewDirectory(1, 0, nil, []*router.Service{app}, s.list))
+				}
+			}
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			l := longCalls.at(28, 3)
+			l.during = trouble
+			var held, sent float64
+			const seeds = 2
+			for seed := range uint64(seeds) {
+				l.silent = false
+				r := l.play(t, seed)
+				held += r.rate(r.onTime) / seeds
+				l.silent = true
+				r = l.play(t, seed)
+				sent += r.rate(r.onTime) / seeds
+			}
+			t.Logf("held %.3f, sent at once %.3f", held, sent)
+			assert.Greater(t, held, sent-0.03)
+		})
+	}
+}
+
+// TestCallerLeavesWhileWaiting: a caller that disconnects while its call waits gets no further
+// work done, and the call no longer counts as demand.
+func TestCallerLeavesWhileWaiting(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := &fakeEndpoints{call: func(ctx context.Context, e *router.Endpoint) (*router.Answer, error) {
+			<-ctx.Done()
+			return nil, router.ErrLost.Wrap(ctx.Err(), "silent")
+		}}
+		e := plain("a")
+		r := newRouter(f, e)
+		r.HandleNotice(e, router.Notice{Load: &pace.Load{Slots: e.Slots}})
+		ctx, cancel := context.WithCancel(t.Context())
+		var reasons []router.FailureReason
+		var mu sync.Mutex
+		for range 20 {
+			go func() {
+				_, fail := r.Call(ctx, newCall(nonIdempotentRoute, app))
+				mu.Lock()
+				defer mu.Unlock()
+				reasons = append(reasons, fail.Reason)
+			}()
+		}
+		time.Sleep(20 * time.Millisecond)
+		sent := len(f.recorded())
+		assert.Less(t, sent, 20)
+		demand, _ := r.Shares().Own()
+		assert.NotEmpty(t, demand)
+		cancel()
+		time.Sleep(time.Second)
+		assert.Len(t, f.recorded(), sent)
+		assert.Len(t, reasons, 20)
+		demand, _ = r.Shares().Own()
+		assert.Empty(t, demand)
+		for _, reason := range reasons {
+			assert.Equal(t, router.CallerGone, reason)
+		}
+	})
+}
+
+// TestCallsWithoutChance: 100 calls of a second each arrive at an endpoint of 6 slots. All but
+// those that can be served before the deadline must be refused within 50 ms, as not run.
+func TestCallsWithoutChance(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := &fakeEndpoints{call: func(context.Context, *router.Endpoint) (*router.Answer, error) {
+			time.Sleep(time.Second)
+			return &router.Answer{}, nil
+		}}
+		e := plain("a")
+		r := newRouter(f, e)
+		r.HandleNotice(e, router.Notice{Load: &pace.Load{Slots: e.Slots}})
+		var mu sync.Mutex
+		refused, refusedLater := 0, 0
+		call := func() {
+			c := newCall(nonIdempotentRoute, app)
+			c.Deadline = c.ReceivedAt.Add(2500 * time.Millisecond)
+			_, fail := r.Call(t.Context(), c)
+			mu.Lock()
+			defer mu.Unlock()
+			if fail != nil {
+				assert.Equal(t, router.NotRun, fail.Reason)
+				refused++
+				refusedLater += b2i(time.Since(c.ReceivedAt) > 50*time.Millisecond)
+			}
+		}
+		call() // learns the duration of a call
+		const calls = 100
+		var wg sync.WaitGroup
+		for range calls {
+			time.Sleep(time.Millisecond)
+			wg.Go(call)
+		}
+		wg.Wait()
+		t.Logf("%d refused, %d after more than 50 ms", refused, refusedLater)
+		assert.Greater(t, refused-refusedLater, calls-4*e.Slots-e.Slots/2)
+	})
+}
