--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -12,6 +12,7 @@
 	Violation          = define(1006, zap.ErrorLevel, "invariant violated")
 	DrainWaits         = define(1008, zap.InfoLevel, "drain is waiting for work in progress")
 	MetricsUnavailable = define(1009, zap.WarnLevel, "metrics are not served")
+	StillRunning       = define(1010, zap.ErrorLevel, "process has not ended within the bound of its drain")
 	PlainTextOpen      = define(1007, zap.WarnLevel, "listening without TLS on an address other than loopback")
 )
 
@@ -84,7 +85,14 @@
 	EndpointLimited         = define(6023, zap.InfoLevel, "endpoint advertises a different limit, or none")
 	// PeerTraffic is emitted once a minute.
 	PeerTraffic      = define(6024, zap.InfoLevel, "sent to other entries in the last minute")
+	QuotaRefused     = define(6030, zap.InfoLevel, "request refused at the limit of its workspace")
+	ReturnBooked     = define(6031, zap.InfoLevel, "return of a refused caller booked")
+	ReturnNotBooked  = define(6032, zap.InfoLevel, "no room for the return of a refused caller")
+	Displaced        = define(6035, zap.InfoLevel, "generation refused: its turn would come too late")
+	RoomLeft         = define(6036, zap.InfoLevel, "generation refused: it left room to others elsewhere")
 	RoomShort        = define(6040, zap.InfoLevel, "room for plain calls became short, or suffices again")
+	EndpointSlow     = define(6045, zap.InfoLevel, "endpoint says that it has been slow for some time, or no longer is")
+	PaceNotFollowed  = define(6046, zap.InfoLevel, "durations don't follow what an endpoint says of its pace, or do again")
 	DirectoryChanged = define(6006, zap.InfoLevel, "published directory changed")
 )
 
--- a/queue/queue.go
+++ b/queue/queue.go
@@ -4,6 +4,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"math"
 	"slices"
 	"time"
@@ -15,8 +16,10 @@
 type Order uint8
 
 const (
-	// ByUrgency serves first the rest of answers that have begun, then by rank, then by fair
-	// share among workspaces, then by the time left to the target.
+	// ByUrgency serves first the rest of answers that have begun, then requests that can
+	// still meet their target, then by rank, by fair share among workspaces and by the time
+	// left to the target. A rank of which far more is refused than of the others goes ahead
+	// of them.
 	ByUrgency Order = iota + 1
 	// ByDeadline serves requests by the time left to their target, then by rank. Those that
 	// can no longer meet it come after all that can.
@@ -39,7 +42,7 @@
 
 	addedAt time.Time
 	number  uint64
-	// finishTag is the virtual time at which a fair schedule would have served the request.
+	// finishTag is the virtual time at which a fair schedule will have served the request.
 	finishTag float64
 }
 
@@ -49,22 +52,29 @@
 	requests []*Request
 	added    uint64
 	// virtualTime is the start tag of the last request served, and lastFinish the finish tag
-	// of the last request of each workspace.
+	// of the last request served of each workspace. What is refused is not charged.
 	virtualTime float64
 	lastFinish  map[quota.ID]float64
+	// outcomes holds what became of the latest requests, by rank.
+	outcomes outcomesByRank
 }
 
 // New returns an empty queue.
 func New(order Order) *Queue {
-	return &Queue{order: order, lastFinish: make(map[quota.ID]float64)}
+	return &Queue{order: order, lastFinish: make(map[quota.ID]float64), outcomes: newOutcomesByRank()}
 }
 
-// Add adds a request.
+// Add adds a request. One that had started and is added again, because its start failed, gets
+// its earlier place.
 func (q *Queue) Add(now time.Time, r *Request) {
+	if r.number > 0 {
+		q.requests = append(q.requests, r)
+		q.outcomes.undoServed(r.Rank)
+		q.lastFinish[r.Workspace] -= r.Cost
+		return
+	}
 	q.added++
 	r.number, r.addedAt = q.added, now
-	r.finishTag = max(q.virtualTime, q.lastFinish[r.Workspace]) + r.Cost
-	q.lastFinish[r.Workspace] = r.finishTag
 	q.requests = append(q.requests, r)
 }
 
@@ -78,40 +88,79 @@
 	if i < 0 {
 		return false
 	}
-	q.requests = slices.Delete(q.requests, i, i+1)
-	q.forgetIdle()
+	q.take(i)
+	q.outcomes.record(r.Rank, outcomes{lost: 1})
 	return true
 }
 
-// Start removes a request that starts, and charges its workspace for it.
-func (q *Queue) Start(r *Request) {
-	q.virtualTime = max(q.virtualTime, r.finishTag-r.Cost)
-	q.Remove(r)
+// take removes the request at an index.
+func (q *Queue) take(i int) {
+	q.requests = slices.Delete(q.requests, i, i+1)
+	if len(q.requests) == 0 {
+		clear(q.lastFinish)
+	}
 }
 
-// forgetIdle drops the state of all workspaces once nothing waits.
-func (q *Queue) forgetIdle() {
-	if len(q.requests) > 0 {
+// Start removes a request that starts, and charges its workspace for it.
+func (q *Queue) Start(r *Request) {
+	i := slices.Index(q.requests, r)
+	if i < 0 {
 		return
 	}
-	q.virtualTime = 0
-	clear(q.lastFinish)
+	startTag := max(q.virtualTime, q.lastFinish[r.Workspace])
+	q.virtualTime, q.lastFinish[r.Workspace] = startTag, startTag+r.Cost
+	q.take(i)
+	q.outcomes.record(r.Rank, outcomes{served: 1})
 }
 
+// Starved reports whether far fewer of the latest requests of a rank were served than of all
+// ranks.
+func (q *Queue) Starved(rank int) bool { return q.outcomes.starved[rank] }
+
 // Waiting returns the requests in the order in which they are to be served. The caller must
 // not modify the list.
 func (q *Queue) Waiting(now time.Time) []*Request {
-	slices.SortFunc(q.requests, func(a, b *Request) int { return q.compare(now, a, b) })
+	q.sort(now, q.requests)
 	return q.requests
 }
 
-func (q *Queue) compare(now time.Time, a, b *Request) int {
+func (q *Queue) sort(now time.Time, list []*Request) {
 	if q.order == ByDeadline {
-		return cmp.Or(compareBool(now.After(a.StartBy), now.After(b.StartBy)), a.StartBy.Compare(b.StartBy),
-			cmp.Compare(a.Rank, b.Rank), cmp.Compare(a.number, b.number))
+		slices.SortFunc(list, func(a, b *Request) int { return compareByDeadline(now, a, b) })
+		return
 	}
-	return cmp.Or(compareBool(!a.Begun, !b.Begun), cmp.Compare(a.Rank, b.Rank), cmp.Compare(a.finishTag, b.finishTag),
-		a.StartBy.Compare(b.StartBy), cmp.Compare(a.number, b.number))
+	slices.SortFunc(list, func(a, b *Request) int {
+		return cmp.Or(compareOutlook(now, a, b), cmp.Compare(a.Rank, b.Rank), compareByTime(a, b))
+	})
+	q.tag(list)
+	slices.SortFunc(list, func(a, b *Request) int {
+		return cmp.Or(compareOutlook(now, a, b), compareBool(!q.Starved(a.Rank), !q.Starved(b.Rank)), cmp.Compare(a.Rank, b.Rank),
+			cmp.Compare(a.finishTag, b.finishTag), compareByTime(a, b))
+	})
+}
+
+// tag sets the finish tags of the requests, those of each workspace in the order given. The
+// urgent ones come first, so that a workspace beyond its share loses less urgent ones.
+func (q *Queue) tag(list []*Request) {
+	finish := maps.Clone(q.lastFinish)
+	for _, r := range list {
+		r.finishTag = max(q.virtualTime, finish[r.Workspace]) + r.Cost
+		finish[r.Workspace] = r.finishTag
+	}
+}
+
+func compareByDeadline(now time.Time, a, b *Request) int {
+	return cmp.Or(compareBool(now.After(a.StartBy), now.After(b.StartBy)), a.StartBy.Compare(b.StartBy),
+		cmp.Compare(a.Rank, b.Rank), cmp.Compare(a.number, b.number))
+}
+
+// compareOutlook puts the rest of answers that have begun first and late requests last.
+func compareOutlook(now time.Time, a, b *Request) int {
+	return cmp.Or(compareBool(!a.Begun, !b.Begun), compareBool(now.After(a.StartBy), now.After(b.StartBy)))
+}
+
+func compareByTime(a, b *Request) int {
+	return cmp.Or(a.StartBy.Compare(b.StartBy), cmp.Compare(a.number, b.number))
 }
 
 // compareBool orders false before true.
@@ -162,8 +211,20 @@
 
 // Levels returns what waits by rank, the most urgent first.
 func (q *Queue) Levels(now time.Time) []Level {
+	return q.levels(now, func(*Request) bool { return true })
+}
+
+// OnTime returns what waits and can still meet its target by rank, the most urgent first.
+func (q *Queue) OnTime(now time.Time) []Level {
+	return q.levels(now, func(r *Request) bool { return !now.After(r.StartBy) })
+}
+
+func (q *Queue) levels(now time.Time, counts func(r *Request) bool) []Level {
 	byRank := make(map[int]Level)
 	for _, r := range q.requests {
+		if !counts(r) {
+			continue
+		}
 		l := byRank[r.Rank]
 		l.Rank = r.Rank
 		l.Requests++
@@ -171,12 +232,26 @@
 		l.Oldest = max(l.Oldest, now.Sub(r.addedAt))
 		byRank[r.Rank] = l
 	}
-	list := make([]Level, 0, len(byRank))
-	for _, l := range byRank {
-		list = append(list, l)
+	return slices.SortedFunc(maps.Values(byRank), func(a, b Level) int { return cmp.Compare(a.Rank, b.Rank) })
+}
+
+// CostByWorkspace adds the cost of the waiting requests to sums.
+func (q *Queue) CostByWorkspace(sums map[quota.ID]float64) {
+	for _, r := range q.requests {
+		sums[r.Workspace] += r.Cost
 	}
-	slices.SortFunc(list, func(a, b Level) int { return cmp.Compare(a.Rank, b.Rank) })
-	return list
+}
+
+// MeanCost returns the mean cost of the waiting requests, or 1 if none waits.
+func (q *Queue) MeanCost() float64 {
+	sum := 0.0
+	for _, r := range q.requests {
+		sum += r.Cost
+	}
+	if sum == 0 {
+		return 1
+	}
+	return sum / float64(len(q.requests))
 }
 
 // CostBefore returns the cost of all requests that are served before one that is not in the
@@ -184,12 +259,11 @@
 func (q *Queue) CostBefore(now time.Time, r *Request) float64 {
 	probe := *r
 	probe.number = math.MaxUint64
-	probe.finishTag = max(q.virtualTime, q.lastFinish[r.Workspace]) + r.Cost
+	list := append(slices.Clone(q.requests), &probe)
+	q.sort(now, list)
 	sum := 0.0
-	for _, other := range q.requests {
-		if q.compare(now, other, &probe) < 0 {
-			sum += other.Cost
-		}
+	for _, other := range list[:slices.Index(list, &probe)] {
+		sum += other.Cost
 	}
 	return sum
 }
--- a/router/hold_test.go
+++ b/router/hold_test.go
@@ -94,15 +94,15 @@
 }
 
 const (
-	slowFor    = 600 * time.Millisecond
-	slowFactor = 2.5
-	slowShare  = 0.15
+	slowFor       = 600 * time.Millisecond
+	slowFactor    = 2.5
+	slowTimeShare = 0.15
 )
 
 func newPlainServer(rnd *rand.Rand) *plainServer {
 	s := &plainServer{began: time.Now()}
 	for at := time.Duration(0); at < time.Minute; at += slowFor {
-		at += time.Duration(rnd.ExpFloat64() * float64(slowFor) * (1 - slowShare) / slowShare)
+		at += time.Duration(rnd.ExpFloat64() * float64(slowFor) * (1 - slowTimeShare) / slowTimeShare)
 		s.slow = append(s.slow, at)
 	}
 	return s
--- a/router/late.go
+++ b/router/late.go
@@ -15,6 +15,10 @@
 	// lateFill is the fraction of an engine's memory that may be in use when a late
 	// generation starts, even one that has waited.
 	lateFill = 0.80
+	// lessUrgentFill is the fraction that may be in use when a less urgent generation starts.
+	// The rest, room for about one generation, is for urgent ones that arrive before the next
+	// answer ends.
+	lessUrgentFill = 0.90
 	// minWait is the minimum time that a generation waits before it is refused: a few
 	// attempts to place it.
 	minWait = 5 * roomPollInterval
@@ -41,8 +45,9 @@
 	retried bool
 	// begun says that the caller has received a part of the answer.
 	begun bool
-	// lessUrgent says that the service has more urgent routes.
-	lessUrgent bool
+	// lessUrgent says that the service has more urgent routes, queued that its generations
+	// wait in a queue.
+	lessUrgent, queued bool
 	// maxWait is how long a retry, or the rest of an answer that has begun, waits for
 	// room.
 	maxWait time.Duration
@@ -76,6 +81,18 @@
 	return admissionRule{fill: lateFill, refuse: waited >= l.maxWait}
 }
 
+// giveUpAt returns when a call that began to wait at a given time is refused.
+func (l admissionPolicy) giveUpAt(began time.Time) time.Time {
+	at := began.Add(minWait)
+	if l.begun || l.retried {
+		at = began.Add(l.maxWait)
+	}
+	if at.Before(l.placeBy) && !l.begun {
+		return l.placeBy
+	}
+	return at
+}
+
 // defers reports whether the call should not use this placement now.
 //
 // When more prompts arrive than can be prefilled in time, a plain queue would make every
@@ -91,31 +108,13 @@
 
 // fillLimit returns the maximum fraction of an engine's memory that a call on time may
 // fill.
-//
-// On an overloaded service with routes of different rank, the least urgent ones would
-// otherwise take an equal share of the memory that becomes free, and urgent ones would be
-// refused as often. The memory kept free serves bursts of the urgent ones.
 func (l admissionPolicy) fillLimit() float64 {
 	if l.lessUrgent {
-		return lateFill
+		return lessUrgentFill
 	}
 	return maxFill
 }
 
-// retryDelay returns the delay after which a refused caller may retry.
-func (g *generationRun) retryDelay() time.Duration {
-	m := g.r.loads.EngineModel(g.c.Service)
-	duration := m.AnswerDuration(g.c.Timeout)
-	minDelay := time.Duration(minRetryAnswers * float64(duration))
-	spread := time.Duration(retrySpreadAnswers * float64(duration))
-	maxDelay := time.Duration(maxRetryFraction * float64(g.c.Timeout))
-	if minDelay+spread > maxDelay {
-		minDelay, spread = max(maxDelay-spread, maxDelay/2), min(spread, maxDelay/2)
-	}
-	unavailable := g.r.unavailableFor(time.Now(), g.c.Service.Name, Decode, g.limited)
-	return unavailable + g.r.jitter(minDelay, max(spread, time.Millisecond))
-}
-
 // newAdmissionPolicy derives the policy from the target, the time that the caller has
 // spent on earlier attempts and the expected time to the first event on idle engines. A
 // caller that retries requests a shorter timeout than at first; the longest timeout of
@@ -125,13 +124,15 @@
 	m := r.loads.EngineModel(c.Service)
 	ttft := m.PrefillTime(c.PromptTokens, c.PromptTokens, c.slo()).Add(m.HandoffTime(false, c.slo())).Mean
 	spent := r.longestTimeout(c) - c.Timeout
+	queued := r.Directory().CallersDiffer(c.Service.Name)
 	return admissionPolicy{
 		placeBy:      c.ReceivedAt.Add(c.Route.LatencyTarget - spent - ttft),
 		dueAt:        c.ReceivedAt.Add(c.Route.LatencyTarget - spent),
 		unattainable: ttft > c.Route.LatencyTarget,
 		retried:      spent > retryThreshold,
 		begun:        c.ResumeAfter != NoEvent,
-		lessUrgent:   !c.ranked() && r.Directory().HasMoreUrgent(c.Route, c.Service.Name),
+		lessUrgent:   (queued || !c.ranked()) && r.Directory().HasMoreUrgent(c.Route, c.Service.Name),
+		queued:       queued,
 		maxWait:      max(g.silenceTimeout()-2*ttft, minWait),
 	}
 }
--- a/router/load.go
+++ b/router/load.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"ebonypulley/estimate"
+	"ebonypulley/pace"
 )
 
 // Load is the work in progress at one endpoint.
@@ -36,17 +37,23 @@
 	own    map[string]Load
 	peers  peerLoads
 	health map[string]*health
+	// paces holds the pace that endpoints say they have.
+	paces *pace.Tracker
+	// cold holds the endpoints that are still slow after their start.
+	cold map[string]*coldStart
 	// engineModels and callTimes hold the latency estimates of each service.
 	engineModels map[string]*estimate.EngineModel
 	callTimes    map[string]*estimate.Mean
 	// arrivals holds the demand that reaches this process, by service.
 	arrivals map[string]*demandRate
 	dirty    bool
+	// onRoom is called when endpoints may have room that they had not; it may be nil.
+	onRoom func()
 }
 
 func NewLoadTracker() *LoadTracker {
 	return &LoadTracker{
-		own: make(map[string]Load), peers: newPeerLoads(), health: make(map[string]*health),
+		own: make(map[string]Load), peers: newPeerLoads(), health: make(map[string]*health), paces: pace.NewTracker(), cold: make(map[string]*coldStart),
 		engineModels: make(map[string]*estimate.EngineModel), callTimes: make(map[string]*estimate.Mean),
 		arrivals: make(map[string]*demandRate),
 	}
@@ -87,6 +94,13 @@
 	}
 	w.ended = true
 	w.loads.addOwn(w.endpoint, w.sum.negated())
+	w.loads.roomMayAppear()
+}
+
+func (l *LoadTracker) roomMayAppear() {
+	if l.onRoom != nil {
+		l.onRoom()
+	}
 }
 
 func (l *LoadTracker) addOwn(endpoint string, by Load) {
@@ -117,8 +131,9 @@
 // SetPeerReport replaces the reported work and demand of another process.
 func (l *LoadTracker) SetPeerReport(now time.Time, process string, loads map[string]Load, demand map[string]Demand) {
 	l.mu.Lock()
-	defer l.mu.Unlock()
 	l.peers.setReport(now, process, loads, demand)
+	l.mu.Unlock()
+	l.roomMayAppear()
 }
 
 // total returns the work of all processes at an endpoint. The caller holds l.mu.
@@ -132,10 +147,14 @@
 	// FailureRate is the fraction of recent attempts that failed, 0 to 1.
 	FailureRate float64
 	// Slowdown is the ratio of the endpoint's prefill or call times to those of the
-	// service as a whole.
+	// service as a whole, at its pace of this moment.
 	Slowdown float64
 	// StepSlowdown is the same ratio for decode steps.
 	StepSlowdown float64
+	// Pace is the pace of this moment, which is included in both. TellsPace says that the
+	// endpoint says it; without it the pace is as usual.
+	Pace      pace.Now
+	TellsPace bool
 	// Full says that the endpoint refused a reservation just now.
 	Full bool
 	// BackingOff says that the endpoint asked this process to send nothing for a while.
@@ -149,10 +168,18 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	v := View{Load: l.total(now, endpoint), Slowdown: 1, StepSlowdown: 1}
-	h := l.health[endpoint]
-	if h == nil {
-		return v
+	v.Pace, v.TellsPace = l.paces.At(now, endpoint)
+	if h := l.health[endpoint]; h != nil {
+		h.addTo(&v, now)
 	}
+	warmUp := l.coldSlowdown(now, endpoint)
+	v.Slowdown *= v.Pace.Factor * warmUp
+	v.StepSlowdown *= v.Pace.Factor * warmUp
+	return v
+}
+
+// addTo adds the record to a view.
+func (h *health) addTo(v *View, now time.Time) {
 	h.decay(now)
 	v.FailureRate = h.failureRate
 	v.Slowdown = h.slowdown
@@ -160,5 +187,4 @@
 	v.BackingOff = now.Before(h.backoffUntil)
 	v.Full = now.Before(h.fullUntil)
 	v.Avoided = now.Before(h.avoidUntil) || now.Before(h.peerAvoidUntil)
-	return v
 }
--- a/upstream/exchange.go
+++ b/upstream/exchange.go
@@ -38,6 +38,9 @@
 	maxStaleBody    = 64 << 10
 )
 
+// maxInterimAnswers is the number of 1xx answers that are skipped before an answer.
+const maxInterimAnswers = 5
+
 // Response is an answer. The caller reads its body with Read and must call Close.
 type Response struct {
 	Status  int
@@ -77,7 +80,7 @@
 		req.OnConnected()
 	}
 	r := &Response{pool: p, target: t, conn: c}
-	r.unwatch = context.AfterFunc(ctx, func() { _ = c.nc.Close() })
+	r.watch(ctx)
 	hr := req.httpRequest(t)
 	if len(req.Body) <= maxInlineBody {
 		r.write(hr)
@@ -140,12 +143,15 @@
 // readHead reads the header of an answer and skips answers that don't match.
 func (r *Response) readHead(hr *http.Request, matches func(http.Header, bool) bool) error {
 	first := !r.conn.reused
-	for stale := 0; ; {
+	for stale, interim := 0, 0; ; {
 		resp, err := http.ReadResponse(r.conn.br, hr)
 		if err != nil {
 			return err
 		}
 		if resp.StatusCode < http.StatusOK {
+			if interim++; interim > maxInterimAnswers {
+				return ErrLost.New("%d interim answers", interim)
+			}
 			continue
 		}
 		if matches != nil && !matches(resp.Header, first) {
@@ -179,6 +185,20 @@
 	return n, err
 }
 
+// Rebind closes the connection when ctx ends, instead of when the context of Do ends. It
+// fails if that one has ended.
+func (r *Response) Rebind(ctx context.Context) error {
+	if !r.unwatch() {
+		return ErrLost.New("the context of the request has ended")
+	}
+	r.watch(ctx)
+	return nil
+}
+
+func (r *Response) watch(ctx context.Context) {
+	r.unwatch = context.AfterFunc(ctx, func() { _ = r.conn.nc.Close() })
+}
+
 // Close ends the exchange. The connection is kept if the body was read to its end
 // and no bytes follow it. Otherwise it is closed, which makes the endpoint stop.
 func (r *Response) Close() {
