--- a/router/pace_test.go
+++ b/router/pace_test.go
@@ -269,7 +269,7 @@
 // follow its pace nearly as well as if all entries were told all the time.
 func TestPaceOfManyEntries(t *testing.T) {
 	var without, with, known []time.Duration
-	for seed := uint64(1); seed <= 6; seed++ {
+	for seed := uint64(1); seed <= 10; seed++ {
 		without = append(without, pacedLoad{seed: seed, entries: 24, setUp: func(_ int, m *sharedMachine) {
 			m.counts = true
 			m.says = func(l pace.Load) *pace.Load { l.Slowdown = 0; return &l }
