--- a/router/admit.go
+++ b/router/admit.go
@@ -41,6 +41,8 @@
 	work        *Work
 	reservation *Reservation
 	permits     permits
+	// share is what the generation holds of the room of its service; nil without a queue.
+	share *heldShare
 }
 
 // permits are the permits for the requests of a placement; nil where nothing is sent.
@@ -53,6 +55,7 @@
 	now := time.Now()
 	a.permits.prefill.release(now)
 	a.permits.decode.release(now)
+	a.share.end()
 	a.work.End()
 }
 
@@ -78,26 +81,43 @@
 
 // claim accounts for the memory of a placement, and reserves it if the decode endpoint is
 // nearly full. It returns false if the endpoint has no room.
+func (g *generationRun) claim(ctx context.Context, p placement) (admission, bool) {
+	a, ok := g.account(time.Now(), p)
+	if !ok {
+		return admission{}, false
+	}
+	return a, g.reserve(ctx, &a)
+}
+
+// account accounts for the memory of a placement. It returns false if an endpoint is at its
+// advertised limit.
+func (g *generationRun) account(now time.Time, p placement) (admission, bool) {
+	permits, ok := g.permit(now, p)
+	if !ok {
+		return admission{}, false
+	}
+	work := g.r.loads.Begin(p.decode.ID, Load{Decodes: 1, KVTokens: g.c.initialTokens()})
+	return admission{placement: p, permits: permits, work: work}, true
+}
+
+// reserve reserves the memory of a placement if the decode endpoint is nearly full. If the
+// endpoint has no room, it releases the placement and returns false.
 //
 // In a burst, what entries know of each other's work is some tens of milliseconds old. A
 // refusal after the prefill wastes the whole prefill, while a reservation costs one round
 // trip. No reservation is made at a warm engine, because it could evict the cached prompt
 // itself.
-func (g *generationRun) claim(ctx context.Context, p placement) (admission, bool) {
-	permits, ok := g.permit(time.Now(), p)
-	if !ok {
-		return admission{}, false
-	}
-	a := admission{placement: p, permits: permits, work: g.r.loads.Begin(p.decode.ID, Load{Decodes: 1, KVTokens: g.c.initialTokens()})}
+func (g *generationRun) reserve(ctx context.Context, a *admission) bool {
+	p := a.placement
 	if p.warm || p.fill < reserveThreshold {
-		return a, true
+		return true
 	}
 	reserveCtx, cancel := context.WithTimeout(ctx, reserveTimeout)
 	defer cancel()
 	var err error
 	a.reservation, err = g.r.endpoints.Reserve(reserveCtx, p.decode, g.c, ReserveRequest{Tokens: g.c.initialTokens(), Hold: g.holdTime(p)})
 	if err == nil {
-		return a, true
+		return true
 	}
 	a.release()
 	g.r.metrics.Add("reservations_refused", 1)
@@ -105,13 +125,13 @@
 		zap.Float64("fill", p.fill), event.Err(err))
 	if errorx.IsOfType(err, ErrNotRun) && !errorx.IsOfType(err, ErrUnreachable) {
 		g.r.loads.RecordFull(time.Now(), p.decode.ID, g.expectedFull(p.decode))
-		return a, false
+		return false
 	}
 	g.tried[p.decode.ID] = true
 	if ctx.Err() == nil {
 		g.r.avoid(time.Now(), p.decode, err)
 	}
-	return a, false
+	return false
 }
 
 // fullRetryFraction determines when a full engine is tried again, as a fraction of the
@@ -135,11 +155,20 @@
 	return d
 }
 
-// waitForRoom waits until the generation is placed or refused.
+// waitForRoom waits until the generation is placed or refused. Where callers differ in
+// urgency or compete as workspaces, it waits in the queue of the service.
 func (g *generationRun) waitForRoom(ctx context.Context) (admission, error) {
+	if g.policy.queued {
+		return g.queueForRoom(ctx)
+	}
+	return g.pollForRoom(ctx)
+}
+
+// pollForRoom tries to place the generation each roomPollInterval.
+func (g *generationRun) pollForRoom(ctx context.Context) (admission, error) {
 	began := time.Now()
 	for {
-		p, ok, err := g.tryPlace(time.Now(), began)
+		p, ok, err := g.tryPlace(time.Now(), began, false)
 		if err != nil {
 			return admission{}, err
 		}
@@ -155,8 +184,9 @@
 	}
 }
 
-// tryPlace makes one attempt to place the generation. An error refuses it.
-func (g *generationRun) tryPlace(now, began time.Time) (placement, bool, error) {
+// tryPlace makes one attempt to place the generation. An error refuses it. A generation that has
+// to leave the room to others is not placed.
+func (g *generationRun) tryPlace(now, began time.Time, leave bool) (placement, bool, error) {
 	g.expireKept(now)
 	if eng := g.c.Service.Engine; eng != nil && g.c.PromptTokens > eng.KVCapacity {
 		return placement{}, false, errNoEndpoint.New("the prompt of %d tokens exceeds an engine's memory", g.c.PromptTokens)
@@ -165,7 +195,11 @@
 	if g.kept != nil {
 		rule.fill = maxFill // its prompt is already prefilled, and the result expires soon
 	}
-	p, ok := g.r.place(now, g.c, placeOptions{tried: g.tried, limited: g.limited, kept: g.kept, warm: g.warm, fill: rule.fill})
+	var p placement
+	ok := false
+	if !leave {
+		p, ok = g.r.place(now, g.c, placeOptions{tried: g.tried, limited: g.limited, kept: g.kept, warm: g.warm, fill: rule.fill})
+	}
 	if ok && g.kept == nil && g.policy.defers(now, p, rule) {
 		ok = false
 		rule.refuse = rule.refuse || !g.policy.retried && now.Sub(began) >= minWait
--- a/router/router.go
+++ b/router/router.go
@@ -11,8 +11,11 @@
 	"ebonypulley/event"
 	"ebonypulley/limit"
 	"ebonypulley/metrics"
+	"ebonypulley/pace"
 	"ebonypulley/poison"
 	"ebonypulley/quota"
+	"ebonypulley/returns"
+	"ebonypulley/share"
 )
 
 // Settings configure a Router.
@@ -50,10 +53,14 @@
 	loads      *LoadTracker
 	crashes    *poison.Detector
 	quotas     *quota.Ledger
+	paces      *pace.Tracker
+	shares     *share.Table
+	calendar   *returns.Calendar
 	log        *event.Log
 	metrics    *metrics.Set
 	directory  atomic.Pointer[Directory]
 	cacheIndex cacheIndex
+	rooms      *roomQueues
 
 	mu      sync.Mutex
 	budgets map[string]*limit.RetryBudget
@@ -65,6 +72,8 @@
 	crashChecks map[string]*crashCheck
 	// longestTimeouts holds the longest timeout that callers of each route have requested.
 	longestTimeouts map[string]time.Duration
+	// holds holds the waiting plain calls, by service.
+	holds map[string]*hold
 }
 
 // New returns a router with an empty directory.
@@ -82,15 +91,22 @@
 			Tolerance: set.QuotaTolerance, EndpointTolerance: set.EndpointTolerance,
 			Started: time.Now(), Restarted: set.Restarted, SingleEntry: set.SingleEntry, Seed: seed,
 		}),
+		paces:           pace.NewTracker(),
+		shares:          share.NewTable(),
+		calendar:        returns.NewCalendar(),
 		log:             log,
 		metrics:         m,
 		budgets:         make(map[string]*limit.RetryBudget),
 		draining:        make(map[string]time.Time),
 		crashChecks:     make(map[string]*crashCheck),
 		longestTimeouts: make(map[string]time.Duration),
+		holds:           make(map[string]*hold),
 		rnd:             rand.New(rand.NewPCG(seed, seed+1)),
 	}
 	r.crashes.OnBlocked = r.poisonFound
+	r.rooms = newRoomQueues(r)
+	r.loads.onRoom = r.rooms.wakeSoon
+	r.loads.paces = r.paces
 	r.directory.Store(NewDirectory(0, 0, nil, nil, nil))
 	return r
 }
@@ -112,15 +128,30 @@
 		}
 	}
 	r.crashes.SetEndpoints(slices.Collect(maps.Keys(known)))
+	r.loads.setCold(time.Now(), d)
 	r.loads.Retain(func(id string) bool { return known[id] })
+	r.paces.Retain(func(id string) bool { return known[id] })
+	r.rooms.wakeSoon()
 }
 
 // Loads returns the load and health records of the endpoints.
 func (r *Router) Loads() *LoadTracker { return r.loads }
 
+// Paces returns the load that endpoints say they have.
+func (r *Router) Paces() *pace.Tracker { return r.paces }
+
+// Shares returns the demand of all entries for services whose room is short.
+func (r *Router) Shares() *share.Table { return r.shares }
+
+// Returns returns the calendar of promised returns.
+func (r *Router) Returns() *returns.Calendar { return r.calendar }
+
 // SetFleetSize sets the number of entries that share the retry budget and the limits,
 // including those that no longer report.
-func (r *Router) SetFleetSize(n int) { r.quotas.SetFleetSize(n) }
+func (r *Router) SetFleetSize(n int) {
+	r.quotas.SetFleetSize(n)
+	r.calendar.SetFleetSize(n)
+}
 
 // SetRetryBudget changes the parameters of the retry budget.
 func (r *Router) SetRetryBudget(ratio float64, window time.Duration, slack float64) {
@@ -176,6 +207,13 @@
 	return r.rnd.IntN(n)
 }
 
+// randomFraction returns a random number in [0, 1).
+func (r *Router) randomFraction() float64 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.rnd.Float64()
+}
+
 // jitter returns a random duration in [from, from+spread).
 func (r *Router) jitter(from, spread time.Duration) time.Duration {
 	return from + time.Duration(r.random(int(spread)))
