Reports of promises start at the first promised slot and hold 48 at most

Cause: 45 slots of one key take 400 bytes of a report, zeros included. Change: leading empty slots are left out, and a report has at most 48 slots.

--- a/returns/news.go
+++ b/returns/news.go
@@ -16,7 +16,7 @@
 	// maxSlots bounds the slots that are booked ahead, and those of one promise.
 	maxSlots = 64
 	// maxReportedKeys and maxReportedSlots bound a report.
-	maxReportedKeys, maxReportedSlots = 8, 96
+	maxReportedKeys, maxReportedSlots = 8, 48
 	// lostFraction is the fraction of its former promises below which a process was restarted.
 	lostFraction = 0.5
 	// leastCost is the cost below which a sum is taken for rounding errors.
@@ -84,18 +84,24 @@
 	return sum
 }
 
-// from returns the costs of a slot and those after it, up to the last that has any.
-func (s slots) from(first slot) (costs []float64) {
+// from returns the costs of the first slot that has any, from a given one on, and of those after
+// it up to the last.
+func (s slots) from(least slot) (first slot, costs []float64) {
+	var booked []slot
 	for at, cost := range s {
-		if at < first || at >= first+maxSlots || cost <= 0 {
-			continue
+		if at >= least && cost > 0 {
+			booked = append(booked, at)
 		}
-		for len(costs) <= int(at-first) {
-			costs = append(costs, 0)
-		}
-		costs[at-first] = cost
 	}
-	return costs
+	if len(booked) == 0 {
+		return 0, nil
+	}
+	first, last := slices.Min(booked), slices.Max(booked)
+	costs = make([]float64, min(last-first+1, maxSlots))
+	for i := range costs {
+		costs[i] = s[first+slot(i)]
+	}
+	return first, costs
 }
 
 // Own returns this process's own promises, to be reported to others, those for which room is
@@ -104,10 +110,9 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.forget(now)
-	first := slotAt(now) - lateSlots
 	var list []Promise
 	for key, s := range c.own {
-		if costs := s.booked.from(first); len(costs) > 0 {
+		if first, costs := s.booked.from(slotAt(now) - lateSlots); len(costs) > 0 {
 			list = append(list, Promise{Key: key, First: first.begin().Sub(now), Cost: costs})
 		}
 	}
