What lasts of an endpoint's slowdown is kept for longer if it says its pace

Cause: the learned slowdown decays within 4 s, since it may be of a moment. An entry meets a prefill engine every ten seconds, and never knows which of them are slow for good.

Change: where the endpoint says its pace, the moment is divided out of what is learned, and the rest decays with 30 s.

--- a/pace/pace.go
+++ b/pace/pace.go
@@ -285,3 +285,11 @@
 		}
 	}
 }
+
+// Says reports whether an endpoint says its pace.
+func (t *Tracker) Says(id string) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	e := t.endpoints[id]
+	return e != nil && e.series.known()
+}
--- a/router/health.go
+++ b/router/health.go
@@ -19,6 +19,9 @@
 	// decayTime is the time constant with which the failure rate and the slowdown decay,
 	// so that an endpoint is tried again some seconds after its last failure.
 	decayTime = 4 * time.Second
+	// lastingTime is the time constant with which the slowdown of an endpoint decays that says
+	// its pace: what is left without it lasts.
+	lastingTime = 30 * time.Second
 	// minAvoidTime and maxAvoidTime bound how long an unresponsive endpoint is avoided.
 	// The time doubles with each consecutive timeout.
 	minAvoidTime = 500 * time.Millisecond
@@ -40,8 +43,10 @@
 
 // health is the record of recent attempts at one endpoint.
 type health struct {
-	failureRate    float64
-	slowdown       float64 // see View
+	failureRate float64
+	slowdown    float64 // see View
+	// lasting says that the endpoint says its pace, so that slowdown holds what lasts.
+	lasting        bool
 	stepSlowdown   float64 // see View; does not decay, because engine speeds differ permanently
 	timeouts       int
 	unresponsiveAt time.Time // last time the endpoint was found unresponsive or gone
@@ -60,9 +65,13 @@
 }
 
 func (h *health) decay(now time.Time) {
-	keep := decayFactor(now.Sub(h.updatedAt))
+	elapsed := now.Sub(h.updatedAt)
+	keep := decayFactor(elapsed)
 	h.updatedAt = now
 	h.failureRate *= keep
+	if h.lasting {
+		keep = math.Exp(-float64(elapsed) / float64(lastingTime))
+	}
 	h.slowdown = 1 + (h.slowdown-1)*keep
 }
 
--- a/router/learn.go
+++ b/router/learn.go
@@ -85,6 +85,7 @@
 	h := l.healthOf(now, endpoint)
 	ratio := float64(took) / float64(expected)
 	factor := l.learnPace(now, endpoint, took, ratio/h.slowdown)
+	h.lasting = l.paces.Says(endpoint)
 	h.updateSlowdown(ratio / factor)
 	l.showCold(now, endpoint, sampleWeight)
 }
