--- a/line/failure_test.go
+++ b/line/failure_test.go
@@ -102,3 +102,24 @@
 		}
 	})
 }
+
+// TestUnusedRoomIsTaken: what is said to wait elsewhere can't use the room, for example because
+// its prompts are too large. The room must not stay unused.
+func TestUnusedRoomIsTaken(t *testing.T) {
+	l, now := line.New(), time.Unix(1000, 0)
+	others := []share.Demand{{Service: "llm", Rank: 0, Waiting: 1000}}
+	leaves := func(free float64) bool {
+		l.Update(now, line.Room{Capacity: 1000, Free: free, FreedPerSecond: 100}, nil, others, nil, nil)
+		return l.Admit(now, line.Request{Rank: 1, Cost: 30}).Leave
+	}
+	for range 20 { // less than becomes free in the time in which others take it
+		assert.True(t, leaves(45))
+		now = now.Add(20 * time.Millisecond)
+	}
+	took := time.Duration(0)
+	for took < time.Second && leaves(60) {
+		took += 20 * time.Millisecond
+		now = now.Add(20 * time.Millisecond)
+	}
+	assert.InDelta(t, 0.3, took.Seconds(), 0.1)
+}
--- a/router/waiting_test.go
+++ b/router/waiting_test.go
@@ -137,8 +137,9 @@
 			wg.Go(func() { _ = l.wait(ctx, request(10, time.Second), room.try(10)) })
 		}
 		synctest.Wait()
-		last := request(10, 300*time.Millisecond)
 		began := time.Now()
+		last := request(10, 2*time.Second)
+		last.GiveUpAt = began.Add(300 * time.Millisecond)
 		err := l.wait(ctx, last, func(now time.Time) (bool, error) {
 			if !now.Before(last.GiveUpAt) {
 				return false, errOver
