--- a/quota/urgency.go
+++ b/quota/urgency.go
@@ -25,7 +25,7 @@
 	nearlyEmpty = 0.1
 	fullMargin  = 0.25
 	// maxReserved bounds what is kept for others, as a fraction of the refusal threshold.
-	maxReserved = 0.15
+	maxReserved = 0.5
 	// maxCorrectionTime bounds the time for which one level is assumed.
 	maxCorrectionTime = 200 * time.Millisecond
 )
