--- a/router/hold.go
+++ b/router/hold.go
@@ -24,8 +24,6 @@
 	// shortQueue is the length of the queue worth having at an endpoint, as a fraction of its
 	// slots. It bridges the time until a slot that becomes free gets its next call.
 	shortQueue = 0.5
-	// holdPollInterval is the time between two looks at the room while calls wait.
-	holdPollInterval = 10 * time.Millisecond
 	// hopelessMargin is the ratio of the expected wait of a call to the time that it has left
 	// above which the call has certainly no chance.
 	hopelessMargin = 2
@@ -56,8 +54,6 @@
 	atEndpoint   map[string]int
 	// freed is the endpoint at which a call has just ended.
 	freed string
-	// polling says that the timer of the next poll is set.
-	polling bool
 	// lateFraction is a moving average of the fraction of the slots left to late calls.
 	lateFraction   float64
 	lateMeasuredAt time.Time
@@ -92,6 +88,7 @@
 	h := r.holds[c.Service.Name]
 	if h == nil {
 		h = &hold{r: r, service: c.Service.Name, list: newWaitList(queue.ByDeadline), waiting: make(map[*queue.Request]*heldCall), atEndpoint: make(map[string]int)}
+		h.list.beforePass = h.refuseHopeless
 		r.holds[c.Service.Name] = h
 	}
 	return h
@@ -151,6 +148,8 @@
 	room            share.Room
 	own, all, share share.Calls
 	short           bool
+	// atEndpoints is the number of calls that all entries have at endpoints.
+	atEndpoints float64
 	// expected is the duration of a call in nanoseconds.
 	expected  float64
 	endpoints []holdEndpoint
@@ -184,6 +183,7 @@
 		d.room.Limit += x.limit
 		running.OnTime += float64(v.Calls)
 	}
+	d.atEndpoints = running.OnTime
 	own := h.countWaiting(now)
 	ownRunning := h.running()
 	others, _ := r.shares.Sum(now, h.service, share.OnTime)
@@ -240,7 +240,6 @@
 	if err := h.judge(now, w, d); err != nil {
 		return false, err
 	}
-	h.poll()
 	return false, nil
 }
 
@@ -378,17 +377,24 @@
 	h.mu.Unlock()
 }
 
+// mayBeHopeless reports whether the chances of the call are to be weighed now.
+func (w *heldCall) mayBeHopeless(now time.Time) bool {
+	late := now.After(w.request.StartBy)
+	return !now.Before(w.request.GiveUpAt) || !w.judged || late && !w.judgedLate
+}
+
 // judge refuses a call that has no chance. It is judged when it arrives and when it becomes
 // late. The caller holds h.mu.
 func (h *hold) judge(now time.Time, w *heldCall, d serviceDemand) error {
-	left := w.request.GiveUpAt.Sub(now)
-	late := now.After(w.request.StartBy)
-	if left > 0 && w.judged && (w.judgedLate || !late) {
+	if !w.mayBeHopeless(now) {
 		return nil
 	}
+	left := w.request.GiveUpAt.Sub(now)
+	late := now.After(w.request.StartBy)
 	w.judged, w.judgedLate = true, late
 	wait, lateWait := h.expectedWaits(now, w.request, d)
-	if left > 0 && (lateWait <= hopelessMargin*left || !late && wait <= lateMargin*w.request.StartBy.Sub(now)) {
+	mayBeOnTime := !late && wait <= min(lateMargin*w.request.StartBy.Sub(now), hopelessMargin*left)
+	if left > 0 && (mayBeOnTime || lateWait <= hopelessMargin*left) {
 		return nil
 	}
 	delete(h.waiting, w.request)
@@ -411,7 +417,7 @@
 		}
 	}
 	if ahead.OnTime > 0 {
-		onTime = time.Duration(max(d.all.OnTime-d.room.Limit, 0) * d.expected / d.room.Limit)
+		onTime = time.Duration(max(d.all.OnTime-d.atEndpoints, 0) * d.expected / max(d.atEndpoints, d.room.Limit))
 	}
 	if ahead.Late > 0 {
 		slots := max(h.lateFraction, minLateFraction) * d.room.Slots * d.own.Late / d.all.Late
@@ -447,9 +453,9 @@
 	}
 	since := now.Sub(h.lateMeasuredAt)
 	h.lateMeasuredAt = now
-	average(1, max(since-holdPollInterval, 0))
+	average(1, max(since-maxPassInterval, 0))
 	if d.room.Slots > 0 {
-		average(max(d.room.Slots-d.all.OnTime, 0)/d.room.Slots, min(since, holdPollInterval))
+		average(max(d.room.Slots-d.all.OnTime, 0)/d.room.Slots, min(since, maxPassInterval))
 	}
 }
 
@@ -474,44 +480,21 @@
 	*shown = value
 }
 
-// poll looks at the room again soon. The caller holds h.mu.
-func (h *hold) poll() {
-	if h.polling {
-		return
-	}
-	h.polling = true
-	time.AfterFunc(holdPollInterval, func() {
-		h.mu.Lock()
-		h.polling = false
-		h.mu.Unlock()
-		h.refuseHopeless()
-		h.list.wake()
-	})
-}
-
-// refuseHopeless refuses the waiting calls that have no chance any more.
-func (h *hold) refuseHopeless() {
-	now := time.Now()
-	h.list.refuse(func(r *queue.Request) error {
-		h.mu.Lock()
-		defer h.mu.Unlock()
-		w := h.waiting[r]
-		if w == nil {
-			return nil
+// refuseHopeless refuses the waiting calls that have no chance any more. It is called before
+// each pass of the list.
+func (h *hold) refuseHopeless(now time.Time) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	var d serviceDemand
+	for r, w := range h.waiting {
+		if !w.mayBeHopeless(now) || !w.judged && !now.Before(r.GiveUpAt) {
+			continue // one with little time from the start may still find room
 		}
-		return h.judge(now, w, h.measure(now, w.c.Route.LatencyTarget))
-	})
-}
-
-// refuse ends the wait of each request for which reason returns an error.
-func (l *waitList) refuse(reason func(r *queue.Request) error) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	for r, w := range l.waiters {
-		if err := reason(r); err != nil {
-			l.queue.Remove(r)
-			delete(l.waiters, r)
-			w.ended <- err
+		if d.endpoints == nil {
+			d = h.measure(now, w.c.Route.LatencyTarget)
+		}
+		if err := h.judge(now, w, d); err != nil {
+			h.list.end(r, err)
 		}
 	}
 }
