--- a/router/comeback.go
+++ b/router/comeback.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/joomcode/errorx"
 	"go.uber.org/zap"
 
 	"ebonypulley/event"
@@ -119,8 +120,9 @@
 	return unavailable + r.jitter(minDelay, max(spread, time.Millisecond))
 }
 
-// retryDelay returns the delay after which a refused call may be retried.
-func (p *plainRun) retryDelay() time.Duration {
+// retryDelay returns the delay after which a call that was refused with err may be retried. One
+// that had no chance in time returns as late as is of use, when the most others have been served.
+func (p *plainRun) retryDelay(err error) time.Duration {
 	r, c := p.r, p.c
 	call := float64(r.loads.CallTime(c.Service.Name, c.Route.LatencyTarget).Mean)
 	minDelay, spread := time.Duration(plainRetryCalls*call), time.Duration(plainRetrySpreadCalls*call)
@@ -132,5 +134,8 @@
 		}
 		return r.bookServiceReturn(c, 1, float64(slots)/time.Duration(call).Seconds(), unavailable+minDelay)
 	}
+	if errorx.IsOfType(err, errHopeless) {
+		minDelay, spread = c.maxRetryDelay()/2, c.maxRetryDelay()/2
+	}
 	return unavailable + r.jitter(minDelay, max(spread, time.Millisecond))
 }
--- a/router/plain.go
+++ b/router/plain.go
@@ -256,7 +256,7 @@
 		f.Reason = CallerGone
 	case errorx.IsOfType(err, ErrNotRun) && !p.ran:
 		f.Reason = NotRun
-		f.RetryAfter = retryAdvice(err, p.retryDelay())
+		f.RetryAfter = retryAdvice(err, p.retryDelay(err))
 	case p.c.TimeLeft(time.Now()) <= 0:
 		f.Reason = TimedOut
 	default:
