Plain calls of workspaces take turns while they wait

Cause: plain calls wait in the order of their deadlines only, so that a workspace with seven times its usual load makes those of all others late. Change: where callers have workspaces, the queue of plain calls is fair among them (start-time fair queueing, one call each); late ones still come last. Test: TestWorkspacesTakeTurnsByDeadline.

--- a/queue/queue.go
+++ b/queue/queue.go
@@ -24,6 +24,8 @@
 	// ByDeadline serves requests by the time left to their target, then by rank. Those that
 	// can no longer meet it come after all that can.
 	ByDeadline
+	// ByFairDeadline is like ByDeadline, but workspaces take turns.
+	ByFairDeadline
 )
 
 // Request is a request that waits. Its fields must not change while it does.
@@ -125,8 +127,11 @@
 }
 
 func (q *Queue) sort(now time.Time, list []*Request) {
-	if q.order == ByDeadline {
+	if q.order != ByUrgency {
 		slices.SortFunc(list, func(a, b *Request) int { return compareByDeadline(now, a, b) })
+		if q.order == ByFairDeadline {
+			q.takeTurns(now, list)
+		}
 		return
 	}
 	slices.SortFunc(list, func(a, b *Request) int {
@@ -139,6 +144,14 @@
 	})
 }
 
+// takeTurns changes the order of a list so that workspaces take turns. Late requests stay last.
+func (q *Queue) takeTurns(now time.Time, list []*Request) {
+	q.tag(list)
+	slices.SortStableFunc(list, func(a, b *Request) int {
+		return cmp.Or(compareBool(now.After(a.StartBy), now.After(b.StartBy)), cmp.Compare(a.finishTag, b.finishTag))
+	})
+}
+
 // tag sets the finish tags of the requests, those of each workspace in the order given. The
 // urgent ones come first, so that a workspace beyond its share loses less urgent ones.
 func (q *Queue) tag(list []*Request) {
--- a/queue/queue_test.go
+++ b/queue/queue_test.go
@@ -109,3 +109,19 @@
 	}
 	assert.Greater(t, served[0], 2*served[1])
 }
+
+// TestWorkspacesTakeTurnsByDeadline: the calls of a workspace with a long backlog must not make
+// the only call of another one late, and late calls still come last.
+func TestWorkspacesTakeTurnsByDeadline(t *testing.T) {
+	q := queue.New(queue.ByFairDeadline)
+	late := &queue.Request{Workspace: 3, Cost: 1, StartBy: at(5), GiveUpAt: at(900)}
+	q.Add(at(0), late)
+	for i := range 8 {
+		q.Add(at(i), &queue.Request{Workspace: 1, Cost: 1, StartBy: at(500 + i), GiveUpAt: at(900)})
+	}
+	other := &queue.Request{Workspace: 2, Cost: 1, StartBy: at(600), GiveUpAt: at(900)}
+	q.Add(at(9), other)
+	order := serve(q, at(10))
+	assert.Contains(t, order[:2], other)
+	assert.Same(t, late, order[len(order)-1])
+}
--- a/router/hold.go
+++ b/router/hold.go
@@ -87,13 +87,22 @@
 	defer r.mu.Unlock()
 	h := r.holds[c.Service.Name]
 	if h == nil {
-		h = &hold{r: r, service: c.Service.Name, list: newWaitList(queue.ByDeadline), waiting: make(map[*queue.Request]*heldCall), atEndpoint: make(map[string]int)}
+		h = &hold{r: r, service: c.Service.Name, list: newWaitList(r.holdOrder()), waiting: make(map[*queue.Request]*heldCall), atEndpoint: make(map[string]int)}
 		h.list.beforePass = h.refuseHopeless
 		r.holds[c.Service.Name] = h
 	}
 	return h
 }
 
+// holdOrder returns the order in which plain calls wait: where callers belong to workspaces, one
+// with many calls must not delay those of the others.
+func (r *Router) holdOrder() queue.Order {
+	if r.Directory().RequiresKey() {
+		return queue.ByFairDeadline
+	}
+	return queue.ByDeadline
+}
+
 // tellsLoad reports whether an endpoint of the service has said how loaded it is.
 func (r *Router) tellsLoad(service string) bool {
 	for _, e := range r.Directory().endpoints[service] {
@@ -113,6 +122,9 @@
 		StartBy:  p.c.ReceivedAt.Add(latestStart(p.c.Route.LatencyTarget, callTime.Mean)),
 		GiveUpAt: p.c.Deadline.Add(-callTime.Mean),
 	}}
+	if p.c.Workspace != nil {
+		w.request.Workspace = p.c.Workspace.ID
+	}
 	h.mu.Lock()
 	h.waiting[w.request] = w
 	h.mu.Unlock()
