--- a/router/hold_test.go
+++ b/router/hold_test.go
@@ -562,6 +562,7 @@
 		assert.NotEmpty(t, demand)
 		cancel()
 		time.Sleep(time.Second)
+		synctest.Wait()
 		assert.Len(t, f.recorded(), sent)
 		assert.Len(t, reasons, 20)
 		demand, _ = r.Shares().Own()
