--- a/router/pace_test.go
+++ b/router/pace_test.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -408,12 +409,11 @@
 // get clearly fewer of them than before.
 func TestWorkFollowsPace(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		var slow time.Time
-		var before, after int
+		var slow atomic.Bool
 		var r *router.Router
 		f := &fakeEndpoints{call: func(_ context.Context, e *router.Endpoint) (*router.Answer, error) {
 			l := pace.Load{Slots: 6, Slowdown: 1}
-			if e.ID == "a" && !slow.IsZero() {
+			if e.ID == "a" && slow.Load() {
 				l.Slowdown = slowTimes
 			}
 			time.Sleep(time.Duration(float64(callWork) * l.Slowdown))
@@ -434,10 +434,10 @@
 			return atA
 		}
 		count(3 * time.Second)
-		before = count(400 * time.Millisecond)
-		slow = time.Now()
+		before := count(400 * time.Millisecond)
+		slow.Store(true)
 		count(200 * time.Millisecond)
-		after = count(400 * time.Millisecond)
+		after := count(400 * time.Millisecond)
 		time.Sleep(time.Second)
 		t.Logf("calls in 400 ms: %d before, %d from 200 ms after it turned slow", before, after)
 		assert.LessOrEqual(t, 2*after, before)
