--- a/router/pace_test.go
+++ b/router/pace_test.go
@@ -89,6 +89,8 @@
 
 // doneAt returns when a call that begins now would be done.
 func (m *sharedMachine) doneAt(now time.Time) time.Time {
+	m.mu.Lock()
+	defer m.mu.Unlock()
 	start := m.freeAt[m.firstFree()]
 	if start.Before(now) {
 		start = now
