--- a/router/hold_test.go
+++ b/router/hold_test.go
@@ -437,6 +437,11 @@
 	}
 }
 
+// TestPlainCallsOfManyEntries replays a burst at entries whose equal share is below one call.
+func TestPlainCallsOfManyEntries(t *testing.T) {
+	longCalls.at(357, 15).assertServed(t)
+}
+
 // assertServed requires that nearly as many calls are on time as with one queue, and few are
 // turned away by endpoints.
 func (l plainLoad) assertServed(t *testing.T) {
