--- a/router/others_test.go
+++ b/router/others_test.go
@@ -130,8 +130,9 @@
 			list = append(list, engine("d"+strconv.Itoa(i), router.Decode))
 		}
 		var all []*router.Router
-		for range entries {
-			all = append(all, newRouter(f, list...))
+		f.setDefaults()
+		for i := range entries {
+			all = append(all, newSeededRouter(uint64(i+1), f, list...))
 		}
 		var wg sync.WaitGroup
 		for i := range generations {
