Tests of the retry budget while load moves, entries restart or join, and connections are slow

The oracle knows all arrivals and requests; assertBudget reports the worst window instead of each one that is exceeded.

--- a/router/budget_test.go
+++ b/router/budget_test.go
@@ -141,10 +141,14 @@
 		}
 		return n
 	}
+	var worst, allowed float64
 	for _, from := range extra {
 		most := max(within(requests, from), within(requests, from.Add(-window)), within(requests, from.Add(-window/2)))
-		assert.LessOrEqual(t, within(extra, from), ratio*most+slack)
+		if n := within(extra, from); n-(ratio*most+slack) > worst-allowed {
+			worst, allowed = n, ratio*most+slack
+		}
 	}
+	assert.LessOrEqual(t, worst, allowed, "repeats in the worst window")
 }
 
 // TestSlackOfNewEntry guards against more repeats than allowed when entries start
