router: count the retries charged to the budget and refused by it, by service

Cause: an outage of the retry budget shows only as failures of requests. Ruled out: log events; there are hundreds a second while engines fail. Change: counters retries_charged and retries_refused of each service. The budget's calls move to a file of their own; no change of logic.

--- a/router/gated.go
+++ b/router/gated.go
@@ -103,7 +103,7 @@
 		g.expiries++
 		return true
 	}
-	return g.r.budget(g.c.Service.Name).TakeRetry(time.Now())
+	return g.r.takeRetry(g.c.Service.Name)
 }
 
 // mayRetryAtAgent reports whether another attempt at a plain call is safe and worthwhile
@@ -113,7 +113,7 @@
 	case ctx.Err() != nil || errorx.IsOfType(err, ErrQueueTimeout):
 		return false
 	case err == nil || !errorx.IsOfType(err, ErrNotRun):
-		return p.r.budget(p.c.Service.Name).TakeRetry(time.Now())
+		return p.r.takeRetry(p.c.Service.Name)
 	case p.c.Keyed:
 		soon := time.Since(p.c.ReceivedAt) < min(keyOwnerTimeout, p.c.MaxQueueTime)
 		return soon && ebonypulley.Sleep(ctx, keyOwnerPollInterval)
--- a/router/generate.go
+++ b/router/generate.go
@@ -225,7 +225,7 @@
 		g.prepaid = false
 		return true
 	}
-	return g.r.budget(g.c.Service.Name).TakeRetry(time.Now())
+	return g.r.takeRetry(g.c.Service.Name)
 }
 
 // prepayDecode charges the budget for the decode endpoint's arrival before its prompt is
@@ -239,7 +239,7 @@
 	if g.r.usesAgents() || !g.prefilled {
 		return true // the first accepted prefill is free, and its refund pays for this arrival
 	}
-	g.prepaid = g.prepaid || g.r.budget(g.c.Service.Name).TakeRetry(time.Now())
+	g.prepaid = g.prepaid || g.r.takeRetry(g.c.Service.Name)
 	return g.prepaid
 }
 
@@ -265,7 +265,7 @@
 func (g *generationRun) refundArrival() {
 	g.sent--
 	if g.sent > 0 && !g.r.usesAgents() {
-		g.r.budget(g.c.Service.Name).ReturnRetry(time.Now())
+		g.r.returnRetry(g.c.Service.Name)
 	}
 }
 
--- a/router/plain.go
+++ b/router/plain.go
@@ -107,7 +107,7 @@
 			return false
 		}
 	}
-	if !p.r.budget(p.c.Service.Name).TakeRetry(now) {
+	if !p.r.takeRetry(p.c.Service.Name) {
 		p.permit.release(now)
 		return false
 	}
--- a/router/router.go
+++ b/router/router.go
@@ -156,35 +156,6 @@
 	r.calendar.SetFleetSize(n)
 }
 
-// SetRetryBudget changes the parameters of the retry budget.
-func (r *Router) SetRetryBudget(ratio float64, window time.Duration, slack float64) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if r.set.RetryRatio == ratio && r.set.RetryWindow == window && r.set.RetrySlack == slack {
-		return
-	}
-	r.set.RetryRatio, r.set.RetryWindow, r.set.RetrySlack = ratio, window, slack
-	for service := range r.budgets {
-		r.budgets[service] = r.newBudget()
-	}
-}
-
-func (r *Router) newBudget() *limit.RetryBudget {
-	return limit.NewRetryBudget(r.set.RetryRatio, r.set.RetryWindow)
-}
-
-func (r *Router) budget(service string) *limit.RetryBudget {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	b := r.budgets[service]
-	if b == nil {
-		b = r.newBudget()
-		r.budgets[service] = b
-	}
-	b.SetSlack(r.quotas.FixedShare(time.Now(), r.set.RetrySlack, r.set.RetryWindow))
-	return b
-}
-
 // PickService picks one of the route's services at random, by weight. It returns nil if no
 // service has a weight.
 func (r *Router) PickService(d *Directory, route *Route) *Service {
