Retry budget: a charge lasts until its arrival is known

What callers saw: nothing; endpoints got more repeats than the budget allows. Cause: a charge was counted when it was made. A decode is charged before its prompt is prefilled, and a connection may take most of a second, so that charges a window apart arrived less than a window apart. A refund was booked at its own time: once the charge had expired the count was one too low until the refund expired. Ruled out: uncharged arrivals. Each send was listed: first run, repeat, prefill, decode, further endpoint of a plain call, refusals; upstream sends nothing twice, and an attempt withdrawn while it connects sent nothing (ErrConnect comes before the first byte). Change: Charge, settled by Arrived once the endpoint has answered or failed, or by Return. Until then it counts in every window. A prepaid decode that isn't sent is returned. Figures: TestRetryThatArrivesLate and TestReturnedChargeLeavesNoTrace are new; by reading, both fail on the code before, whose API differs (not run).

--- a/limit/limit_test.go
+++ b/limit/limit_test.go
@@ -43,3 +43,30 @@
 	_, ok = l.Reserve(epoch.Add(time.Second), 500, epoch.Add(2*time.Second))
 	assert.True(t, ok)
 }
+
+// TestRetryThatArrivesLate guards against two retries that are charged a window apart and
+// arrive less than a window apart.
+func TestRetryThatArrivesLate(t *testing.T) {
+	b := limit.NewRetryBudget(0, 10*time.Second)
+	b.SetSlack(1)
+	c := b.Charge(epoch)
+	assert.NotNil(t, c)
+	c.Arrived(epoch.Add(2 * time.Second))
+	assert.Nil(t, b.Charge(epoch.Add(11*time.Second)))
+	assert.NotNil(t, b.Charge(epoch.Add(13*time.Second)))
+}
+
+// TestReturnedChargeLeavesNoTrace guards against a charge that is returned later than it was
+// made and leaves room for one retry too many when it would have expired.
+func TestReturnedChargeLeavesNoTrace(t *testing.T) {
+	b := limit.NewRetryBudget(0, 10*time.Second)
+	b.SetSlack(1)
+	c := b.Charge(epoch)
+	assert.Nil(t, b.Charge(epoch.Add(time.Second)))
+	c.Return()
+	c.Return()
+	assert.True(t, b.TakeRetry(epoch.Add(2*time.Second)))
+	for after := 3 * time.Second; after < 12*time.Second; after += time.Second {
+		assert.Nil(t, b.Charge(epoch.Add(after)), after)
+	}
+}
--- a/limit/window.go
+++ b/limit/window.go
@@ -77,6 +77,8 @@
 	slack         float64
 	firstAttempts *Window
 	retries       *Window
+	// pending is the number of retries whose arrival is not yet known.
+	pending int
 }
 
 // NewRetryBudget returns a budget with no slack.
@@ -98,24 +100,54 @@
 	b.firstAttempts.Add(now, 1)
 }
 
-// TakeRetry reports whether the budget allows one more attempt, and records it if so.
+// TakeRetry reports whether the budget allows one more attempt, and records it if so. The
+// attempt arrives at once.
 func (b *RetryBudget) TakeRetry(now time.Time) bool {
+	c := b.Charge(now)
+	c.Arrived(now)
+	return c != nil
+}
+
+// Charge charges the budget for one more attempt. It returns nil if the budget doesn't allow
+// it. The caller must report whether the attempt arrived.
+func (b *RetryBudget) Charge(now time.Time) *Charge {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	// Both bounds are on the safe side: no first attempt outside the window is
 	// counted, and no retry within it is missed.
 	allowed := b.ratio*float64(b.firstAttempts.LowerBound(now)) + b.slack
-	if float64(b.retries.UpperBound(now)+1) > allowed {
-		return false
+	if float64(b.retries.UpperBound(now)+b.pending+1) > allowed {
+		return nil
 	}
-	b.retries.Add(now, 1)
-	invariant.Check(float64(b.retries.UpperBound(now)) <= allowed, invariant.RetryBudget, "%d retries, %v allowed", b.retries.UpperBound(now), allowed)
-	return true
+	b.pending++
+	invariant.Check(float64(b.retries.UpperBound(now)+b.pending) <= allowed, invariant.RetryBudget, "%d retries, %v allowed", b.retries.UpperBound(now)+b.pending, allowed)
+	return &Charge{budget: b}
 }
 
-// ReturnRetry returns a retry that was granted but not used.
-func (b *RetryBudget) ReturnRetry(now time.Time) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	b.retries.Add(now, -1)
+// Charge is what a budget was charged for one attempt. Until it is known whether the attempt
+// arrived, it counts in every window, because it may arrive in any. The methods do nothing on
+// a nil Charge or after the first call.
+type Charge struct {
+	budget  *RetryBudget
+	settled bool
+}
+
+// Arrived records that the attempt has arrived at the latest now.
+func (c *Charge) Arrived(now time.Time) { c.settle(func(b *RetryBudget) { b.retries.Add(now, 1) }) }
+
+// Return returns the charge of an attempt that did not arrive.
+func (c *Charge) Return() { c.settle(func(*RetryBudget) {}) }
+
+func (c *Charge) settle(record func(b *RetryBudget)) {
+	if c == nil {
+		return
+	}
+	c.budget.mu.Lock()
+	defer c.budget.mu.Unlock()
+	if c.settled {
+		return
+	}
+	c.settled = true
+	c.budget.pending--
+	record(c.budget)
 }
--- a/router/budget.go
+++ b/router/budget.go
@@ -35,19 +35,31 @@
 	return b
 }
 
-// takeRetry charges a service's retry budget for one arrival beyond the first. It reports
-// whether the budget allows it.
-func (r *Router) takeRetry(service string) bool {
-	if !r.budget(service).TakeRetry(time.Now()) {
+// chargeRetry charges a service's retry budget for one arrival beyond the first. It returns
+// nil if the budget doesn't allow it.
+func (r *Router) chargeRetry(service string) *limit.Charge {
+	c := r.budget(service).Charge(time.Now())
+	if c == nil {
 		r.metrics.Add("retries_refused."+service, 1)
-		return false
+		return nil
 	}
 	r.metrics.Add("retries_charged."+service, 1)
-	return true
+	return c
+}
+
+// takeRetry charges a service's retry budget for a retry that arrives at once. It reports
+// whether the budget allows it.
+func (r *Router) takeRetry(service string) bool {
+	c := r.chargeRetry(service)
+	c.Arrived(time.Now())
+	return c != nil
 }
 
-// returnRetry returns a charge for an arrival that did not happen.
-func (r *Router) returnRetry(service string) {
+// returnRetry returns the charge of an arrival that did not happen; c may be nil.
+func (r *Router) returnRetry(service string, c *limit.Charge) {
+	if c == nil {
+		return
+	}
+	c.Return()
 	r.metrics.Add("retries_charged."+service, -1)
-	r.budget(service).ReturnRetry(time.Now())
 }
--- a/router/generate.go
+++ b/router/generate.go
@@ -10,6 +10,7 @@
 
 	"ebonypulley/estimate"
 	"ebonypulley/event"
+	"ebonypulley/limit"
 )
 
 const (
@@ -44,8 +45,9 @@
 	// that a prefill was accepted; the first accepted one is free.
 	sent      int
 	prefilled bool
-	// prepaid says that the budget was already charged for the next arrival.
-	prepaid bool
+	// charge is what the budget was charged for the arrival in progress, prepaid for the next
+	// one; both may be nil.
+	charge, prepaid *limit.Charge
 	// kept is a prefill result that a decode endpoint refused.
 	kept *PrefillResult
 	// warm is the engine that probably still caches the prompt: its stream broke off
@@ -89,6 +91,7 @@
 	}
 	r.budget(c.Service.Name).RecordFirst(c.ReceivedAt)
 	defer g.dropKept()
+	defer g.returnPrepaid()
 	if c.ResumeAfter != NoEvent {
 		g.warm = r.cachingEngine(ctx, c)
 	}
@@ -198,7 +201,7 @@
 // chargeArrival charges the retry budget for an arrival at an endpoint beyond the first.
 // Each arrival counts, even one that is refused, except the first prefill that an
 // endpoint accepts. With agents only losses count, see mayRetryLoss. The caller must
-// report the result to refundUnreached or prefillAccepted.
+// settle the charge with settleArrival.
 //
 // A prefill that is lost or refused is followed by an arrival at another endpoint, which
 // counts as a second one. The charge is therefore made in advance and refunded only once
@@ -221,16 +224,16 @@
 	switch {
 	case g.r.usesAgents():
 		return true
-	case g.prepaid:
-		g.prepaid = false
-		return true
+	case g.prepaid != nil:
+		g.charge, g.prepaid = g.prepaid, nil
+	default:
+		g.charge = g.r.chargeRetry(g.c.Service.Name)
 	}
-	return g.r.takeRetry(g.c.Service.Name)
+	return g.charge != nil
 }
 
 // prepayDecode charges the budget for the decode endpoint's arrival before its prompt is
-// prefilled, unless that arrival will be the first. An unused charge is not refunded,
-// because a late refund would count in another window.
+// prefilled, unless that arrival will be the first.
 //
 // While many answers are lost, the retry budget is exhausted all the time. A prompt
 // prefilled once more without a charge left for its decode would be wasted, and its
@@ -239,34 +242,53 @@
 	if g.r.usesAgents() || !g.prefilled {
 		return true // the first accepted prefill is free, and its refund pays for this arrival
 	}
-	g.prepaid = g.prepaid || g.r.takeRetry(g.c.Service.Name)
-	return g.prepaid
+	if g.prepaid == nil {
+		g.prepaid = g.r.chargeRetry(g.c.Service.Name)
+	}
+	return g.prepaid != nil
+}
+
+// returnPrepaid returns a prepaid charge that no attempt used.
+func (g *generationRun) returnPrepaid() {
+	g.r.returnRetry(g.c.Service.Name, g.prepaid)
+	g.prepaid = nil
 }
 
-// refundUnreached refunds the charge for an endpoint that accepted no connection.
+// settleArrival settles the charge for an attempt that ended with err. An endpoint that
+// accepted no connection received nothing.
 //
 // When a third of the engines crash in the same second they stay published for seconds,
 // and each entry tries each of them. Counted as arrivals, these attempts would exhaust
 // the retry budget at once, and generations already prefilled would be refused.
-func (g *generationRun) refundUnreached(err error) {
+func (g *generationRun) settleArrival(err error) {
 	if errorx.IsOfType(err, ErrUnreachable) {
 		g.refundArrival()
+		return
 	}
+	g.recordArrival()
 }
 
-// prefillAccepted records an accepted prefill. The first one is free.
-func (g *generationRun) prefillAccepted() {
-	if !g.prefilled {
+// settlePrefill settles the charge for a prefill that ended with err. The first one that is
+// accepted is free.
+func (g *generationRun) settlePrefill(err error) {
+	if err == nil && !g.prefilled {
 		g.prefilled = true
 		g.refundArrival()
+		return
 	}
+	g.settleArrival(err)
+}
+
+// recordArrival settles the charge for an attempt that arrived.
+func (g *generationRun) recordArrival() {
+	g.charge.Arrived(time.Now())
+	g.charge = nil
 }
 
 func (g *generationRun) refundArrival() {
 	g.sent--
-	if g.sent > 0 && !g.r.usesAgents() {
-		g.r.returnRetry(g.c.Service.Name)
-	}
+	g.r.returnRetry(g.c.Service.Name, g.charge)
+	g.charge = nil
 }
 
 // attempt makes one attempt: place, reserve, prefill, decode.
--- a/router/plain.go
+++ b/router/plain.go
@@ -9,6 +9,7 @@
 	"go.uber.org/zap"
 
 	"ebonypulley/event"
+	"ebonypulley/limit"
 	"ebonypulley/poison"
 )
 
@@ -39,6 +40,8 @@
 	next    *Endpoint
 	permit  *permit
 	limited limitedUntil
+	// charge is what the retry budget was charged for the next arrival, or nil.
+	charge *limit.Charge
 	// ended ends the accounting of an attempt that has waited for room.
 	ended func()
 }
@@ -56,6 +59,7 @@
 func (r *Router) call(ctx context.Context, c *Call) (*Answer, *Failure) {
 	run := &plainRun{r: r, c: c, tried: make(map[string]bool), limited: make(limitedUntil)}
 	r.budget(c.Service.Name).RecordFirst(c.ReceivedAt)
+	defer run.returnCharge()
 	for unreachable := 0; ; {
 		a, err := run.attempt(ctx)
 		if !errorx.IsOfType(err, ErrNotRun) {
@@ -107,13 +111,32 @@
 			return false
 		}
 	}
-	if !p.r.takeRetry(p.c.Service.Name) {
+	if p.charge == nil {
+		p.charge = p.r.chargeRetry(p.c.Service.Name)
+	}
+	if p.charge == nil {
 		p.permit.release(now)
 		return false
 	}
 	return true
 }
 
+// settleArrival settles the charge for an attempt that ended with err. An endpoint that
+// accepted no connection received nothing, and the charge pays for the next attempt.
+func (p *plainRun) settleArrival(err error) {
+	if errorx.IsOfType(err, ErrUnreachable) {
+		return
+	}
+	p.charge.Arrived(time.Now())
+	p.charge = nil
+}
+
+// returnCharge returns a charge that no attempt used.
+func (p *plainRun) returnCharge() {
+	p.r.returnRetry(p.c.Service.Name, p.charge)
+	p.charge = nil
+}
+
 // pick returns an endpoint that accepts the call within its limit, or nil.
 func (p *plainRun) pick(now time.Time) *Endpoint {
 	for {
@@ -152,6 +175,7 @@
 	end := p.begin(e)
 	a, err := r.endpoints.Call(ctx, e, c)
 	p.permit.markSent(err)
+	p.settleArrival(err)
 	end()
 	if h := r.holdOf(c); h != nil && isFull(err) && ctx.Err() == nil {
 		h.recordFull(time.Now(), e)
--- a/router/prefill.go
+++ b/router/prefill.go
@@ -37,14 +37,13 @@
 	res, err := r.endpoints.Prefill(prefillCtx, p.prefill, c)
 	err = asUnreachable(w.verdict, err)
 	took := time.Since(began)
-	g.refundUnreached(err)
+	g.settlePrefill(err)
 	a.permits.prefill.markSent(err)
 	if err != nil {
 		g.tried[p.prefill.ID] = true
 		g.prefillFailed(ctx, p.prefill, tokens, took, w.verdict(), err)
 		return nil, prefillError(p.prefill, err)
 	}
-	g.prefillAccepted()
 	r.loads.RecordPrefill(time.Now(), p.prefill, c.Service, tokens, took)
 	r.log.Emit(event.PrefillDone, zap.String("request", c.ID), zap.String("endpoint", p.prefill.ID),
 		zap.Int("tokens", c.PromptTokens), zap.Int("ahead", tokens-c.PromptTokens), zap.Duration("took", took), zap.Duration("estimate", p.prefillTime.Mean))
--- a/router/stream.go
+++ b/router/stream.go
@@ -26,7 +26,7 @@
 	defer w.stop()
 	start.Connected = func() { g.onConnected(w) }
 	err := asUnreachable(w.verdict, g.exchange(attemptCtx, p, start, w, a.work))
-	g.refundUnreached(err)
+	g.settleArrival(err)
 	a.permits.decode.markSent(err)
 	if !errorx.IsOfType(err, ErrNotRun) {
 		g.runs++
@@ -108,6 +108,7 @@
 	s, err := g.r.endpoints.Generate(ctx, p.decode, g.c, start)
 	at, events := run.sentAt, g.events
 	if err == nil {
+		g.recordArrival()
 		defer s.Close()
 		at = time.Now() // the head shows that it runs
 		err = run.stream(ctx, s)
