Retry budget: each process keeps to its share in every window

What callers saw: engines that were losing work got still more of it: repeats beyond the budget. Cause: each entry compared its repeats of the last window with its requests of the last window. While load moves between entries, or entries restart, the same load pays at several entries within one window of the fleet, up to twice. Class: a bound over all processes kept by each for itself at another moment than the others. Change: an entry that shares the budget checks every window that is still open, wherever it begins: its repeats in it are at most the ratio of the mean of its requests in the window and in the one before, plus its share of the slack. Sums of means over entries and incarnations stay within the larger of the two sums of the fleet, without any news. A restarted entry needs no hold-back of the ratio's part: it has no window before. A sole entry takes the larger of the two itself. A changed ratio or window no longer forgets what was spent. Weighed: a token bucket filled by the ratio (a burst of the slack's share alone); the window before alone (nothing in the first window after a start); holding all back for a window after a start. In a continued outage the allowance is the same as before; a burst gets half of the ratio's part of a window and the slack at once, and an entry's first window half of the ratio.

--- /dev/null
+++ b/limit/history.go
@@ -0,0 +1,72 @@
+package limit
+
+import "time"
+
+const (
+	// windowSlots is the number of slots of a window. Bounds leave out or add the slots at
+	// both ends: a fifth of a percent of the window.
+	windowSlots = 1000
+	// historySlots is the number of slots that a history holds: two windows at least, and a
+	// power of two, for which the remainder is fast to compute.
+	historySlots = 2048
+)
+
+// history counts events by slots of time over the last two windows.
+type history struct {
+	slotTime time.Duration
+	counts   [historySlots]int32
+	newest   int64 // number of the newest slot, counted from the Unix epoch
+}
+
+func newHistory(window time.Duration) *history { return &history{slotTime: window / windowSlots} }
+
+// slot returns the number of the slot that contains a time.
+func (h *history) slot(at time.Time) int64 { return at.UnixNano() / int64(h.slotTime) }
+
+// advance makes the slot of now the newest one, and returns its number.
+func (h *history) advance(now time.Time) int64 {
+	slot := h.slot(now)
+	if slot-h.newest >= historySlots {
+		h.counts = [historySlots]int32{}
+		h.newest = slot
+	}
+	for h.newest < slot {
+		h.newest++
+		h.counts[uint64(h.newest)%historySlots] = 0
+	}
+	return h.newest
+}
+
+// add counts an event that happened at a time, unless that is too long ago.
+func (h *history) add(at time.Time) {
+	h.advance(at)
+	if slot := h.slot(at); h.holds(slot) {
+		h.counts[uint64(slot)%historySlots]++
+	}
+}
+
+func (h *history) holds(slot int64) bool {
+	return slot <= h.newest && slot > h.newest-historySlots
+}
+
+// count returns the number of events in a slot that the history holds.
+func (h *history) count(slot int64) int { return int(h.counts[uint64(slot)%historySlots]) }
+
+// sum returns the number of events in the slots from first to last.
+func (h *history) sum(first, last int64) (n int) {
+	for slot := first; slot <= last; slot++ {
+		n += h.count(slot)
+	}
+	return n
+}
+
+// withWindow returns a history of the same events for windows of another length.
+func (h *history) withWindow(window time.Duration) *history {
+	next := newHistory(window)
+	for slot := h.newest - historySlots + 1; slot <= h.newest; slot++ {
+		for range h.count(slot) {
+			next.add(time.Unix(0, slot*int64(h.slotTime)))
+		}
+	}
+	return next
+}
--- a/limit/limit_test.go
+++ b/limit/limit_test.go
@@ -16,7 +16,7 @@
 // of 0.1, a tenth of the requests is retried.
 func TestRetryBudgetInOutage(t *testing.T) {
 	b := limit.NewRetryBudget(0.1, time.Minute)
-	b.SetSlack(1)
+	b.SetShare(1, true)
 	const requests = 10_000
 	retries, now := 0, epoch
 	for range requests {
@@ -48,9 +48,10 @@
 // arrive less than a window apart.
 func TestRetryThatArrivesLate(t *testing.T) {
 	b := limit.NewRetryBudget(0, 10*time.Second)
-	b.SetSlack(1)
+	b.SetShare(1, true)
 	c := b.Charge(epoch)
 	assert.NotNil(t, c)
+	assert.Nil(t, b.Charge(epoch.Add(time.Second)), "while the first one is on its way")
 	c.Arrived(epoch.Add(2 * time.Second))
 	assert.Nil(t, b.Charge(epoch.Add(11*time.Second)))
 	assert.NotNil(t, b.Charge(epoch.Add(13*time.Second)))
@@ -60,7 +61,7 @@
 // made and leaves room for one retry too many when it would have expired.
 func TestReturnedChargeLeavesNoTrace(t *testing.T) {
 	b := limit.NewRetryBudget(0, 10*time.Second)
-	b.SetSlack(1)
+	b.SetShare(1, true)
 	c := b.Charge(epoch)
 	assert.Nil(t, b.Charge(epoch.Add(time.Second)))
 	c.Return()
--- a/router/budget.go
+++ b/router/budget.go
@@ -14,24 +14,21 @@
 		return
 	}
 	r.set.RetryRatio, r.set.RetryWindow, r.set.RetrySlack = ratio, window, slack
-	for service := range r.budgets {
-		r.budgets[service] = r.newBudget()
+	for _, b := range r.budgets {
+		b.SetRatio(ratio, window)
 	}
 }
 
-func (r *Router) newBudget() *limit.RetryBudget {
-	return limit.NewRetryBudget(r.set.RetryRatio, r.set.RetryWindow)
-}
-
 func (r *Router) budget(service string) *limit.RetryBudget {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	b := r.budgets[service]
 	if b == nil {
-		b = r.newBudget()
+		b = limit.NewRetryBudget(r.set.RetryRatio, r.set.RetryWindow)
 		r.budgets[service] = b
 	}
-	b.SetSlack(r.quotas.FixedShare(time.Now(), r.set.RetrySlack, r.set.RetryWindow))
+	share := r.quotas.FixedShare(time.Now(), r.set.RetrySlack, r.set.RetryWindow)
+	b.SetShare(share.Amount, share.Sole)
 	return b
 }
 
