Retry budget: windows follow the monotonic clock

Cause: slots of windows were counted by the time of day. A step forward expired what was spent, a step back what was recorded after it. Ruled out: suspension, which the monotonic clock doesn't count; retries then expire later. Change: slots are counted from a time.Time with a monotonic reading, first attempts when they were received. By reading; Go has no way to step the wall clock of one test, so no test shows it.

--- a/limit/budget.go
+++ b/limit/budget.go
@@ -31,14 +31,15 @@
 	// shared says that other processes have shares of the same budget.
 	shared bool
 	// firstAttempts holds first attempts when they were received, retries those that have
-	// arrived. pending is the number of retries whose arrival is not yet known.
+	// arrived; both are nil before the first attempt. pending is the number of retries whose
+	// arrival is not yet known.
 	firstAttempts, retries *history
 	pending                int
 }
 
 // NewRetryBudget returns a budget with no slack that no other process shares.
 func NewRetryBudget(ratio float64, window time.Duration) *RetryBudget {
-	return &RetryBudget{ratio: ratio, window: window, firstAttempts: newHistory(window), retries: newHistory(window)}
+	return &RetryBudget{ratio: ratio, window: window}
 }
 
 // SetRatio changes the ratio and the window. What was spent stays spent.
@@ -46,8 +47,11 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.ratio = ratio
-	if b.window != window {
-		b.window = window
+	if b.window == window {
+		return
+	}
+	b.window = window
+	if b.retries != nil {
 		b.firstAttempts, b.retries = b.firstAttempts.withWindow(window), b.retries.withWindow(window)
 	}
 }
@@ -64,9 +68,17 @@
 func (b *RetryBudget) RecordFirst(at time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	b.begin(at)
 	b.firstAttempts.add(at)
 }
 
+// begin creates the histories. The caller holds b.mu.
+func (b *RetryBudget) begin(now time.Time) {
+	if b.retries == nil {
+		b.firstAttempts, b.retries = newHistory(now, b.window), newHistory(now, b.window)
+	}
+}
+
 // TakeRetry reports whether the budget allows one more attempt, and records it if so. The
 // attempt arrives at once.
 func (b *RetryBudget) TakeRetry(now time.Time) bool {
@@ -80,6 +92,7 @@
 func (b *RetryBudget) Charge(now time.Time) *Charge {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	b.begin(now)
 	if !b.allows(now) {
 		return nil
 	}
--- a/limit/budget_test.go
+++ b/limit/budget_test.go
@@ -38,57 +38,79 @@
 	})
 }
 
-// sharedStep is one step of TestSharedRetryBudgetInRandomWindows.
+// sharedProcesses is the number of processes of TestSharedRetryBudgetInRandomWindows.
+const sharedProcesses = 4
+
+// sharedStep is one step of TestSharedRetryBudgetInRandomWindows: the loaded process receives
+// first attempts; after a pause all processes may retry as often as the budget allows.
 type sharedStep struct {
-	Process int
-	// Pause is the time before the step in ms, Kind what happens, Times how often.
-	Pause, Kind, Times int
+	Firsts, PauseMS int
+	// Moves says that the load moves to the process Loaded.
+	Moves         bool
+	Loaded        int
+	Retry, Arrive bool
+	// Killed is the process that is restarted, if there is one.
+	Killed int
+}
+
+func drawSharedStep(t *rapid.T) sharedStep {
+	return sharedStep{
+		Loaded:  rapid.IntRange(0, sharedProcesses-1).Draw(t, "loaded"),
+		Firsts:  rapid.IntRange(20, 30).Draw(t, "firsts"),
+		PauseMS: rapid.IntRange(500, 1500).Draw(t, "pause"),
+		Moves:   rapid.IntRange(0, 7).Draw(t, "moves") == 0,
+		Retry:   rapid.IntRange(0, 4).Draw(t, "retry") == 0,
+		Arrive:  rapid.Bool().Draw(t, "arrive"),
+		Killed:  rapid.IntRange(0, 4*sharedProcesses).Draw(t, "killed"),
+	}
 }
 
 // TestSharedRetryBudgetInRandomWindows guards against retries beyond the budget of all processes
 // when requests move between them and killed ones forget what they spent. The oracle knows all
 // requests and arrivals.
 func TestSharedRetryBudgetInRandomWindows(t *testing.T) {
-	const processes, ratio, slack, span = 4, 0.2, 8.0, 10 * time.Second
+	const ratio, slack, span = 0.2, 2.0, 10 * time.Second
 	rapid.Check(t, func(t *rapid.T) {
-		var budgets [processes]*limit.RetryBudget
-		var started [processes]time.Time
-		var charges []*limit.Charge
+		var budgets [sharedProcesses]*limit.RetryBudget
+		var started [sharedProcesses]time.Time
 		for i := range budgets {
 			budgets[i] = limit.NewRetryBudget(ratio, span)
 		}
 		now := time.Unix(1000, 0)
+		var charges []*limit.Charge
 		var firsts, retries []time.Time
-		steps := rapid.SliceOfN(rapid.Custom(func(t *rapid.T) sharedStep {
-			return sharedStep{rapid.IntRange(0, processes-1).Draw(t, "process"), rapid.IntRange(0, 2000).Draw(t, "pause"), rapid.IntRange(0, 9).Draw(t, "kind"), rapid.IntRange(1, 40).Draw(t, "times")}
-		}), 1, 150).Draw(t, "steps")
-		for _, s := range steps {
-			now = now.Add(time.Duration(s.Pause) * time.Millisecond)
-			b := budgets[s.Process]
-			b.SetShare(0, false)
-			if now.Sub(started[s.Process]) >= span {
-				b.SetShare(slack/processes, false)
+		loaded := 0
+		for _, s := range rapid.SliceOfN(rapid.Custom(drawSharedStep), 20, 60).Draw(t, "steps") {
+			if s.Moves {
+				loaded = s.Loaded
+			}
+			for range s.Firsts {
+				budgets[loaded].RecordFirst(now)
+				firsts = append(firsts, now)
 			}
-			switch {
-			case s.Kind < 4:
-				for range s.Times {
-					b.RecordFirst(now)
-					firsts = append(firsts, now)
+			now = now.Add(time.Duration(s.PauseMS) * time.Millisecond)
+			if s.Killed < sharedProcesses {
+				budgets[s.Killed], started[s.Killed] = limit.NewRetryBudget(ratio, span), now
+			}
+			for i, b := range budgets {
+				b.SetShare(0, false)
+				if now.Sub(started[i]) >= span {
+					b.SetShare(slack/sharedProcesses, false)
 				}
-			case s.Kind < 7:
-				for range s.Times {
-					if c := b.Charge(now); c != nil {
-						charges = append(charges, c)
+				for s.Retry {
+					c := b.Charge(now)
+					if c == nil {
+						break
 					}
+					charges = append(charges, c)
 				}
-			case s.Kind < 9:
+			}
+			if s.Arrive {
 				for _, c := range charges {
 					c.Arrived(now)
 					retries = append(retries, now)
 				}
 				charges = nil
-			default:
-				budgets[s.Process], started[s.Process] = limit.NewRetryBudget(ratio, span), now
 			}
 		}
 		for _, end := range retries {
--- a/limit/history.go
+++ b/limit/history.go
@@ -11,17 +11,23 @@
 	historySlots = 2048
 )
 
-// history counts events by slots of time over the last two windows.
+// history counts events by slots of time over the last two windows. Steps of the time of day
+// don't change it, because slots are counted from a time with a monotonic clock reading.
 type history struct {
+	// start is the begin of slot zero. Times before it have no slot.
+	start    time.Time
 	slotTime time.Duration
 	counts   [historySlots]int32
-	newest   int64 // number of the newest slot, counted from the Unix epoch
+	newest   int64
 }
 
-func newHistory(window time.Duration) *history { return &history{slotTime: window / windowSlots} }
+// newHistory returns an empty history that can hold events from two windows before now.
+func newHistory(now time.Time, window time.Duration) *history {
+	return &history{start: now.Add(-2 * window), slotTime: window / windowSlots}
+}
 
 // slot returns the number of the slot that contains a time.
-func (h *history) slot(at time.Time) int64 { return at.UnixNano() / int64(h.slotTime) }
+func (h *history) slot(at time.Time) int64 { return int64(at.Sub(h.start) / h.slotTime) }
 
 // advance makes the slot of now the newest one, and returns its number.
 func (h *history) advance(now time.Time) int64 {
@@ -46,7 +52,7 @@
 }
 
 func (h *history) holds(slot int64) bool {
-	return slot <= h.newest && slot > h.newest-historySlots
+	return slot >= 0 && slot <= h.newest && slot > h.newest-historySlots
 }
 
 // count returns the number of events in a slot that the history holds.
@@ -62,10 +68,10 @@
 
 // withWindow returns a history of the same events for windows of another length.
 func (h *history) withWindow(window time.Duration) *history {
-	next := newHistory(window)
-	for slot := h.newest - historySlots + 1; slot <= h.newest; slot++ {
+	next := &history{start: h.start, slotTime: window / windowSlots}
+	for slot := max(h.newest-historySlots+1, 0); slot <= h.newest; slot++ {
 		for range h.count(slot) {
-			next.add(time.Unix(0, slot*int64(h.slotTime)))
+			next.add(h.start.Add(time.Duration(slot) * h.slotTime))
 		}
 	}
 	return next
--- a/limit/limit_test.go
+++ b/limit/limit_test.go
@@ -71,3 +71,16 @@
 		assert.Nil(t, b.Charge(epoch.Add(after)), after)
 	}
 }
+
+// TestRetriesSurviveNewWindow guards against retries that are forgotten when the window or the
+// ratio of the budget changes.
+func TestRetriesSurviveNewWindow(t *testing.T) {
+	b := limit.NewRetryBudget(0, 10*time.Second)
+	b.SetShare(1, true)
+	assert.True(t, b.TakeRetry(epoch))
+	b.SetRatio(0, 20*time.Second)
+	assert.False(t, b.TakeRetry(epoch.Add(15*time.Second)))
+	b.SetRatio(0, 5*time.Second)
+	assert.True(t, b.TakeRetry(epoch.Add(16*time.Second)))
+	assert.False(t, b.TakeRetry(epoch.Add(17*time.Second)))
+}
