router: the watchdog's timer that fired before an event doesn't probe

Seen: ./router did not end within 10 minutes once and held 16 GB; one of 9 loops of its tests timed out. Cause: the timer fires, an event resets the watchdog, and the silence that onSilence then sees is none: it probes the live engine and sets the timer to twice that, none again. In virtual time that never ends; in real time it is a series of probes from one round trip on. Ruled out: the change of the budget; a probe is sent before it. Change: a timer that fires before the silence is due is set to when it is. TestActivityAfterTimerFired fails before (it probes).

--- a/router/watch.go
+++ b/router/watch.go
@@ -154,7 +154,7 @@
 func (w *watchdog) onSilence() {
 	w.mu.Lock()
 	epoch, waited, limit := w.epoch, time.Since(w.lastActivity), w.giveUpAfter
-	idle := w.stopped || w.paused
+	idle := w.stopped || w.paused || w.postpone(waited)
 	w.mu.Unlock()
 	if idle {
 		return
@@ -180,6 +180,20 @@
 	w.timer.Reset(next)
 }
 
+// postpone sets the timer again if there was activity after it had fired. It reports whether
+// there was. The caller holds w.mu.
+func (w *watchdog) postpone(waited time.Duration) bool {
+	due := w.probeAfter
+	if w.giveUpAfter > 0 {
+		due = min(due, w.giveUpAfter)
+	}
+	if waited >= due {
+		return false
+	}
+	w.timer.Reset(due - waited)
+	return true
+}
+
 // conclude ends the attempt, unless there was activity meanwhile.
 func (w *watchdog) conclude(epoch int, v verdict) {
 	w.mu.Lock()
--- a/router/watchpause_test.go
+++ b/router/watchpause_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/stretchr/testify/assert"
@@ -28,3 +29,18 @@
 	w.onSilence()
 	assert.True(t, ended, "reset ends the pause")
 }
+
+// TestActivityAfterTimerFired guards against probes one after another, without a pause, when an
+// event arrives at the moment at which the watchdog's timer fires.
+func TestActivityAfterTimerFired(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		m := metrics.NewSet()
+		r := New(Settings{}, nil, event.Nop(), m)
+		w := r.startWatchdog(&Endpoint{ID: "e"}, silenceLimits{probeAfter: time.Second}, func() {})
+		defer w.stop()
+		w.reset(silenceLimits{probeAfter: time.Second})
+		w.onSilence()
+		assert.Zero(t, m.Count("endpoints_asked_alive"))
+		assert.Equal(t, undecided, w.verdict())
+	})
+}
