Software versions of engines and the attempt that began a stream reach the router

Cause: version of an engine's entry was checked and dropped, and Resumes forwarded unread, so that no log tells which placement joined streams of two versions. Change: Endpoint.SoftwareVersion, Call.Resumes; event 6004 names both. No change of logic.

--- a/router/admit.go
+++ b/router/admit.go
@@ -206,7 +206,7 @@
 	}
 	if ok {
 		g.r.log.Emit(event.GenerationPlaced, zap.String("request", g.c.ID), zap.String("prefill", p.prefillID()),
-			zap.String("decode", p.decode.ID), zap.Duration("waited", now.Sub(began)), zap.Duration("first", p.firstEvent.Mean), zap.Duration("spread", p.firstEvent.Spread),
+			zap.String("decode", p.decode.ID), zap.String("software", p.decode.SoftwareVersion), zap.String("resumes", g.c.Resumes), zap.Duration("waited", now.Sub(began)), zap.Duration("first", p.firstEvent.Mean), zap.Duration("spread", p.firstEvent.Spread),
 			zap.Float64("fill", p.fill), zap.Bool("warm", p.warm), zap.Bool("kept", g.kept != nil))
 		return p, true, nil
 	}
--- a/router/model.go
+++ b/router/model.go
@@ -156,6 +156,9 @@
 	Service    string
 	DataCentre string
 	Role       Role
+	// SoftwareVersion is the version of the endpoint's software; empty if unknown. Streams of
+	// different versions don't fit together.
+	SoftwareVersion string
 	// Slots is the number of requests that the endpoint runs concurrently.
 	Slots int
 	// ColdUntil is when the endpoint will no longer be slow after its start, as published; zero
@@ -204,6 +207,9 @@
 	Session string
 	// ResumeAfter is the number of the last event that the caller received, or NoEvent.
 	ResumeAfter int64
+	// Resumes is the ID of the request that brought the first event of the stream that the
+	// caller resumes; empty if unknown.
+	Resumes string
 	// MetricsClass names the latency histograms that the call counts in; if empty, the
 	// service's name does.
 	MetricsClass string
