--- /dev/null
+++ b/router/version_test.go
@@ -0,0 +1,334 @@
+package router_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+
+	"ebonypulley/event"
+	"ebonypulley/metrics"
+	"ebonypulley/router"
+)
+
+// streamEvents is the number of events of a stream.
+const streamEvents = 20
+
+// versionSite is a fleet of entries before engines of several software versions. Engines cut
+// streams, entries are killed, and callers resume at other entries.
+type versionSite struct {
+	t       *testing.T
+	rnd     *rand.Rand
+	entries []*versionEntry
+	// engines are published, draining ones still serve.
+	engines, draining []*router.Endpoint
+
+	mu      sync.Mutex
+	callers sync.WaitGroup
+	// started counts first attempts, begun those that brought an event; resumed counts attempts
+	// to resume, continued those that brought one. joined counts streams of two versions.
+	started, begun, resumed, continued, joined int
+}
+
+// versionEntry is one entry. An isolated one does not learn of changes of the engines.
+type versionEntry struct {
+	isolated bool
+	router   *router.Router
+	ctx      context.Context
+	kill     context.CancelFunc
+}
+
+// versionEngines is an EndpointClient whose events carry the version that wrote them.
+type versionEngines struct {
+	*fakeEndpoints
+	site *versionSite
+}
+
+func (v versionEngines) Generate(ctx context.Context, e *router.Endpoint, c *router.Call, s router.Start) (router.Stream, error) {
+	if s.Connected != nil {
+		s.Connected()
+	}
+	if !v.site.serves(e) {
+		return nil, router.ErrNotListening.New("gone")
+	}
+	last := int64(streamEvents)
+	if v.site.random(4) == 0 {
+		last = max(s.After, 0) + int64(v.site.random(8))
+	}
+	return &versionStream{ctx: ctx, site: v.site, engine: e, next: max(s.After, 0) + 1, cutAfter: last}, nil
+}
+
+type versionStream struct {
+	ctx            context.Context
+	site           *versionSite
+	engine         *router.Endpoint
+	next, cutAfter int64
+}
+
+func (s *versionStream) Head() any              { return "head" }
+func (s *versionStream) Failed() *router.Answer { return nil }
+func (s *versionStream) Close()                 {}
+
+func (s *versionStream) Next() (router.Event, error) {
+	select {
+	case <-time.After(100 * time.Millisecond):
+	case <-s.ctx.Done():
+		return router.Event{}, router.ErrLost.Wrap(s.ctx.Err(), "stream")
+	}
+	switch {
+	case s.next > streamEvents:
+		return router.Event{}, io.EOF
+	case s.next > s.cutAfter || !s.site.serves(s.engine):
+		return router.Event{}, router.ErrLost.New("reset")
+	}
+	s.next++
+	return router.Event{Number: s.next - 1, Bytes: []byte(s.engine.SoftwareVersion)}, nil
+}
+
+// versionSink records the versions of the events that the caller received.
+type versionSink struct {
+	last     int64
+	versions map[string]bool
+}
+
+func (s *versionSink) Begin(any) error { return nil }
+
+func (s *versionSink) Event(e router.Event) error {
+	s.last = e.Number
+	s.versions[string(e.Bytes)] = true
+	return nil
+}
+
+// newVersionSite returns a site with a number of engines of each version: v1, v2 and so on.
+func newVersionSite(t *testing.T, seed uint64, entries int, perVersion ...int) *versionSite {
+	s := &versionSite{t: t, rnd: rand.New(rand.NewPCG(seed, seed))}
+	for i, n := range perVersion {
+		for range n {
+			s.addEngine(fmt.Sprint("v", i+1))
+		}
+	}
+	for range entries {
+		s.entries = append(s.entries, s.start())
+	}
+	return s
+}
+
+func (s *versionSite) random(n int) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.rnd.IntN(n)
+}
+
+func (s *versionSite) addEngine(version string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	e := engine(fmt.Sprintf("%s-%x", version, s.rnd.Uint32()), router.Decode)
+	e.SoftwareVersion = version
+	s.engines = append(s.engines, e)
+}
+
+// crashEngine removes an engine of a version with its streams.
+func (s *versionSite) crashEngine(version string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for i, e := range s.engines {
+		if e.SoftwareVersion == version {
+			s.engines = append(s.engines[:i:i], s.engines[i+1:]...)
+			return
+		}
+	}
+}
+
+// serves reports whether an engine still runs.
+func (s *versionSite) serves(e *router.Endpoint) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.Contains(s.engines, e) || slices.Contains(s.draining, e)
+}
+
+func (s *versionSite) start() *versionEntry {
+	e := new(versionEntry)
+	s.launch(e, false)
+	return e
+}
+
+func (s *versionSite) launch(e *versionEntry, restarted bool) {
+	e.ctx, e.kill = context.WithCancel(s.t.Context())
+	set := router.Settings{DataCentre: "dc-1", RetryRatio: 2, RetryWindow: 10 * time.Second, RetrySlack: 1000, SingleEntry: true, Restarted: restarted, Seed: uint64(1 + s.random(1<<30))}
+	e.router = router.New(set, versionEngines{&fakeEndpoints{}, s}, event.Nop(), metrics.NewSet())
+	e.router.SetDirectory(s.directory())
+}
+
+func (s *versionSite) directory() *router.Directory {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return router.NewDirectory(1, 0, nil, []*router.Service{llm}, slices.Clone(s.engines))
+}
+
+// publish tells all entries of the engines, each after up to 0.3 s.
+func (s *versionSite) publish() {
+	for _, e := range s.entries {
+		if e.isolated {
+			continue
+		}
+		lag := time.Duration(s.random(300)) * time.Millisecond
+		time.AfterFunc(lag, func() {
+			d := s.directory()
+			s.mu.Lock()
+			r := e.router
+			s.mu.Unlock()
+			r.SetDirectory(d)
+		})
+	}
+}
+
+// restart kills an entry with its streams and starts it again.
+func (s *versionSite) restart(e *versionEntry) {
+	next := new(versionEntry)
+	s.launch(next, true)
+	s.mu.Lock()
+	e.kill()
+	e.router, e.ctx, e.kill = next.router, next.ctx, next.kill
+	s.mu.Unlock()
+}
+
+// run sends streams for a time.
+func (s *versionSite) run(d time.Duration) {
+	for end := time.Now().Add(d); time.Now().Before(end); time.Sleep(time.Second / 17) {
+		s.mu.Lock()
+		s.started++
+		id := s.started
+		s.mu.Unlock()
+		s.callers.Go(func() { s.call(id) })
+	}
+}
+
+// call is one caller, who resumes a stream up to three times.
+func (s *versionSite) call(id int) {
+	began, first := time.Now(), ""
+	sink := &versionSink{last: router.NoEvent, versions: make(map[string]bool)}
+	for try := range 4 {
+		c := newCall(resumableRoute, llm)
+		c.ID, c.ContentHash = fmt.Sprintf("%x-%d", id, try), uint64(id)
+		c.Deadline = began.Add(14 * time.Second)
+		c.Timeout = time.Until(c.Deadline)
+		c.ResumeAfter, c.Resumes = sink.last, first
+		before := sink.last
+		done := s.send(c, sink)
+		if first == "" && sink.last != router.NoEvent {
+			first = c.ID
+		}
+		s.count(try, before, sink)
+		if done {
+			break
+		}
+		time.Sleep(time.Duration(50+s.random(400)) * time.Millisecond)
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if len(sink.versions) > 1 {
+		s.joined++
+	}
+}
+
+// send sends an attempt to a random entry. It reports whether the stream is complete.
+func (s *versionSite) send(c *router.Call, sink router.Sink) bool {
+	n := s.random(len(s.entries))
+	s.mu.Lock()
+	r, ctx := s.entries[n].router, s.entries[n].ctx
+	s.mu.Unlock()
+	_, fail := r.Generate(ctx, c, sink)
+	return fail == nil
+}
+
+func (s *versionSite) count(try int, before int64, sink *versionSink) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	switch {
+	case before != router.NoEvent:
+		s.resumed++
+		if sink.last > before {
+			s.continued++
+		}
+	case try == 0 && sink.last != router.NoEvent:
+		s.begun++
+	}
+}
+
+// check ends the load. At most two streams may hold events of two versions; of those that
+// callers resume at least half the share must go on that begins of new streams.
+func (s *versionSite) check() {
+	s.callers.Wait()
+	s.t.Logf("%d streams, %d begun; %d resumed, %d went on; %d of two versions", s.started, s.begun, s.resumed, s.continued, s.joined)
+	assert.LessOrEqual(s.t, s.joined, 2)
+	assert.GreaterOrEqual(s.t, s.resumed, 12)
+	assert.GreaterOrEqual(s.t, 2*float64(s.continued)/float64(s.resumed), float64(s.begun)/float64(s.started))
+}
+
+// TestStreamsKeepTheirVersion guards against streams that go on at an engine of another software
+// version, within one response or when their callers resume at another entry.
+func TestStreamsKeepTheirVersion(t *testing.T) {
+	for name, perVersion := range map[string][]int{"two versions": {3, 2}, "three versions": {5, 2, 1}} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s := newVersionSite(t, 1, 3, perVersion...)
+				for i := range 10 {
+					s.run(3 * time.Second)
+					s.restart(s.entries[i%len(s.entries)])
+				}
+				s.check()
+			})
+		})
+	}
+}
+
+// TestStreamsKeepTheirVersionInRelease guards against joined versions while the engines of one
+// version are replaced one by one, crash, and entries hear late of it.
+func TestStreamsKeepTheirVersionInRelease(t *testing.T) {
+	for seed := range uint64(4) {
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s := newVersionSite(t, seed, 5, 5)
+				for i, replaced := range []int{5, 3, 3} {
+					s.run(6 * time.Second)
+					s.release(fmt.Sprint("v", i+1), fmt.Sprint("v", i+2), replaced)
+					s.run(3 * time.Second)
+					s.restart(s.entries[i])
+				}
+				s.check()
+			})
+		})
+	}
+}
+
+// release replaces engines of one version by those of another, the half of them with their streams.
+func (s *versionSite) release(from, to string, engines int) {
+	for i := range engines {
+		s.addEngine(to)
+		s.publish()
+		s.run(500 * time.Millisecond)
+		if i%2 == 0 {
+			s.crashEngine(from)
+			s.publish()
+			continue
+		}
+		s.drainEngine(from)
+	}
+}
+
+// drainEngine removes an engine of a version after its streams.
+func (s *versionSite) drainEngine(version string) {
+	s.mu.Lock()
+	i := slices.IndexFunc(s.engines, func(e *router.Endpoint) bool { return e.SoftwareVersion == version })
+	s.draining = append(s.draining, s.engines[i])
+	s.engines = append(s.engines[:i:i], s.engines[i+1:]...)
+	s.mu.Unlock()
+	s.publish()
+}
