--- a/router/budget_load_test.go
+++ b/router/budget_load_test.go
@@ -62,14 +62,18 @@
 	return f
 }
 
+func (f *movingFleet) random(n int) int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.rnd.IntN(n)
+}
+
 // connect takes up to 0.8 s, and longer than the caller of a killed entry waits.
 func (f *movingFleet) connect(ctx context.Context) error {
-	f.mu.Lock()
-	took := time.Duration(f.rnd.IntN(20)) * time.Millisecond
-	if f.rnd.IntN(4) == 0 {
-		took = time.Duration(f.rnd.IntN(800)) * time.Millisecond
+	took := time.Duration(f.random(20)) * time.Millisecond
+	if f.random(4) == 0 {
+		took = time.Duration(f.random(800)) * time.Millisecond
 	}
-	f.mu.Unlock()
 	select {
 	case <-time.After(took):
 		return nil
@@ -103,7 +107,7 @@
 
 func (f *movingFleet) launch(e *movingEntry, restarted bool) {
 	e.ctx, e.kill = context.WithCancel(f.t.Context())
-	set := router.Settings{RetryRatio: movingRatio, RetryWindow: movingWindow, RetrySlack: movingSlack, Restarted: restarted, Seed: f.rnd.Uint64() | 1}
+	set := router.Settings{RetryRatio: movingRatio, RetryWindow: movingWindow, RetrySlack: movingSlack, Restarted: restarted, Seed: uint64(1 + f.random(1<<30))}
 	e.router = router.New(set, f.endpoints, event.Nop(), metrics.NewSet())
 	list := []*router.Endpoint{engine("d1", router.Decode), engine("d2", router.Decode), engine("d3", router.Decode), engine("d4", router.Decode)}
 	e.router.SetDirectory(router.NewDirectory(1, 0, nil, []*router.Service{llm}, list))
@@ -137,7 +141,7 @@
 			total += e.weight
 		}
 		if total > 0 {
-			f.send(f.pick(f.rnd.IntN(total)))
+			f.send(f.pick(f.random(total)))
 		}
 	}
 }
@@ -258,21 +262,21 @@
 	for range 60 {
 		f.run(movingStep)
 		f.spreadFleetSize()
-		e := f.entries[f.rnd.IntN(len(f.entries))]
-		switch f.rnd.IntN(6) {
+		e := f.entries[f.random(len(f.entries))]
+		switch f.random(6) {
 		case 0:
-			f.setFailing(f.rnd.IntN(3) > 0)
+			f.setFailing(f.random(3) > 0)
 		case 1:
 			f.restart(e)
 		case 2:
 			for _, e := range f.entries {
-				if f.rnd.IntN(2) == 0 {
+				if f.random(2) == 0 {
 					f.restart(e)
 				}
 			}
 		case 3:
 			for _, e := range f.entries {
-				e.weight = f.rnd.IntN(4) * f.rnd.IntN(2)
+				e.weight = f.random(4) * f.random(2)
 			}
 		case 4:
 			e.isolatedUntil = time.Now().Add(2 * movingStep)
