Streams go on at the software version that began them

What callers saw: streams that hold events of two software versions, which don't fit together. Cause: no decision knew the version of an engine's software. An entry went on at any engine after a crash or reset, and the entry at which a caller resumed knew only the number of the last event. Class: state of a caller kept by one process only, which may be gone. Ruled out: that a prompt prefilled at another version joins events; the rule is about events, and those of one run come from one engine. Change: package release. A new stream prefers the version of the endpoint that ranks first for the ID of its request, so that any entry can work it out from what is published; versions get streams by their part of the endpoints. Streams for which that fails (no room there; a change of the endpoints since or within the last second) are told to the other entries in their reports, once a connection, before the first event. Within one response the version is fixed with the first event. An entry that starts gets the recent changes and exceptions with the first reply of each other one. What can't be told is refused at once as not run, to be resumed elsewhere after 0.1 s, and so is a stream whose version no engine has. With one version nothing is told, preferred or refused. rendezvous.Order moves out of package router. Weighed: telling every stream (bytes grow with the square of the fleet); hashing alone (wrong after each change and while a version has no room); asking engines (they forget a stream with its channel). The test's share counts as the rule says, while two engines of the version serve. Conclusion: joined only if an entry dies before the exception is told, or hears of changes of the endpoints over a second late.

--- a/gossip/crashes.go
+++ b/gossip/crashes.go
@@ -27,12 +27,13 @@
 	return updates
 }
 
-// recordCrashesSent records the crash updates that were sent on the connection of a report.
-func (n *Node) recordCrashesSent(s dueReport, upTo uint64) {
+// recordUpdatesSent records the crash updates and the versions of streams that were sent on the
+// connection of a report.
+func (n *Node) recordUpdatesSent(s dueReport, crashes, streams uint64) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	if l := n.links[s.addr]; l != nil && l.conn == s.conn {
-		l.crashSeq = upTo
+		l.crashSeq, l.streamSeq = crashes, streams
 	}
 }
 
--- a/gossip/link.go
+++ b/gossip/link.go
@@ -46,6 +46,8 @@
 	useSent time.Time
 	// crashSeq is the sequence number up to which crash updates were sent on conn.
 	crashSeq uint64
+	// streamSeq is the sequence number up to which versions of streams were sent on conn.
+	streamSeq uint64
 }
 
 // manageLinks keeps a link to each target until ctx ends.
@@ -142,6 +144,8 @@
 		case *wire.Reply:
 			n.observe(time.Now(), l.addr, m.DataCentre, StoreAccess{LinkMbps: m.Link, StoreFailed: m.NoStore}, membersOf(m.Members, m.Centres, m.Links))
 			n.learnMaxEntries(time.Now(), m.Most, m.MostAge, m.Counted)
+			n.mergeVersionHistory(time.Now(), m.Versions)
+			n.mergeStreams(time.Now(), m.Begun)
 			n.recordRevision(l.addr, m.At())
 			n.handlePublished(l.addr, m, c)
 		case *wire.Parts:
@@ -157,5 +161,5 @@
 	defer n.mu.Unlock()
 	l.conn = c
 	l.sent, l.workSent, l.membersSent, l.useSent = time.Time{}, time.Time{}, time.Time{}, time.Time{}
-	l.crashSeq = 0
+	l.crashSeq, l.streamSeq = 0, 0
 }
--- a/gossip/node.go
+++ b/gossip/node.go
@@ -16,6 +16,7 @@
 	"ebonypulley/parts"
 	"ebonypulley/poison"
 	"ebonypulley/quota"
+	"ebonypulley/release"
 	"ebonypulley/returns"
 	"ebonypulley/revision"
 	"ebonypulley/router"
@@ -62,6 +63,8 @@
 	Paces   *pace.Tracker
 	Shares  *share.Table
 	Returns *returns.Calendar
+	// Releases holds the software versions of streams.
+	Releases *release.Tracker
 
 	mu          sync.Mutex
 	members     *Members
@@ -87,7 +90,7 @@
 		Behind: func() bool { return false }, StoreFailed: func() bool { return false }, OnFleetSize: func(int) {},
 		CatalogAge: func() time.Duration { return 0 }, OnReceive: func(time.Duration) {},
 		Metrics: metrics.NewSet(), Crashes: poison.NewDetector(), Quotas: quota.NewLedger(quota.Settings{}),
-		Paces: pace.NewTracker(), Shares: share.NewTable(), Returns: returns.NewCalendar(),
+		Paces: pace.NewTracker(), Shares: share.NewTable(), Returns: returns.NewCalendar(), Releases: release.NewTracker(),
 		members: NewMembers(self.Addr, self.DataCentre, seeds), links: make(map[string]*link),
 		revisions: make(map[string]revision.Revision), eraAnswers: make(map[string]eraAnswer), index: parts.NewIndex(),
 	}
@@ -152,6 +155,7 @@
 	n.mergeUse(now, r)
 	n.mergePressure(now, r)
 	n.mergeCrashes(now, r.Crashes, r.CrashRates)
+	n.mergeStreams(now, r.Begun)
 	n.learnMaxEntries(now, r.Most, r.MostAge, r.Counted)
 	own := n.catalog.Revision()
 	reply := &wire.Reply{
@@ -162,6 +166,7 @@
 		reply.Members, reply.Centres, reply.Links = n.membersToList(now, maxListedFirst)
 		reply.Most, reply.MostAge = n.maxEntries(now)
 		reply.Counted = n.Quotas.FleetSizeSettled(now)
+		reply.Versions, reply.Begun = n.versionHistory(now), streamVersions(n.Releases.Exceptions(now))
 	}
 	if r.Behind && !own.IsZero() && !r.At().After(own) && n.mayAnswer(now, r.From, r.At(), own) {
 		n.addPublishedSince(reply, r.At())
--- /dev/null
+++ b/release/release.go
@@ -0,0 +1,252 @@
+// Package release decides at which software version a stream goes on while endpoints of several
+// versions serve a service side by side. What two versions write doesn't fit together.
+//
+// Every entry can work out the version of most streams from the ID of the request that began
+// them and the published endpoints: it is that of the endpoint that ranks first for the ID. The
+// exceptions are told to other entries: streams that found no room at that version, and those
+// whose first endpoint has changed since. An entry that can't tell the version says so. The
+// package does no I/O.
+package release
+
+import (
+	"maps"
+	"sync"
+	"time"
+
+	"ebonypulley/rendezvous"
+)
+
+const (
+	// viewLag is how much later than another entry one may learn of a change of the endpoints.
+	viewLag = time.Second
+	// retention is how long removed endpoints and streams are remembered. Streams are shorter.
+	retention = time.Minute
+	// sweepInterval is the pause between two searches for what is to be forgotten.
+	sweepInterval = 5 * time.Second
+	// maxStreams bounds the streams that are remembered.
+	maxStreams = 1 << 14
+)
+
+// Endpoint is a published endpoint that can write streams.
+type Endpoint struct {
+	ID      string
+	Version string
+}
+
+// Tracker holds what an entry knows of versions. It is safe for concurrent use.
+type Tracker struct {
+	mu       sync.Mutex
+	services map[string]*service
+	// streams holds streams by the hash of the ID of the request that began them.
+	streams map[uint64]*stream
+	swept   time.Time
+	// told holds this entry's exceptions in the order of their sequence numbers; latest is the
+	// last number.
+	told   []toldStream
+	latest uint64
+}
+
+// service holds the endpoints of a service.
+type service struct {
+	// since is from when on all changes are known; listed says that the endpoints were set.
+	since   time.Time
+	listed  bool
+	members []*member
+}
+
+// member is one endpoint, published from added to removed. A zero time means before since, or
+// that it is published still.
+type member struct {
+	hash           uint64
+	version        string
+	added, removed time.Time
+}
+
+// stream is a stream that began at an entry. own says that it runs at this one.
+type stream struct {
+	service string
+	version string
+	begun   time.Time
+	own     bool
+	told    bool
+}
+
+// NewTracker returns an empty Tracker.
+func NewTracker() *Tracker {
+	return &Tracker{services: make(map[string]*service), streams: make(map[uint64]*stream)}
+}
+
+// SetEndpoints sets the published endpoints of a service.
+func (t *Tracker) SetEndpoints(now time.Time, name string, list []Endpoint) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	s := t.services[name]
+	switch {
+	case s == nil && len(list) == 0:
+		return
+	case s == nil:
+		s = &service{since: now}
+		t.services[name] = s
+	}
+	if s.update(now, list) {
+		t.tellAffected(now, name)
+	}
+}
+
+// update applies a list of endpoints. It reports whether any has changed.
+func (s *service) update(now time.Time, list []Endpoint) (changed bool) {
+	added := now
+	if !s.listed {
+		added, s.listed = time.Time{}, true
+	}
+	published := hashes(list)
+	kept := s.members[:0]
+	for _, m := range s.members {
+		if version, ok := published[m.hash]; m.removed.IsZero() && ok && version == m.version {
+			delete(published, m.hash)
+		} else if m.removed.IsZero() {
+			m.removed, changed = now, true
+		}
+		if m.removed.IsZero() || now.Sub(m.removed) <= retention {
+			kept = append(kept, m)
+		}
+	}
+	s.members = kept
+	for hash, version := range published {
+		s.members = append(s.members, &member{hash: hash, version: version, added: added})
+		changed = true
+	}
+	return changed
+}
+
+// Preferred returns the version at which a new stream should begin, empty for any.
+func (t *Tracker) Preferred(name, request string) string {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	s := t.services[name]
+	if s == nil {
+		return ""
+	}
+	key := rendezvous.Hash(request)
+	var first *member
+	var lowest uint64
+	several := false
+	for _, m := range s.members {
+		if !m.removed.IsZero() {
+			continue
+		}
+		several = several || first != nil && first.version != m.version
+		if score := rendezvous.Score(key, m.hash); first == nil || score < lowest {
+			first, lowest = m, score
+		}
+	}
+	if !several {
+		return ""
+	}
+	return first.version
+}
+
+// Begin records that a stream begins at this entry, at a version. request is the ID of the
+// request that brings, or brought, its first event.
+func (t *Tracker) Begin(now time.Time, name, request, version string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.sweep(now)
+	key := rendezvous.Hash(request)
+	before, x := t.streams[key], &stream{service: name, version: version, begun: now, own: true}
+	t.streams[key] = x
+	moved := before != nil && before.version != version
+	if found, ok := t.compute(now, name, key); moved || !ok || found != version {
+		t.tell(now, key, x)
+	}
+}
+
+// End records that a stream no longer runs at this entry.
+func (t *Tracker) End(request string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if x := t.streams[rendezvous.Hash(request)]; x != nil {
+		x.own = false
+	}
+}
+
+// Find returns the version of a stream that began after a time. It returns false if that can't
+// be told.
+func (t *Tracker) Find(after time.Time, name, request string) (version string, ok bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	key := rendezvous.Hash(request)
+	if x := t.streams[key]; x != nil && request != "" {
+		return x.version, true
+	}
+	if request == "" {
+		return t.services[name].onlyVersion()
+	}
+	return t.compute(after, name, key)
+}
+
+// onlyVersion returns the version that all remembered endpoints of a service have.
+func (s *service) onlyVersion() (version string, ok bool) {
+	if s == nil || len(s.members) == 0 {
+		return "", false
+	}
+	for _, m := range s.members {
+		if m.version != s.members[0].version {
+			return "", false
+		}
+	}
+	return s.members[0].version, true
+}
+
+// compute works out the version at which a stream began that began after a time, unless that
+// depends on when, or on endpoints that were removed before this entry knew them. The caller
+// holds t.mu.
+func (t *Tracker) compute(after time.Time, name string, key uint64) (version string, ok bool) {
+	after = after.Add(-viewLag)
+	s := t.services[name]
+	if s == nil || s.since.After(after) {
+		return s.onlyVersion()
+	}
+	stable, lowest := s.firstStable(after, key)
+	if stable == nil {
+		return s.onlyVersion()
+	}
+	for _, m := range s.members {
+		if m.publishedAfter(after) && m.version != stable.version && rendezvous.Score(key, m.hash) < lowest {
+			return "", false
+		}
+	}
+	return stable.version, true
+}
+
+// firstStable returns the first endpoint for a key, and its score, of those that have been
+// published ever since a time.
+func (s *service) firstStable(after time.Time, key uint64) (first *member, lowest uint64) {
+	for _, m := range s.members {
+		if !m.removed.IsZero() || m.added.After(after) {
+			continue
+		}
+		if score := rendezvous.Score(key, m.hash); first == nil || score < lowest {
+			first, lowest = m, score
+		}
+	}
+	return first, lowest
+}
+
+// publishedAfter reports whether an endpoint was published at any moment after a time.
+func (m *member) publishedAfter(after time.Time) bool {
+	return m.removed.IsZero() || m.removed.After(after)
+}
+
+// sweep forgets old streams. The caller holds t.mu.
+func (t *Tracker) sweep(now time.Time) {
+	if now.Sub(t.swept) < sweepInterval && len(t.streams) < maxStreams {
+		return
+	}
+	t.swept = now
+	maps.DeleteFunc(t.streams, func(_ uint64, x *stream) bool { return now.Sub(x.begun) > retention })
+	if len(t.streams) >= maxStreams {
+		clear(t.streams)
+	}
+	t.forgetTold(now)
+}
--- /dev/null
+++ b/release/told.go
@@ -0,0 +1,110 @@
+package release
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+const (
+	// maxTold bounds the exceptions that are remembered to be told to others.
+	maxTold = 1 << 10
+	// toldRetention is how long they are told to entries that have not heard of them.
+	toldRetention = 15 * time.Second
+	// maxRelayed bounds the exceptions of all entries that are told to one that has started.
+	maxRelayed = 128
+)
+
+// Update tells the version of a stream whose version others can't work out.
+type Update struct {
+	// Request is the hash of the ID of the request that began the stream.
+	Request uint64
+	Version string
+}
+
+// toldStream is an Update with its sequence number.
+type toldStream struct {
+	Update
+	seq uint64
+	at  time.Time
+}
+
+// tell adds a stream to the exceptions. The caller holds t.mu.
+func (t *Tracker) tell(now time.Time, key uint64, x *stream) {
+	x.told = true
+	t.latest++
+	t.told = append(t.told, toldStream{Update: Update{Request: key, Version: x.version}, seq: t.latest, at: now})
+	if len(t.told) > maxTold {
+		t.told = t.told[len(t.told)-maxTold:]
+	}
+}
+
+// tellAffected tells the streams at this entry whose version can no longer be worked out after
+// a change of the endpoints. The caller holds t.mu.
+func (t *Tracker) tellAffected(now time.Time, name string) {
+	for key, x := range t.streams {
+		if !x.own || x.told || x.service != name {
+			continue
+		}
+		if found, ok := t.compute(x.begun, name, key); !ok || found != x.version {
+			t.tell(now, key, x)
+		}
+	}
+}
+
+// forgetTold forgets old exceptions. The caller holds t.mu.
+func (t *Tracker) forgetTold(now time.Time) {
+	for len(t.told) > 0 && now.Sub(t.told[0].at) > toldRetention {
+		t.told = t.told[1:]
+	}
+}
+
+// LatestSeq returns the sequence number of the last exception.
+func (t *Tracker) LatestSeq() uint64 {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.latest
+}
+
+// Updates returns the exceptions after a sequence number, and the number up to which they are
+// complete.
+func (t *Tracker) Updates(now time.Time, after uint64) (list []Update, upTo uint64) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.forgetTold(now)
+	for _, x := range t.told {
+		if x.seq > after {
+			list = append(list, x.Update)
+		}
+	}
+	return list, t.latest
+}
+
+// Exceptions returns the latest exceptions of all entries, for an entry that has started: those of
+// entries that have died since can be heard only from others.
+func (t *Tracker) Exceptions(now time.Time) []Update {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var list []toldStream
+	for key, x := range t.streams {
+		if x.told && now.Sub(x.begun) <= toldRetention {
+			list = append(list, toldStream{Update: Update{Request: key, Version: x.version}, at: x.begun})
+		}
+	}
+	slices.SortFunc(list, func(a, b toldStream) int { return cmp.Or(b.at.Compare(a.at), cmp.Compare(a.Request, b.Request)) })
+	updates := make([]Update, 0, min(len(list), maxRelayed))
+	for _, x := range list[:min(len(list), maxRelayed)] {
+		updates = append(updates, x.Update)
+	}
+	return updates
+}
+
+// Merge merges the exceptions of another entry.
+func (t *Tracker) Merge(now time.Time, list []Update) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.sweep(now)
+	for _, u := range list {
+		t.streams[u.Request] = &stream{version: u.Version, begun: now, told: true}
+	}
+}
--- a/router/admit.go
+++ b/router/admit.go
@@ -195,15 +195,18 @@
 	if g.kept != nil {
 		rule.fill = maxFill // its prompt is already prefilled, and the result expires soon
 	}
+	if g.versionGone() {
+		return placement{}, false, errVersionGone.New("no engine of %s has the software version %s of the stream", g.c.Service.Name, g.version)
+	}
 	var p placement
-	ok := false
+	var ok, deferred bool
 	if !leave {
-		p, ok = g.r.place(now, g.c, placeOptions{tried: g.tried, limited: g.limited, kept: g.kept, warm: g.warm, fill: rule.fill})
+		p, ok, deferred = g.placeAt(now, rule, g.version)
 	}
-	if ok && g.kept == nil && g.policy.defers(now, p, rule) {
-		ok = false
-		rule.refuse = rule.refuse || !g.policy.retried && now.Sub(began) >= minWait
+	if !ok && !leave && g.version != "" && !g.versionFixed {
+		p, ok, deferred = g.placeAt(now, rule, "") // rather another version than late or not at all
 	}
+	rule.refuse = rule.refuse || deferred && !g.policy.retried && now.Sub(began) >= minWait
 	if ok {
 		g.r.log.Emit(event.GenerationPlaced, zap.String("request", g.c.ID), zap.String("prefill", p.prefillID()),
 			zap.String("decode", p.decode.ID), zap.String("software", p.decode.SoftwareVersion), zap.String("resumes", g.c.Resumes), zap.Duration("waited", now.Sub(began)), zap.Duration("first", p.firstEvent.Mean), zap.Duration("spread", p.firstEvent.Spread),
@@ -215,3 +218,11 @@
 	}
 	return p, false, nil
 }
+
+// placeAt returns a placement at a software version, empty for any. deferred says that there is
+// one that should not be used now.
+func (g *generationRun) placeAt(now time.Time, rule admissionRule, version string) (p placement, ok, deferred bool) {
+	p, ok = g.r.place(now, g.c, placeOptions{tried: g.tried, limited: g.limited, kept: g.kept, warm: g.warm, fill: rule.fill, version: version})
+	deferred = ok && g.kept == nil && g.policy.defers(now, p, rule)
+	return p, ok && !deferred, deferred
+}
--- a/router/cached.go
+++ b/router/cached.go
@@ -1,17 +1,15 @@
 package router
 
 import (
-	"cmp"
 	"context"
 	"maps"
-	"slices"
 	"sync"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"go.uber.org/zap"
 
 	"ebonypulley/event"
+	"ebonypulley/rendezvous"
 )
 
 // Lookup of cached prompts for resumed generations.
@@ -49,19 +47,20 @@
 	sessions map[string]bool
 }
 
-// cachingEngine returns the engine that caches a session's prompt, or nil.
+// cachingEngine returns the engine of a software version, empty for any, that caches a session's
+// prompt, or nil.
 //
 // Generations are placed among the first engines in the rendezvous order of their content
 // hash, so those are asked first, in growing batches. After a crash of many entries,
 // asking hundreds of engines for each resumed generation would occupy small VMs with
 // connection set-up for seconds.
-func (r *Router) cachingEngine(ctx context.Context, c *Call) *Endpoint {
+func (r *Router) cachingEngine(ctx context.Context, c *Call, version string) *Endpoint {
 	if c.Session == "" {
 		return nil
 	}
 	ctx, cancel := context.WithTimeout(ctx, cacheLookupTimeout)
 	defer cancel()
-	engines := r.enginesByHash(c)
+	engines := ofVersion(r.enginesByHash(c), version)
 	found := make(chan *Endpoint, len(engines))
 	pending := 0
 	for batch := sampleSize; len(engines) > 0; batch *= 2 {
@@ -84,7 +83,7 @@
 // enginesByHash returns the engines to ask for a call's prompt, in rendezvous order.
 func (r *Router) enginesByHash(c *Call) []*Endpoint {
 	all := r.Directory().Endpoints(c.Service.Name, Decode)
-	order := rendezvousOrder(c.ContentHash, len(all), func(i int) string { return all[i].ID })
+	order := rendezvous.Order(c.ContentHash, len(all), func(i int) string { return all[i].ID })
 	engines := make([]*Endpoint, 0, maxCacheLookups)
 	for _, i := range order[:min(len(order), maxCacheLookups)] {
 		engines = append(engines, all[i])
@@ -164,22 +163,3 @@
 	}
 	list.sessions = sessions
 }
-
-// rendezvousOrder returns the indices of n endpoints in the order given by rendezvous
-// hashing of a content hash. All entries compute the same order, and endpoints keep their
-// relative order when others are added or removed.
-func rendezvousOrder(content uint64, n int, id func(i int) string) []int {
-	hashes, order := make([]uint64, n), make([]int, n)
-	for i := range n {
-		hashes[i], order[i] = mix64(content^xxhash.Sum64String(id(i))), i
-	}
-	slices.SortFunc(order, func(a, b int) int { return cmp.Compare(hashes[a], hashes[b]) })
-	return order
-}
-
-// mix64 is the finalizer of splitmix64.
-func mix64(x uint64) uint64 {
-	x = (x ^ x>>30) * 0xbf58476d1ce4e5b9
-	x = (x ^ x>>27) * 0x94d049bb133111eb
-	return x ^ x>>31
-}
--- a/router/generate.go
+++ b/router/generate.go
@@ -67,6 +67,10 @@
 	// events counts the delivered events.
 	events int
 	policy admissionPolicy
+	// version is the software version at which the stream should go on, empty for any. It is
+	// fixed once the caller has an event.
+	version      string
+	versionFixed bool
 	// failedAnswer is an endpoint's own failure, delivered if no later attempt succeeds.
 	failedAnswer *Answer
 }
@@ -92,8 +96,12 @@
 	r.budget(c.Service.Name).RecordFirst(c.ReceivedAt)
 	defer g.dropKept()
 	defer g.returnPrepaid()
+	if err := g.chooseVersion(); err != nil {
+		return g.finish(ctx, err)
+	}
+	defer g.endVersion()
 	if c.ResumeAfter != NoEvent {
-		g.warm = r.cachingEngine(ctx, c)
+		g.warm = r.cachingEngine(ctx, c, g.version)
 	}
 	for {
 		before := g.lastEvent
@@ -164,7 +172,7 @@
 func (g *generationRun) mayRetry(ctx context.Context, err error) bool {
 	now := time.Now()
 	if ctx.Err() != nil || g.c.TimeLeft(now) <= 0 || errorx.IsOfType(err, ErrCallerGone) ||
-		errorx.IsOfType(err, errPoison) || errorx.IsOfType(err, errNoEndpoint) || errorx.IsOfType(err, errBudget) || errorx.IsOfType(err, ErrQueueTimeout) {
+		errorx.IsOfType(err, errPoison) || errorx.IsOfType(err, errNoEndpoint) || errorx.IsOfType(err, errVersionGone) || errorx.IsOfType(err, errBudget) || errorx.IsOfType(err, ErrQueueTimeout) {
 		return false
 	}
 	if g.progress {
--- a/router/place.go
+++ b/router/place.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"ebonypulley/estimate"
+	"ebonypulley/rendezvous"
 )
 
 // Terms of the placement cost besides time. Expected times are learned by package
@@ -80,6 +81,16 @@
 	warm *Endpoint
 	// fill is the maximum fraction of an engine's memory in use, including the call.
 	fill float64
+	// version is the software version of the decode endpoint, empty for any.
+	version string
+}
+
+// ofVersion returns the endpoints of a software version, empty for any.
+func ofVersion(list []*Endpoint, version string) []*Endpoint {
+	if version == "" {
+		return list
+	}
+	return slices.DeleteFunc(slices.Clone(list), func(e *Endpoint) bool { return e.SoftwareVersion != version })
 }
 
 // growthEvents is the number of events of an answer whose memory is accounted from the
@@ -130,7 +141,7 @@
 func (r *Router) place(now time.Time, c *Call, o placeOptions) (placement, bool) {
 	d := r.Directory()
 	pl := placer{call: c, model: r.loads.EngineModel(c.Service), slo: c.slo(), left: c.ReceivedAt.Add(c.Route.LatencyTarget).Sub(now)}
-	decodes := r.sample(pl.withRoom(pl.addCosts(r.candidates(now, d.Endpoints(c.Service.Name, Decode), o)), o.fill), c.ContentHash, o.warm)
+	decodes := r.sample(pl.withRoom(pl.addCosts(r.candidates(now, ofVersion(d.Endpoints(c.Service.Name, Decode), o.version), o)), o.fill), c.ContentHash, o.warm)
 	if len(decodes) == 0 {
 		return placement{}, false
 	}
@@ -242,7 +253,7 @@
 
 // firstByHash returns the first n engines in the rendezvous order of a content hash.
 func firstByHash(content uint64, list []candidate, n int) []candidate {
-	order := rendezvousOrder(content, len(list), func(i int) string { return list[i].e.ID })
+	order := rendezvous.Order(content, len(list), func(i int) string { return list[i].e.ID })
 	first := make([]candidate, 0, n)
 	for _, i := range order[:n] {
 		first = append(first, list[i])
--- a/router/router.go
+++ b/router/router.go
@@ -14,6 +14,7 @@
 	"ebonypulley/pace"
 	"ebonypulley/poison"
 	"ebonypulley/quota"
+	"ebonypulley/release"
 	"ebonypulley/returns"
 	"ebonypulley/share"
 )
@@ -56,6 +57,7 @@
 	paces      *pace.Tracker
 	shares     *share.Table
 	calendar   *returns.Calendar
+	releases   *release.Tracker
 	log        *event.Log
 	metrics    *metrics.Set
 	directory  atomic.Pointer[Directory]
@@ -96,6 +98,7 @@
 		paces:           pace.NewTracker(),
 		shares:          share.NewTable(),
 		calendar:        returns.NewCalendar(),
+		releases:        release.NewTracker(),
 		log:             log,
 		metrics:         m,
 		budgets:         make(map[string]*limit.RetryBudget),
@@ -123,6 +126,7 @@
 	r.mu.Lock()
 	r.directory.Store(r.withoutDraining(time.Now(), d))
 	r.mu.Unlock()
+	r.setVersions(time.Now(), d)
 	r.quotas.SetLimits(d.limits)
 	known := make(map[string]bool)
 	for _, list := range d.endpoints {
@@ -149,6 +153,9 @@
 // Returns returns the calendar of promised returns.
 func (r *Router) Returns() *returns.Calendar { return r.calendar }
 
+// Releases returns the software versions of streams.
+func (r *Router) Releases() *release.Tracker { return r.releases }
+
 // SetFleetSize sets the number of entries that share the retry budget and the limits,
 // including those that no longer report.
 func (r *Router) SetFleetSize(n int) {
--- /dev/null
+++ b/router/software.go
@@ -0,0 +1,103 @@
+package router
+
+import (
+	"time"
+
+	"ebonypulley/release"
+)
+
+// versionRetryDelay is when a caller should resume at another entry that may know the version
+// of its stream.
+const versionRetryDelay = 100 * time.Millisecond
+
+var (
+	// errVersionUnknown is returned for a stream that can't go on here because it is unknown at
+	// which software version it began.
+	errVersionUnknown = ErrNotRun.NewSubtype("version-unknown")
+	// errVersionGone is returned for a stream whose software version no endpoint has any more.
+	errVersionGone = ErrNotRun.NewSubtype("version-gone")
+)
+
+// setVersions tells the tracker of versions which endpoints are published.
+func (r *Router) setVersions(now time.Time, d *Directory) {
+	for name := range d.services {
+		endpoints := d.Endpoints(name, Decode)
+		list := make([]release.Endpoint, 0, len(endpoints))
+		for _, e := range endpoints {
+			list = append(list, release.Endpoint{ID: e.ID, Version: e.SoftwareVersion})
+		}
+		r.releases.SetEndpoints(now, name, list)
+	}
+}
+
+// beginnerID returns the ID of the request that brings, or brought, the first event of the
+// stream; empty if unknown.
+func (c *Call) beginnerID() string {
+	if c.ResumeAfter == NoEvent {
+		return c.ID
+	}
+	return c.Resumes
+}
+
+// tracksVersion reports whether the stream may go on after it broke off.
+func (g *generationRun) tracksVersion() bool { return g.c.Route.Resumable && !g.r.usesAgents() }
+
+// chooseVersion chooses the software version of a new stream, and finds that of one that the
+// caller resumes.
+func (g *generationRun) chooseVersion() error {
+	if !g.tracksVersion() {
+		return nil
+	}
+	if g.c.ResumeAfter == NoEvent {
+		g.version = g.r.releases.Preferred(g.c.Service.Name, g.c.ID)
+		return nil
+	}
+	version, ok := g.r.releases.Find(g.earliestBegin(), g.c.Service.Name, g.c.Resumes)
+	if !ok {
+		return WithRetryAfter(errVersionUnknown.New("it is unknown at which software version %q began", g.c.Resumes), versionRetryDelay)
+	}
+	g.version, g.versionFixed = version, true
+	return nil
+}
+
+// earliestBegin returns when the stream that the caller resumes began at the earliest: with the
+// caller's first attempt, whose timeout was no longer than that of the route or the longest seen.
+func (g *generationRun) earliestBegin() time.Time {
+	first := max(g.r.longestTimeout(g.c), g.c.Route.Timeout)
+	return g.c.ReceivedAt.Add(g.c.Timeout - first)
+}
+
+// fixVersion records at which software version the stream goes on from now on.
+func (g *generationRun) fixVersion(at *Endpoint) {
+	if g.tracksVersion() {
+		g.version, g.versionFixed = at.SoftwareVersion, true
+	}
+}
+
+// announceVersion records that a stream is about to begin at an endpoint, so that other entries
+// hear of it before its caller has the first event.
+func (g *generationRun) announceVersion(at *Endpoint) {
+	if id := g.c.beginnerID(); id != "" && g.tracksVersion() {
+		g.r.releases.Begin(time.Now(), g.c.Service.Name, id, at.SoftwareVersion)
+	}
+}
+
+// endVersion records that the stream no longer runs at this entry.
+func (g *generationRun) endVersion() {
+	if id := g.c.beginnerID(); id != "" && g.tracksVersion() {
+		g.r.releases.End(id)
+	}
+}
+
+// versionGone reports whether the stream can go on only at a software version that no endpoint has.
+func (g *generationRun) versionGone() bool {
+	if !g.versionFixed {
+		return false
+	}
+	for _, e := range g.r.Directory().Endpoints(g.c.Service.Name, Decode) {
+		if e.SoftwareVersion == g.version {
+			return false
+		}
+	}
+	return true
+}
--- a/router/stream.go
+++ b/router/stream.go
@@ -20,6 +20,7 @@
 	if err := g.chargeArrival(); err != nil {
 		return err
 	}
+	g.announceVersion(p.decode)
 	attemptCtx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	w := g.r.startWatchdog(p.decode, stepLimits(g.timeToFirstEvent(p, start), g.callerTimeLeft(time.Now())), cancel)
@@ -182,6 +183,7 @@
 	if ev.Number != NoEvent && ev.Number <= g.lastEvent {
 		return nil
 	}
+	g.fixVersion(at)
 	if err := g.begin(s); err != nil {
 		return err
 	}
--- a/router/version_test.go
+++ b/router/version_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/stretchr/testify/assert"
 
+	"ebonypulley"
 	"ebonypulley/event"
 	"ebonypulley/metrics"
 	"ebonypulley/router"
@@ -32,6 +33,8 @@
 
 	mu      sync.Mutex
 	callers sync.WaitGroup
+	// end ends what entries tell each other.
+	end func()
 	// started counts first attempts, begun those that brought an event; resumed counts attempts
 	// to resume, continued those that brought one. joined counts streams of two versions.
 	started, begun, resumed, continued, joined int
@@ -117,6 +120,9 @@
 	for range entries {
 		s.entries = append(s.entries, s.start())
 	}
+	var ctx context.Context
+	ctx, s.end = context.WithCancel(t.Context())
+	go s.exchange(ctx)
 	return s
 }
 
@@ -197,6 +203,44 @@
 	e.kill()
 	e.router, e.ctx, e.kill = next.router, next.ctx, next.kill
 	s.mu.Unlock()
+	for _, other := range s.routers() {
+		if other != next.router {
+			next.router.Releases().MergeHistory(time.Now(), other.Releases().History(time.Now()))
+			next.router.Releases().Merge(time.Now(), other.Releases().Exceptions(time.Now()))
+		}
+	}
+}
+
+// routers returns the routers of the entries that hear of each other.
+func (s *versionSite) routers() (list []*router.Router) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, e := range s.entries {
+		if !e.isolated {
+			list = append(list, e.router)
+		}
+	}
+	return list
+}
+
+// exchange tells the entries of each other's streams until ctx ends.
+func (s *versionSite) exchange(ctx context.Context) {
+	type link struct{ from, to *router.Router }
+	sent := make(map[link]uint64)
+	for ebonypulley.Sleep(ctx, 50*time.Millisecond) {
+		list := s.routers()
+		for _, from := range list {
+			for _, to := range list {
+				l := link{from, to}
+				if from == to {
+					continue
+				}
+				updates, upTo := from.Releases().Updates(time.Now(), sent[l])
+				sent[l] = upTo
+				to.Releases().Merge(time.Now(), updates)
+			}
+		}
+	}
 }
 
 // run sends streams for a time.
@@ -215,7 +259,9 @@
 	began, first := time.Now(), ""
 	sink := &versionSink{last: router.NoEvent, versions: make(map[string]bool)}
 	for try := range 4 {
-		c := newCall(resumableRoute, llm)
+		route := resumableRoute
+		route.Timeout = 14 * time.Second
+		c := newCall(route, llm)
 		c.ID, c.ContentHash = fmt.Sprintf("%x-%d", id, try), uint64(id)
 		c.Deadline = began.Add(14 * time.Second)
 		c.Timeout = time.Until(c.Deadline)
@@ -248,10 +294,12 @@
 	return fail == nil
 }
 
+// count counts an attempt. One to resume counts while two engines of the version serve.
 func (s *versionSite) count(try int, before int64, sink *versionSink) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	switch {
+	case before != router.NoEvent && s.published(sink.versions) < 2:
 	case before != router.NoEvent:
 		s.resumed++
 		if sink.last > before {
@@ -262,10 +310,21 @@
 	}
 }
 
+// published returns the number of published engines of any of the versions.
+func (s *versionSite) published(versions map[string]bool) (n int) {
+	for _, e := range s.engines {
+		if versions[e.SoftwareVersion] {
+			n++
+		}
+	}
+	return n
+}
+
 // check ends the load. At most two streams may hold events of two versions; of those that
 // callers resume at least half the share must go on that begins of new streams.
 func (s *versionSite) check() {
 	s.callers.Wait()
+	s.end()
 	s.t.Logf("%d streams, %d begun; %d resumed, %d went on; %d of two versions", s.started, s.begun, s.resumed, s.continued, s.joined)
 	assert.LessOrEqual(s.t, s.joined, 2)
 	assert.GreaterOrEqual(s.t, s.resumed, 12)
--- a/wire/report.go
+++ b/wire/report.go
@@ -83,6 +83,29 @@
 	WaitingBy []WorkspaceWaiting
 	// Returns are the returns that the sender promised to refused callers.
 	Returns []PromisedReturns
+	// Begun are streams whose software version others can't work out. Each is sent once on a
+	// connection and adds to the earlier ones.
+	Begun []StreamVersion
+}
+
+// StreamVersion is the software version of a stream, as in release.Update.
+type StreamVersion struct {
+	Request uint64
+	Version string
+}
+
+// ServiceVersions are the endpoints of a service that changed lately, as in release.History.
+type ServiceVersions struct {
+	Service string
+	Age     time.Duration
+	Changes []EndpointVersion
+}
+
+// EndpointVersion is an endpoint that was added or removed, as in release.Change.
+type EndpointVersion struct {
+	Endpoint       uint64
+	Version        string
+	Added, Removed time.Duration
 }
 
 // EndpointLoad is what an endpoint said of its load, as in pace.Report.
@@ -188,6 +211,11 @@
 	// Corrects is set if Entries were written later than what the receiver has under the
 	// same revisions; UpTo is 0 then.
 	Corrects bool
+	// Versions are the services with endpoints of several software versions, and Begun the
+	// latest streams whose version others can't work out, of all entries. Both are in the
+	// first reply on a connection only.
+	Versions []ServiceVersions
+	Begun    []StreamVersion
 }
 
 // At returns the revision of the sender's catalog.
