A stream whose software version has vanished with all endpoints waits for room

Published endpoints may all lapse for a moment while the store is down; a stream then waited, and was refused at once since versions are told apart. Refused only if other versions are published. An unknown version books no return.

--- a/router/generate.go
+++ b/router/generate.go
@@ -97,7 +97,7 @@
 	defer g.dropKept()
 	defer g.returnPrepaid()
 	if err := g.chooseVersion(); err != nil {
-		return g.finish(ctx, err)
+		return nil, &Failure{Reason: NotRun, Cause: err, RetryAfter: versionRetryDelay}
 	}
 	defer g.endVersion()
 	if c.ResumeAfter != NoEvent {
--- a/router/software.go
+++ b/router/software.go
@@ -54,7 +54,7 @@
 	}
 	version, ok := g.r.releases.Find(g.earliestBegin(), g.c.Service.Name, g.c.Resumes)
 	if !ok {
-		return WithRetryAfter(errVersionUnknown.New("it is unknown at which software version %q began", g.c.Resumes), versionRetryDelay)
+		return errVersionUnknown.New("it is unknown at which software version %q began", g.c.Resumes)
 	}
 	g.version, g.versionFixed = version, true
 	return nil
@@ -89,15 +89,12 @@
 	}
 }
 
-// versionGone reports whether the stream can go on only at a software version that no endpoint has.
+// versionGone reports whether the stream can go on only at a software version that no endpoint
+// has, although there are others.
 func (g *generationRun) versionGone() bool {
 	if !g.versionFixed {
 		return false
 	}
-	for _, e := range g.r.Directory().Endpoints(g.c.Service.Name, Decode) {
-		if e.SoftwareVersion == g.version {
-			return false
-		}
-	}
-	return true
+	endpoints := g.r.Directory().Endpoints(g.c.Service.Name, Decode)
+	return len(endpoints) > 0 && len(ofVersion(endpoints, g.version)) == 0
 }
