Soak of processes: workers of two software versions, and callers that resume

Each start of a worker changes its version; a caller resumes a stream that broke off once, at any entry, with Last-Event-Id and Resumes. Over two joined streams are a violation. Exchange of versions over real links: TestVersionsOfStreamsAreReported, TestNewcomerHearsOfVersions.

--- a/gossip/gossip_test.go
+++ b/gossip/gossip_test.go
@@ -17,6 +17,8 @@
 	"ebonypulley/gossip"
 	"ebonypulley/poison"
 	"ebonypulley/quota"
+	"ebonypulley/release"
+	"ebonypulley/rendezvous"
 	"ebonypulley/revision"
 	"ebonypulley/router"
 	"ebonypulley/wire"
@@ -322,3 +324,50 @@
 	assert.Equal(t, "new", string(got.Value))
 	assert.EqualValues(t, 1, former.answers.Load())
 }
+
+// TestVersionsOfStreamsAreReported guards against an entry that joins two software versions
+// because it doesn't hear which streams others began at another version than it would work out.
+func TestVersionsOfStreamsAreReported(t *testing.T) {
+	nodes := pair(t, func(_ int, n *gossip.Node) {
+		n.Releases.SetEndpoints(time.Now(), "s", []release.Endpoint{{ID: "a", Version: "v1"}, {ID: "b", Version: "v2"}})
+	})
+	for request, version := range map[string]string{"r1": "v1", "r2": "v2", "r3": "v3"} {
+		nodes[0].Releases.Begin(time.Now(), "s", request, version)
+		require.Eventually(t, func() bool {
+			found, ok := nodes[1].Releases.Find(time.Now(), "s", request)
+			return ok && found == version
+		}, 5*time.Second, 10*time.Millisecond)
+	}
+}
+
+// TestNewcomerHearsOfVersions guards against an entry that has started and can't tell the versions
+// of streams, or takes one that began before a change of the endpoints for one of after it.
+func TestNewcomerHearsOfVersions(t *testing.T) {
+	nodes := pair(t, func(i int, n *gossip.Node) {
+		published := []release.Endpoint{{ID: "a", Version: "v1"}, {ID: "b", Version: "v2"}}
+		if i == 0 { // it has been there for longer, and has heard from one that is gone
+			n.Releases.SetEndpoints(time.Now().Add(-time.Minute), "s", append(published, release.Endpoint{ID: "c", Version: "v3"}))
+			n.Releases.Merge(time.Now(), []release.Update{{Request: rendezvous.Hash("r1"), Version: "v3"}})
+		}
+		n.Releases.SetEndpoints(time.Now(), "s", published)
+	})
+	find := func(node int, request string) (string, bool) {
+		return nodes[node].Releases.Find(time.Now().Add(-5*time.Second), "s", request)
+	}
+	require.Eventually(t, func() bool {
+		version, ok := find(1, "r1")
+		return ok && version == "v3"
+	}, 5*time.Second, 10*time.Millisecond)
+	known := 0
+	for i := range 100 {
+		request := fmt.Sprint("x", i)
+		want, ok := find(0, request)
+		got, found := find(1, request)
+		assert.Equal(t, ok, found)
+		assert.Equal(t, want, got)
+		if ok {
+			known++
+		}
+	}
+	assert.InDelta(t, 67, known, 20, "those of the first two endpoints")
+}
--- a/soak/processes/caller.go
+++ b/soak/processes/caller.go
@@ -41,8 +41,7 @@
 			defer client.CloseIdleConnections()
 			for n := 0; ctx.Err() == nil; n++ {
 				caller := r.pickIdentity()
-				id := attemptID(fmt.Sprintf("%d-%d-%d", r.set.Seed, i, n), caller)
-				r.request(ctx, client, r.entries[r.randomInt(len(r.entries))], requestKinds[r.randomInt(len(requestKinds))], id, caller)
+				r.call(ctx, client, requestKinds[r.randomInt(len(requestKinds))], fmt.Sprintf("%d-%d-%d", r.set.Seed, i, n), caller)
 				time.Sleep(time.Duration(r.randomInt(40)) * time.Millisecond)
 			}
 		})
@@ -52,8 +51,22 @@
 // callerCount is the number of concurrent callers.
 const callerCount = 12
 
+// call sends a request, and resumes its stream once if that breaks off.
+func (r *run) call(ctx context.Context, client *http.Client, k requestKind, name string, caller identity) {
+	s := &stream{next: 1, versions: make(map[string]bool)}
+	r.request(ctx, client, r.pickEntry(), k, attemptID(name, caller), caller, s)
+	if s.broken && !k.atMostOnce {
+		r.request(ctx, client, r.pickEntry(), k, attemptID(name+"r", caller), caller, s)
+	}
+	if len(s.versions) > 1 {
+		r.joined.Add(1)
+	}
+}
+
+func (r *run) pickEntry() *entry { return r.entries[r.randomInt(len(r.entries))] }
+
 // request sends one request and checks how it ends.
-func (r *run) request(ctx context.Context, client *http.Client, e *entry, k requestKind, id string, caller identity) {
+func (r *run) request(ctx context.Context, client *http.Client, e *entry, k requestKind, id string, caller identity, s *stream) {
 	began, process := time.Now(), e.processNumber()
 	ctx, cancel := context.WithTimeout(ctx, callerTimeout)
 	defer cancel()
@@ -75,13 +88,17 @@
 	if k.stream {
 		standin.SetPromptHeaders(req.Header, promptTokens, outputTokens, r.randomInt(1<<20))
 	}
+	if s.next > 1 {
+		standin.SetResumeHeaders(req.Header, s.next-1, s.firstAttempt)
+	}
 	resp, err := client.Do(req)
 	if err == nil {
-		err = r.checkAnswer(resp, k, id)
+		err = r.checkAnswer(resp, k, id, s)
 		_ = resp.Body.Close()
 		r.checkIdentity(e, id, caller, resp.StatusCode, began, process)
 	}
 	r.countOutcome(resp, err)
+	s.broken = errors.Is(err, errBrokenStream) && s.next > 1 && ctx.Err() == nil
 	if disconnects && ctx.Err() != nil {
 		r.checkAborted(e, id, time.Now(), process)
 		return
@@ -101,10 +118,10 @@
 
 // checkAnswer reads and checks an answer. It returns an error if the answer is
 // wrong or visibly aborted.
-func (r *run) checkAnswer(resp *http.Response, k requestKind, id string) error {
+func (r *run) checkAnswer(resp *http.Response, k requestKind, id string, s *stream) error {
 	switch {
 	case resp.StatusCode == http.StatusOK && k.stream:
-		return r.checkStream(resp, id)
+		return r.checkStream(resp, id, s)
 	case resp.StatusCode == http.StatusOK:
 		body, err := io.ReadAll(resp.Body)
 		if err == nil && string(body) != "answer to "+id {
@@ -122,25 +139,44 @@
 	return nil
 }
 
-func (r *run) checkStream(resp *http.Response, id string) error {
+// stream is what a caller has of a stream.
+type stream struct {
+	// next is the number of the next event, firstAttempt the ID of the attempt that brought the
+	// first one.
+	next         int
+	firstAttempt string
+	// versions are the software versions of the workers that wrote the events.
+	versions map[string]bool
+	// broken says that the last attempt ended in the middle of the stream.
+	broken bool
+}
+
+// maxJoinedStreams is how many streams may hold events of two software versions.
+const maxJoinedStreams = 2
+
+func (r *run) checkStream(resp *http.Response, id string, s *stream) error {
 	lines := bufio.NewScanner(resp.Body)
-	next := 1
 	for lines.Scan() {
 		data, ok := strings.CutPrefix(lines.Text(), "data: ")
 		if !ok {
 			continue
 		}
-		if data != fmt.Sprintf("%s %d", id, next) {
-			r.violation("stream %s: event %d is %q", id, next, data)
+		version, ok := strings.CutPrefix(data, fmt.Sprintf("%s %d ", id, s.next))
+		if !ok {
+			r.violation("stream %s: event %d is %q", id, s.next, data)
 			return errWrongAnswer
 		}
-		next++
+		if s.next == 1 {
+			s.firstAttempt = id
+		}
+		s.versions[version] = true
+		s.next++
 	}
 	if err := lines.Err(); err != nil {
 		return errors.Join(errBrokenStream, err)
 	}
-	if next <= streamEvents {
-		r.violation("stream %s ended without an error after %d of %d events", id, next-1, streamEvents)
+	if s.next <= streamEvents {
+		r.violation("stream %s ended without an error after %d of %d events", id, s.next-1, streamEvents)
 	}
 	return nil
 }
--- a/soak/processes/run.go
+++ b/soak/processes/run.go
@@ -58,6 +58,8 @@
 	activeFaults atomic.Int64
 	lastFaultEnd atomic.Int64
 	version      atomic.Int64
+	// joined counts streams with events of two software versions.
+	joined atomic.Int64
 
 	mu         sync.Mutex
 	rnd        *rand.Rand
@@ -109,6 +111,9 @@
 	r.wg.Wait()
 	r.checkExecutions()
 	r.checkQuota()
+	if n := r.joined.Load(); n > maxJoinedStreams {
+		r.violation("%d streams hold events of two software versions", n)
+	}
 	r.report.Violations, r.report.Dir, r.report.Faults = r.violations, r.dir, r.faults.Load()
 	if len(r.violations) == 0 {
 		_ = os.RemoveAll(r.dir) // a failure only leaves logs behind
@@ -124,10 +129,10 @@
 	}
 	r.storeAddr = ln.Addr().String()
 	go func() { _ = http.Serve(ln, r.store.Handler()) }() // runs until the program exits
-	for _, w := range []struct{ service, stage string }{
+	for i, w := range []struct{ service, stage string }{
 		{"app", ""}, {"app", ""}, {"app", ""}, {"llm", "prefill"}, {"llm", "prefill"}, {"llm", "decode"}, {"llm", "decode"}, {"llm", "decode"},
 	} {
-		k, err := newWorker(w.service, w.stage, r.executions, r.violation)
+		k, err := newWorker(i, w.service, w.stage, r.executions, r.violation)
 		if err != nil {
 			return err
 		}
--- a/soak/processes/worker.go
+++ b/soak/processes/worker.go
@@ -74,6 +74,7 @@
 // another, each with its own instance ID.
 type worker struct {
 	service, stage string
+	number         int
 	proxy          *proxy
 	server         *http.Server
 	executions     *executionLog
@@ -88,12 +89,12 @@
 	lastStart     time.Time // when it last began to run a request
 }
 
-func newWorker(service, stage string, executions *executionLog, onViolation func(string, ...any)) (*worker, error) {
+func newWorker(number int, service, stage string, executions *executionLog, onViolation func(string, ...any)) (*worker, error) {
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return nil, err
 	}
-	k := &worker{service: service, stage: stage, executions: executions, onViolation: onViolation}
+	k := &worker{number: number, service: service, stage: stage, executions: executions, onViolation: onViolation}
 	k.server = &http.Server{Handler: k, ReadHeaderTimeout: time.Minute}
 	go func() { _ = k.server.Serve(ln) }() // runs until tearDown closes the server
 	if k.proxy, err = newProxy("127.0.0.1:0", ln.Addr().String()); err != nil {
@@ -112,12 +113,16 @@
 	k.drainingSince = time.Time{}
 }
 
+// softwareVersion returns the version of the worker's software. Each start installs another
+// one of two. The caller holds k.mu.
+func (k *worker) softwareVersion() string { return fmt.Sprintf("v%d", 1+(k.number+k.incarnations)%2) }
+
 // storeEntry returns the worker's entry in the store.
 func (k *worker) storeEntry(state string) (key string, value any) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	e := standin.NewWorkerEntry(k.service, k.proxy.addr(), k.stage)
-	e.Slots, e.State = 16, state
+	e.Slots, e.State, e.Version = 16, state, k.softwareVersion()
 	return "servers/" + k.id, e
 }
 
@@ -160,6 +165,7 @@
 	defer k.executions.end(id)
 	k.mu.Lock()
 	k.lastStart = time.Now()
+	version := k.softwareVersion()
 	k.mu.Unlock()
 	standin.SetAnswerHeaders(w.Header(), id)
 	if k.stage == "" {
@@ -175,7 +181,7 @@
 			return
 		case <-time.After(eventGap):
 		}
-		_, _ = fmt.Fprintf(w, "id: %d\ndata: %s %d\n\n", i, id, i)
+		_, _ = fmt.Fprintf(w, "id: %d\ndata: %s %d %s\n\n", i, id, i, version)
 		_ = ctl.Flush()
 	}
 }
--- a/standin/wire.go
+++ b/standin/wire.go
@@ -16,6 +16,13 @@
 	h.Set("Deadline-Ms", strconv.FormatInt(wait.Milliseconds(), 10))
 }
 
+// SetResumeHeaders sets the headers with which a client resumes a stream after an event; first is
+// the ID of the attempt that brought its first event.
+func SetResumeHeaders(h http.Header, after int, first string) {
+	h.Set("Last-Event-Id", strconv.Itoa(after))
+	h.Set("Resumes", first)
+}
+
 // SetPromptHeaders sets the headers that a client sends with a generation: the
 // number of prompt tokens, the maximum number of output tokens, and the prefixes
 // of the prompt. The first 100 tokens are common to all sessions; the rest belongs
