A stream begins at another version than the preferred one only if all entries hear of it

Cause: an entry reports to 96 others at most. In a larger fleet the others would work out the preferred version for a stream that began at another, and join the two. Also while a link is down. Change: then new streams keep to the preferred version; they wait, or are refused, while it has no room. Cost: in fleets of over 97 entries, while versions are mixed and one is full. TestNewStreamsOfEntriesThatAreNotHeard.

--- a/gossip/link.go
+++ b/gossip/link.go
@@ -79,6 +79,7 @@
 	defer n.mu.Unlock()
 	lost = n.members.ExpireSilent(now)
 	n.reconcileLinks(ctx, n.members.Targets(now))
+	n.Releases.SetReachesAll(n.reachesAll(now))
 	for _, addr := range lost {
 		delete(n.revisions, addr)
 	}
--- a/gossip/members.go
+++ b/gossip/members.go
@@ -299,6 +299,9 @@
 	return list
 }
 
+// TargetsAll reports whether the targets are all known entries.
+func (m *Members) TargetsAll(now time.Time) bool { return len(m.knownAddrs(now)) <= maxPeers }
+
 // knownAddrs returns the seeds and the known entries, and forgets those that no entry
 // mentions any more.
 func (m *Members) knownAddrs(now time.Time) []string {
--- a/gossip/releases.go
+++ b/gossip/releases.go
@@ -28,6 +28,20 @@
 	return list
 }
 
+// reachesAll reports whether all entries that are alive get this one's reports. The caller holds
+// n.mu.
+func (n *Node) reachesAll(now time.Time) bool {
+	if !n.members.TargetsAll(now) {
+		return false
+	}
+	for _, addr := range n.members.Alive(now) {
+		if l := n.links[addr]; l == nil || l.conn == nil {
+			return false
+		}
+	}
+	return true
+}
+
 // mergeStreams merges the software versions of streams of another entry.
 func (n *Node) mergeStreams(now time.Time, list []wire.StreamVersion) {
 	updates := make([]release.Update, 0, len(list))
--- a/release/release.go
+++ b/release/release.go
@@ -44,6 +44,8 @@
 	// last number.
 	told   []toldStream
 	latest uint64
+	// unreached says that not all entries hear of exceptions.
+	unreached bool
 }
 
 // service holds the endpoints of a service.
--- a/release/told.go
+++ b/release/told.go
@@ -52,6 +52,21 @@
 	}
 }
 
+// SetReachesAll sets whether all other entries hear of this one's exceptions.
+func (t *Tracker) SetReachesAll(all bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.unreached = !all
+}
+
+// MayDiffer reports whether a new stream may begin at another version than the preferred one. If
+// some entries don't hear of it, they would resume it at the preferred one.
+func (t *Tracker) MayDiffer() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return !t.unreached
+}
+
 // forgetTold forgets old exceptions. The caller holds t.mu.
 func (t *Tracker) forgetTold(now time.Time) {
 	for len(t.told) > 0 && now.Sub(t.told[0].at) > toldRetention {
--- a/router/version_test.go
+++ b/router/version_test.go
@@ -40,6 +40,39 @@
 	started, begun, resumed, continued, joined int
 }
 
+// TestNewStreamsOfEntriesThatAreNotHeard guards against streams that begin at another version than
+// the preferred one although not all entries hear of it, and are resumed at the wrong one. While
+// all hear of it, no stream is refused for want of room at one version.
+func TestNewStreamsOfEntriesThatAreNotHeard(t *testing.T) {
+	for _, all := range []bool{true, false} {
+		synctest.Test(t, func(t *testing.T) {
+			first, second := engine("a", router.Decode), engine("b", router.Decode)
+			first.SoftwareVersion, second.SoftwareVersion = "v1", "v2"
+			f := &fakeEndpoints{generate: func(e *router.Endpoint, _ router.Start) error {
+				if e.SoftwareVersion == "v1" {
+					return router.ErrNotRun.New("full")
+				}
+				return nil
+			}}
+			r := newRouter(f, first, second)
+			r.Releases().SetReachesAll(all)
+			served := 0
+			for i := range 8 {
+				c := newCall(resumableRoute, llm)
+				c.ID = fmt.Sprint(i)
+				_, fail := r.Generate(t.Context(), c, new(fakeSink))
+				preferred := r.Releases().Preferred("llm", c.ID)
+				assert.Equal(t, all || preferred == "v2", fail == nil, preferred)
+				if fail == nil {
+					served++
+				}
+				time.Sleep(10 * time.Second)
+			}
+			assert.NotZero(t, served)
+		})
+	}
+}
+
 // versionEntry is one entry. An isolated one does not learn of changes of the engines.
 type versionEntry struct {
 	isolated bool
