release: exceptions are remembered for as long as streams last

Cause: versions of streams and changes of endpoints were forgotten after a minute, all of them at 16,384 streams, and then worked out anew, which is wrong for an exception. Change: five minutes; of too many streams those are forgotten first that can be worked out, those in progress never; a change that is forgotten limits how far back an entry knows. TestExceptionsAreForgottenLast.

--- a/release/history.go
+++ b/release/history.go
@@ -6,9 +6,9 @@
 	"ebonypulley/rendezvous"
 )
 
-// historyTime is how far back entries tell each other of changes of the endpoints: as long as a
-// stream may last.
-const historyTime = 20 * time.Second
+// historyTime is how far back entries tell each other of changes of the endpoints. Of streams
+// that began before it, an entry that has started may not know the version.
+const historyTime = time.Minute
 
 // History is what an entry knows of the versions of a service, for an entry that has started.
 type History struct {
--- a/release/release.go
+++ b/release/release.go
@@ -19,11 +19,11 @@
 const (
 	// viewLag is how much later than another entry one may learn of a change of the endpoints.
 	viewLag = time.Second
-	// retention is how long removed endpoints and streams are remembered. Streams are shorter.
-	retention = time.Minute
+	// retention is how long removed endpoints and streams are remembered.
+	retention = 5 * time.Minute
 	// sweepInterval is the pause between two searches for what is to be forgotten.
 	sweepInterval = 5 * time.Second
-	// maxStreams bounds the streams that are remembered.
+	// maxStreams bounds the streams that are remembered; they take 100 bytes each.
 	maxStreams = 1 << 14
 )
 
@@ -111,6 +111,8 @@
 		}
 		if m.removed.IsZero() || now.Sub(m.removed) <= retention {
 			kept = append(kept, m)
+		} else if m.removed.After(s.since) {
+			s.since = m.removed
 		}
 	}
 	s.members = kept
@@ -240,15 +242,24 @@
 	return m.removed.IsZero() || m.removed.After(after)
 }
 
-// sweep forgets old streams. The caller holds t.mu.
+// sweep forgets old streams. Of too many, those are forgotten first whose version can be worked
+// out. The caller holds t.mu.
 func (t *Tracker) sweep(now time.Time) {
 	if now.Sub(t.swept) < sweepInterval && len(t.streams) < maxStreams {
 		return
 	}
 	t.swept = now
-	maps.DeleteFunc(t.streams, func(_ uint64, x *stream) bool { return now.Sub(x.begun) > retention })
+	t.forgetTold(now)
+	t.forget(func(x *stream) bool { return now.Sub(x.begun) > retention })
 	if len(t.streams) >= maxStreams {
-		clear(t.streams)
+		t.forget(func(x *stream) bool { return !x.told })
 	}
-	t.forgetTold(now)
+	if len(t.streams) >= maxStreams {
+		t.forget(func(*stream) bool { return true })
+	}
+}
+
+// forget forgets the streams, other than those that run at this entry, for which old reports true.
+func (t *Tracker) forget(old func(*stream) bool) {
+	maps.DeleteFunc(t.streams, func(_ uint64, x *stream) bool { return !x.own && old(x) })
 }
--- a/release/release_test.go
+++ b/release/release_test.go
@@ -176,3 +176,21 @@
 	list, _ = tracker.Updates(now, upTo)
 	assert.Empty(t, list)
 }
+
+// TestExceptionsAreForgottenLast guards against an entry with many streams that forgets the version
+// of those that it can't work out.
+func TestExceptionsAreForgottenLast(t *testing.T) {
+	tracker := release.NewTracker()
+	tracker.SetEndpoints(epoch, "s", endpoints("v1", "v1", "v2"))
+	now := epoch.Add(5 * time.Second)
+	tracker.Begin(now, "s", "own", "v3")
+	tracker.End("own")
+	for i := range 1 << 15 {
+		id := fmt.Sprint(i)
+		tracker.Begin(now, "s", id, tracker.Preferred("s", id))
+		tracker.End(id)
+	}
+	version, ok := tracker.Find(now, "s", "own")
+	assert.True(t, ok)
+	assert.Equal(t, "v3", version)
+}
--- a/release/told.go
+++ b/release/told.go
@@ -10,7 +10,7 @@
 	// maxTold bounds the exceptions that are remembered to be told to others.
 	maxTold = 1 << 10
 	// toldRetention is how long they are told to entries that have not heard of them.
-	toldRetention = 15 * time.Second
+	toldRetention = time.Minute
 	// maxRelayed bounds the exceptions of all entries that are told to one that has started.
 	maxRelayed = 128
 )
