--- a/router/budget_load_test.go
+++ b/router/budget_load_test.go
@@ -161,7 +161,8 @@
 	c.ID = strconv.Itoa(len(f.requests))
 	f.requests = append(f.requests, time.Now())
 	f.mu.Unlock()
-	go func() { _, _ = e.router.Generate(e.ctx, c, new(fakeSink)) }()
+	r, ctx := e.router, e.ctx // a restart replaces both
+	go func() { _, _ = r.Generate(ctx, c, new(fakeSink)) }()
 }
 
 // check ends the load and checks the budget.
