Comments: no figures of memory and of error bounds

Figures belong to docs/CAPACITY.md: a remembered stream takes some 100 bytes, calculated; the bounds of a window leave out up to a fifth of a percent of it.

--- a/limit/history.go
+++ b/limit/history.go
@@ -4,7 +4,7 @@
 
 const (
 	// windowSlots is the number of slots of a window. Bounds leave out or add the slots at
-	// both ends: a fifth of a percent of the window.
+	// both ends.
 	windowSlots = 1000
 	// historySlots is the number of slots that a history holds: two windows at least, and a
 	// power of two, for which the remainder is fast to compute.
--- a/release/release.go
+++ b/release/release.go
@@ -23,7 +23,7 @@
 	retention = 5 * time.Minute
 	// sweepInterval is the pause between two searches for what is to be forgotten.
 	sweepInterval = 5 * time.Second
-	// maxStreams bounds the streams that are remembered; they take 100 bytes each.
+	// maxStreams bounds the streams that are remembered.
 	maxStreams = 1 << 14
 )
 
