memory: a budget of memory for the parts of a process

Cause: connections, bodies, answers and frames for peers each have a bound of their own, or none; nothing bounds their sum. Change: the budget that they will share. Nothing uses it yet.

--- /dev/null
+++ b/memory/memory.go
@@ -0,0 +1,101 @@
+// Package memory divides the memory of a process among its parts, so that none of them
+// alone, and not all of them together, can exceed the memory limit of the VM.
+//
+// What the kernel ends for its memory loses all that it has in hand. Each part therefore
+// takes memory from its share before it accepts work, and refuses work that does not fit. It
+// does no I/O.
+package memory
+
+import "sync"
+
+// Share is a part of the process that takes memory.
+type Share uint8
+
+const (
+	// Connections are the connections of callers, with their goroutines and buffers.
+	Connections Share = iota
+	// Bodies are the bodies of requests, from their first byte until their answer has ended.
+	Bodies
+	// Answers are buffered answers.
+	Answers
+	// Peers are the frames that are queued for other processes.
+	Peers
+	shares
+)
+
+var shareNames = [shares]string{"connections", "bodies", "answers", "peers"}
+
+// String returns the name of the share, as in metrics and logs.
+func (s Share) String() string { return shareNames[s] }
+
+// fractions is the part of the memory limit that each share may take. The rest is for the
+// process itself, the published configuration and the garbage that is not collected yet.
+var fractions = [shares]float64{Connections: 0.25, Bodies: 0.12, Answers: 0.08, Peers: 0.08}
+
+// Budget holds what the shares use. It is safe for concurrent use; a nil Budget has no limits.
+type Budget struct {
+	// OnFull, if set, is called when a share refuses memory after it had room.
+	OnFull func(s Share)
+
+	mu     sync.Mutex
+	limits [shares]int64
+	used   [shares]int64
+	full   [shares]bool
+}
+
+// NewBudget returns a budget for a process with a memory limit in bytes; zero means no limit.
+func NewBudget(limit int64) *Budget {
+	b := &Budget{}
+	for s, f := range fractions {
+		b.limits[s] = int64(f * float64(limit))
+	}
+	return b
+}
+
+// Take takes n bytes for a share. It returns false, and takes nothing, if they don't fit.
+func (b *Budget) Take(s Share, n int64) bool {
+	if b == nil {
+		return true
+	}
+	b.mu.Lock()
+	limit := b.limits[s]
+	ok := limit <= 0 || b.used[s]+n <= limit
+	if ok {
+		b.used[s] += n
+	}
+	first := !ok && !b.full[s]
+	b.full[s] = !ok
+	b.mu.Unlock()
+	if first && b.OnFull != nil {
+		b.OnFull(s)
+	}
+	return ok
+}
+
+// Release returns n bytes that were taken for a share.
+func (b *Budget) Release(s Share, n int64) {
+	if b == nil {
+		return
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.used[s] -= n
+}
+
+// Used returns the bytes that a share has taken.
+func (b *Budget) Used(s Share) int64 {
+	if b == nil {
+		return 0
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.used[s]
+}
+
+// Limit returns the bytes that a share may take; zero means no limit.
+func (b *Budget) Limit(s Share) int64 {
+	if b == nil {
+		return 0
+	}
+	return b.limits[s]
+}
