--- a/router/model.go
+++ b/router/model.go
@@ -196,6 +196,9 @@
 	// ContentHash is a hash of the request's content, equal when a caller repeats the
 	// request; zero if unknown.
 	ContentHash uint64
+	// PromptParts are the hashes of the parts of the prompt that other requests may share, in
+	// their order; empty if unknown.
+	PromptParts []uint64
 	// PromptTokens is the number of prompt tokens, MaxOutputTokens the maximum number of
 	// generated tokens. Both are zero for plain calls.
 	PromptTokens, MaxOutputTokens int
