settings: memory and descriptors of an entry's VM

Cause: an entry does not know how much memory and how many descriptors its VM has.

Negative values are findings.

Measured: settings' tests pass.

--- a/settings/platform.go
+++ b/settings/platform.go
@@ -46,6 +46,8 @@
 		notNegative("retry_slack", &s.RetrySlack),
 		notNegative("quota_overrun", &s.QuotaOverrun),
 		notNegative("quota_slack", &s.QuotaSlack),
+		notNegative("memory_mb", &s.MemoryMB),
+		notNegative("max_descriptors", &s.MaxDescriptors),
 	)
 	return s, err
 }
@@ -67,7 +69,7 @@
 	}
 }
 
-func notNegative(field string, value *float64) rule {
+func notNegative[T int | float64](field string, value *T) rule {
 	return func(src *jsonc.Source, report func(jsonc.Finding)) {
 		if *value < 0 {
 			report(src.Finding("/"+field, "%s must not be negative", field))
--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -67,9 +67,11 @@
 	_, err = settings.LoadPlatformEntry(writeFile(t, `{
   "quota_window": "0s",
   "quota_overrun": -0.1,
-  "quota_slack": -1
+  "quota_slack": -1,
+  "memory_mb": -1,
+  "max_descriptors": -1
 }`))
-	for _, field := range []string{"quota_window", "quota_overrun", "quota_slack", "name", "listen"} {
+	for _, field := range []string{"quota_window", "quota_overrun", "quota_slack", "memory_mb", "max_descriptors", "name", "listen"} {
 		assert.ErrorContains(t, err, field)
 	}
 }
