memory: the garbage collector knows the memory limit of the VM

Cause: the collector lets the heap grow by half before it runs, also where the VM has no such room.

Change: 0.85 of the limit is the runtime's soft limit if the limit is known; the growth of 50 % stays.

--- a/cmd/ebonypulley/platform.go
+++ b/cmd/ebonypulley/platform.go
@@ -7,6 +7,7 @@
 	"github.com/joomcode/errorx"
 	"github.com/urfave/cli/v3"
 
+	"ebonypulley/memory"
 	"ebonypulley/metrics"
 	"ebonypulley/platform"
 	"ebonypulley/settings"
@@ -43,6 +44,7 @@
 	if err != nil {
 		return err
 	}
+	memory.LimitRuntime(set.MemoryLimit())
 	e := platform.New(set, log)
 	e.ReadSettings = func() (platform.Settings, error) { return settings.LoadPlatformEntry(file) }
 	metrics.Publish("entry", func() any { return e.Metrics().Snapshot() })
--- a/memory/memory.go
+++ b/memory/memory.go
@@ -6,7 +6,10 @@
 // does no I/O.
 package memory
 
-import "sync"
+import (
+	"runtime/debug"
+	"sync"
+)
 
 // Share is a part of the process that takes memory.
 type Share uint8
@@ -32,6 +35,21 @@
 // process itself, the published configuration and the garbage that is not collected yet.
 var fractions = [shares]float64{Connections: 0.25, Bodies: 0.12, Answers: 0.08, Peers: 0.08}
 
+// runtimeFraction is the part of the memory limit from which on the garbage collector works
+// harder rather than let the process grow. The rest is for the memory that the Go runtime
+// does not account for: the binary, and what the kernel holds for sockets.
+const runtimeFraction = 0.85
+
+// LimitRuntime makes the garbage collector keep a process within its memory limit in bytes;
+// zero changes nothing. It returns the previous setting.
+func LimitRuntime(limit int64) int64 {
+	soft := int64(-1) // only reads the setting
+	if limit > 0 {
+		soft = int64(runtimeFraction * float64(limit))
+	}
+	return debug.SetMemoryLimit(soft)
+}
+
 // Budget holds what the shares use. It is safe for concurrent use; a nil Budget has no limits.
 type Budget struct {
 	// OnFull, if set, is called when a share refuses memory after it had room.
