--- a/memory/memory.go
+++ b/memory/memory.go
@@ -71,13 +71,16 @@
 }
 
 // Take takes n bytes for a share. It returns false, and takes nothing, if they don't fit.
-func (b *Budget) Take(s Share, n int64) bool {
+func (b *Budget) Take(s Share, n int64) bool { return b.TakeLeaving(s, n, 0) }
+
+// TakeLeaving takes n bytes for a share if at least reserve bytes of it are left then.
+func (b *Budget) TakeLeaving(s Share, n, reserve int64) bool {
 	if b == nil {
 		return true
 	}
 	b.mu.Lock()
 	limit := b.limits[s]
-	ok := limit <= 0 || b.used[s]+n <= limit
+	ok := limit <= 0 || b.used[s]+n+reserve <= limit
 	if ok {
 		b.used[s] += n
 	}
@@ -117,3 +120,18 @@
 	}
 	return b.limits[s]
 }
+
+// Use is what a share uses, in bytes; a Limit of zero means none.
+type Use struct {
+	Used  int64 `json:"used"`
+	Limit int64 `json:"limit"`
+}
+
+// Uses returns what each share uses, by name.
+func (b *Budget) Uses() map[string]Use {
+	uses := make(map[string]Use, shares)
+	for s := range shares {
+		uses[s.String()] = Use{Used: b.Used(s), Limit: b.Limit(s)}
+	}
+	return uses
+}
