--- a/memory/memory.go
+++ b/memory/memory.go
@@ -70,6 +70,14 @@
 	return b
 }
 
+// LimitUnknown limits a share to n bytes if it has no limit. It must not be called once the
+// budget is in use.
+func (b *Budget) LimitUnknown(s Share, n int64) {
+	if b.limits[s] == 0 {
+		b.limits[s] = n
+	}
+}
+
 // Take takes n bytes for a share. It returns false, and takes nothing, if they don't fit.
 func (b *Budget) Take(s Share, n int64) bool { return b.TakeLeaving(s, n, 0) }
 
