--- a/cmd/ebonypulley/platform.go
+++ b/cmd/ebonypulley/platform.go
@@ -48,6 +48,7 @@
 	e := platform.New(set, log)
 	e.ReadSettings = func() (platform.Settings, error) { return settings.LoadPlatformEntry(file) }
 	metrics.Publish("entry", func() any { return e.Metrics().Snapshot() })
+	metrics.Publish("memory", func() any { return e.MemoryShares() })
 	metrics.Publish("pace", func() any { return e.PaceSummaries() })
 	return serve(ctx, e, log, signals, set.Metrics, file)
 }
--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -106,5 +106,7 @@
 	ReleaseLost      = define(7006, zap.InfoLevel, "release of engine memory lost")
 	StoreRestored    = define(7008, zap.WarnLevel, "store was restored from a backup")
 	RelistRequired   = define(7009, zap.InfoLevel, "store no longer has the requested changes; relisting")
-	SettingsRefused  = define(7005, zap.ErrorLevel, "changed settings refused")
+	// MemoryShareFull is emitted at most once in 10 s for each share.
+	MemoryShareFull = define(7010, zap.WarnLevel, "a share of the memory is full")
+	SettingsRefused = define(7005, zap.ErrorLevel, "changed settings refused")
 )
