intake: new connections are closed unread while the process is behind

Ruled out: the lateness of a ticker: the Go scheduler runs a timer's goroutine next, ahead of the queue in which requests wait, so that it says nothing of them. A fixed number of connections that wait: too few for a whole core, too many for a seventh.

Change: the listener knows how many accepted connections wait for their first read, and how long each has lately made the others wait. A new one that would wait longer than 25 ms is closed unread; four may always wait, so that the delay is measured again. Open connections are not touched.

--- a/intake/intake_test.go
+++ b/intake/intake_test.go
@@ -52,6 +52,7 @@
 	addr     string
 	metrics  *metrics.Set
 	budget   *memory.Budget
+	listener *Listener
 	released chan struct{}
 }
 
@@ -64,9 +65,9 @@
 			<-s.released
 		}
 	})}
-	callers := NewListener(ln, s.budget, maxConns, s.metrics)
-	callers.Attach(server)
-	go func() { _ = server.Serve(callers) }()
+	s.listener = NewListener(ln, s.budget, maxConns, s.metrics)
+	s.listener.Attach(server)
+	go func() { _ = server.Serve(s.listener) }()
 	t.Cleanup(func() { _ = server.Close() })
 	return s
 }
@@ -158,3 +159,31 @@
 	c.evicted.Store(true)
 	assert.PanicsWithValue(t, http.ErrAbortHandler, func() { h.ServeHTTP(httptest.NewRecorder(), r) })
 }
+
+// Connections that end before their first request keep the process behind, as it seems, and
+// no more are accepted.
+func TestListenerKnowsWhatWaits(t *testing.T) {
+	s := newTestServer(t, 0, 0)
+	for range 50 {
+		require.NoError(t, s.dial().Close())
+		assert.Equal(t, http.StatusOK, s.dial().get())
+	}
+	assert.Eventually(t, func() bool {
+		s.listener.mu.Lock()
+		defer s.listener.mu.Unlock()
+		return s.listener.starts.pending == 0
+	}, time.Second, time.Millisecond)
+}
+
+// The process is behind: connections that it accepts would be read too late.
+func TestBehindClosesNewConnections(t *testing.T) {
+	s := newTestServer(t, 0, 0)
+	open := s.dial()
+	require.Equal(t, http.StatusOK, open.get())
+	s.listener.mu.Lock()
+	s.listener.starts = Starts{pending: minPending, perStart: time.Second}
+	s.listener.mu.Unlock()
+	assert.Zero(t, s.dial().get(), "closed unread")
+	assert.Equal(t, http.StatusOK, open.get(), "what is open is served")
+	assert.Equal(t, int64(1), s.metrics.Count(counterBehind))
+}
--- a/intake/listener.go
+++ b/intake/listener.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"ebonypulley/memory"
 	"ebonypulley/metrics"
@@ -19,18 +20,21 @@
 const (
 	counterEvicted = "caller_connections_evicted"
 	counterRefused = "caller_connections_refused"
+	counterBehind  = "caller_connections_refused_behind"
 )
 
 // Listener accepts callers' connections for an http.Server, within bounds. Beyond them a new
 // connection replaces the one that has been idle longest, or is closed unread if none is
-// idle: its caller loses nothing and tries another entry at once.
+// idle: its caller loses nothing and tries another entry at once. The same happens to new
+// connections while the process is behind with reading those that it has accepted.
 type Listener struct {
 	*net.TCPListener
 	budget  *memory.Budget
 	metrics *metrics.Set
 
-	mu    sync.Mutex
-	table *Table[*conn]
+	mu     sync.Mutex
+	table  *Table[*conn]
+	starts Starts
 }
 
 // NewListener returns a Listener that takes ConnectionMemory from the Connections share for
@@ -44,6 +48,8 @@
 	*net.TCPConn
 	listener *Listener
 	evicted  atomic.Bool
+	start    Start
+	started  atomic.Bool
 }
 
 // Accept implements net.Listener.
@@ -76,6 +82,10 @@
 func (l *Listener) admit(c *conn) (evicted *conn, ok bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	if !l.starts.Admit() {
+		l.metrics.Add(counterBehind, 1)
+		return nil, false
+	}
 	if l.table.Full() || !l.budget.Take(memory.Connections, ConnectionMemory) {
 		// The memory of the evicted connection passes to the new one.
 		if evicted, ok = l.table.Evict(); !ok {
@@ -84,9 +94,25 @@
 		evicted.evicted.Store(true)
 	}
 	l.table.Add(c)
+	c.start = l.starts.Accept(time.Now())
 	return evicted, true
 }
 
+// Read implements net.Conn.
+func (c *conn) Read(b []byte) (int, error) {
+	if c.started.CompareAndSwap(false, true) {
+		c.listener.begin(c)
+	}
+	return c.TCPConn.Read(b)
+}
+
+// begin notes that the server reads a connection for the first time.
+func (l *Listener) begin(c *conn) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.starts.Begin(c.start, time.Now())
+}
+
 // Close implements net.Conn.
 func (c *conn) Close() error {
 	c.listener.remove(c)
@@ -99,6 +125,9 @@
 	if l.table.Remove(c) {
 		l.budget.Release(memory.Connections, ConnectionMemory)
 	}
+	if c.started.CompareAndSwap(false, true) {
+		l.starts.Drop()
+	}
 }
 
 // connKey is the context key of a request's connection.
