--- a/intake/intake_test.go
+++ b/intake/intake_test.go
@@ -175,6 +175,20 @@
 	}, time.Second, time.Millisecond)
 }
 
+// Connections that end before they are read seem to wait for good, and no more are accepted.
+func TestEndedBeforeTheFirstRead(t *testing.T) {
+	l := NewListener(nil, memory.NewBudget(1e9), 0, metrics.NewSet())
+	for range 100 {
+		c := &conn{listener: l}
+		_, ok := l.admit(c)
+		require.True(t, ok)
+		l.remove(c)
+		l.remove(c)
+	}
+	assert.Zero(t, l.starts.pending)
+	assert.Zero(t, l.budget.Used(memory.Connections))
+}
+
 // The process is behind: connections that it accepts would be read too late.
 func TestBehindClosesNewConnections(t *testing.T) {
 	s := newTestServer(t, 0, 0)
