memory: large requests leave a quarter of a share

Change: TakeLarge in place of TakeLeaving; the part that is left to small requests is a matter of the budget, since headers need it as well as bodies.

--- a/memory/memory.go
+++ b/memory/memory.go
@@ -35,6 +35,10 @@
 // process itself, the published configuration and the garbage that is not collected yet.
 var fractions = [shares]float64{Connections: 0.25, Bodies: 0.12, Answers: 0.08, Peers: 0.08}
 
+// largeFraction is the part of a share that large requests may use, so that those which
+// stall don't keep out ordinary ones.
+const largeFraction = 0.75
+
 // runtimeFraction is the part of the memory limit from which on the garbage collector works
 // harder rather than let the process grow. The rest is for the memory that the Go runtime
 // does not account for: the binary, and what the kernel holds for sockets.
@@ -79,16 +83,19 @@
 }
 
 // Take takes n bytes for a share. It returns false, and takes nothing, if they don't fit.
-func (b *Budget) Take(s Share, n int64) bool { return b.TakeLeaving(s, n, 0) }
+func (b *Budget) Take(s Share, n int64) bool { return b.take(s, n, 1) }
+
+// TakeLarge takes n bytes for a share if some of it is left for small requests then.
+func (b *Budget) TakeLarge(s Share, n int64) bool { return b.take(s, n, largeFraction) }
 
-// TakeLeaving takes n bytes for a share if at least reserve bytes of it are left then.
-func (b *Budget) TakeLeaving(s Share, n, reserve int64) bool {
+// take takes n bytes for a share if it uses no more than a fraction of its limit then.
+func (b *Budget) take(s Share, n int64, fraction float64) bool {
 	if b == nil {
 		return true
 	}
 	b.mu.Lock()
 	limit := b.limits[s]
-	ok := limit <= 0 || b.used[s]+n+reserve <= limit
+	ok := limit <= 0 || b.used[s]+n <= int64(fraction*float64(limit))
 	if ok {
 		b.used[s] += n
 	}
--- a/memory/memory_test.go
+++ b/memory/memory_test.go
@@ -40,12 +40,13 @@
 }
 
 // Large requests that stall take the last of a share, and small ones are refused for long.
-func TestReserveIsLeft(t *testing.T) {
+func TestLargeRequestsLeaveRoom(t *testing.T) {
 	b := memory.NewBudget(100e6)
 	all := b.Limit(memory.Bodies)
-	assert.False(t, b.TakeLeaving(memory.Bodies, all, 1))
-	assert.True(t, b.TakeLeaving(memory.Bodies, all-1, 1))
-	assert.True(t, b.Take(memory.Bodies, 1))
+	assert.False(t, b.TakeLarge(memory.Bodies, all*3/4+1))
+	assert.True(t, b.TakeLarge(memory.Bodies, all*3/4))
+	assert.False(t, b.TakeLarge(memory.Bodies, 1))
+	assert.True(t, b.Take(memory.Bodies, all/4))
 	assert.Equal(t, memory.Use{Used: all, Limit: all}, b.Uses()["bodies"])
 }
 
@@ -53,7 +54,7 @@
 func TestUnknownLimitBoundsNothing(t *testing.T) {
 	before := debug.SetMemoryLimit(-1)
 	b := memory.NewBudget(0)
-	assert.True(t, b.TakeLeaving(memory.Bodies, 1<<40, 1<<40))
+	assert.True(t, b.TakeLarge(memory.Bodies, 1<<40))
 	memory.LimitRuntime(0)
 	assert.Equal(t, before, debug.SetMemoryLimit(-1))
 	var none *memory.Budget
