intake, platform: headers take memory from the budget

Cause: a header may have 64 KB; of 6,000 short fields the server and the handler hold over 1 MB each, also while the header is not complete.

Ruled out: a lower limit of headers (the operators publish theirs); an error of the connection alone as the refusal: the parser of net/http takes the part that has come for a malformed request and answers 400, which callers don't try again.

Ordinary headers take nothing.

--- a/intake/intake_test.go
+++ b/intake/intake_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"strings"
 	"testing"
 	"time"
 
@@ -104,13 +105,27 @@
 	return c.status()
 }
 
+// awaitIdleLongest waits until the server knows that count connections are idle, and c for
+// longest: it learns that after the caller has its answer.
+func (s *testServer) awaitIdleLongest(c caller, count int) {
+	require.Eventually(s.t, func() bool {
+		s.listener.mu.Lock()
+		defer s.listener.mu.Unlock()
+		idle := s.listener.table.idle
+		return idle.Len() == count && idle.Front().Value.(*conn).RemoteAddr().String() == c.LocalAddr().String()
+	}, time.Second, time.Millisecond)
+}
+
 // Idle connections take all descriptors, so that callers with requests get none.
 func TestIdleConnectionsMakeWay(t *testing.T) {
 	s := newTestServer(t, 2, 0)
 	first, second := s.dial(), s.dial()
 	require.Equal(t, http.StatusOK, first.get())
+	s.awaitIdleLongest(first, 1)
 	require.Equal(t, http.StatusOK, second.get())
-	assert.Equal(t, http.StatusOK, first.get(), "the second is idle longer now")
+	s.awaitIdleLongest(first, 2)
+	require.Equal(t, http.StatusOK, first.get())
+	s.awaitIdleLongest(second, 2)
 	third := s.dial()
 	assert.Equal(t, http.StatusOK, third.get())
 	assert.Equal(t, http.StatusOK, first.get())
@@ -201,3 +216,32 @@
 	assert.Equal(t, http.StatusOK, open.get(), "what is open is served")
 	assert.Equal(t, int64(1), s.metrics.Count(counterBehind))
 }
+
+// largeHeader is more than the free part of a header.
+var largeHeader = "GET / HTTP/1.1\r\nHost: x\r\nLarge: " + strings.Repeat("x", 3*freeHeader) + "\r\n"
+
+// Callers send headers of thousands of short fields, which take many times their size.
+func TestNoRoomForHeader(t *testing.T) {
+	s := newTestServer(t, 0, 4*4*ConnectionMemory)
+	c := s.dial()
+	_, _ = io.WriteString(c, largeHeader) // and no end
+	answer, _ := io.ReadAll(c.r)
+	assert.Empty(t, string(answer), "a status such as 400 would keep the caller from trying again")
+	assert.Equal(t, int64(1), s.metrics.Count(counterHeaders))
+	assert.Equal(t, http.StatusOK, s.dial().get())
+}
+
+// The memory of headers is never returned, and after some requests none is accepted.
+func TestMemoryOfHeadersIsReturned(t *testing.T) {
+	s := newTestServer(t, 0, 20e6)
+	c := s.dial()
+	for range 40 {
+		_, _ = io.WriteString(c, largeHeader+"\r\n")
+		require.Equal(t, http.StatusOK, c.status())
+	}
+	unfinished := s.dial()
+	_, _ = io.WriteString(unfinished, largeHeader)
+	require.Eventually(t, func() bool { return s.budget.Used(memory.Bodies) > 0 }, time.Second, time.Millisecond)
+	_ = unfinished.Close()
+	assert.Eventually(t, func() bool { return s.budget.Used(memory.Bodies) == 0 }, time.Second, time.Millisecond)
+}
--- a/intake/listener.go
+++ b/intake/listener.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"net/http"
 	"sync"
@@ -16,10 +17,19 @@
 // bytes: goroutines, buffers, header, the call and the connection to an endpoint.
 const ConnectionMemory = 40 << 10
 
+const (
+	// freeHeader is the size, in bytes, up to which a header is part of ConnectionMemory.
+	freeHeader = 4 << 10
+	// headerGrowth is the most memory that the server takes for a byte of a header that it
+	// reads; the shortest fields take most.
+	headerGrowth = 25
+)
+
 // Counters of a Listener.
 const (
 	counterEvicted = "caller_connections_evicted"
 	counterRefused = "caller_connections_refused"
+	counterHeaders = "caller_headers_refused"
 	counterBehind  = "caller_connections_refused_behind"
 )
 
@@ -50,8 +60,16 @@
 	evicted  atomic.Bool
 	start    Start
 	started  atomic.Bool
+	// inHeader is set while the server reads the header of a request. headerRead is what it
+	// has read of it, and headerTaken the memory that was taken for that, in bytes.
+	inHeader    bool
+	headerRead  int64
+	headerTaken int64
 }
 
+// errNoHeaderMemory ends a connection whose header there is no memory for.
+var errNoHeaderMemory = errors.New("no memory for the header of a request")
+
 // Accept implements net.Listener.
 func (l *Listener) Accept() (net.Conn, error) {
 	for {
@@ -94,6 +112,7 @@
 		evicted.evicted.Store(true)
 	}
 	l.table.Add(c)
+	c.inHeader = true
 	c.start = l.starts.Accept(time.Now())
 	return evicted, true
 }
@@ -103,7 +122,39 @@
 	if c.started.CompareAndSwap(false, true) {
 		c.listener.begin(c)
 	}
-	return c.TCPConn.Read(b)
+	n, err := c.TCPConn.Read(b)
+	if n > 0 && !c.listener.takeHeader(c, int64(n)) {
+		// Closed here, because the server takes what it has for a malformed request.
+		_ = c.TCPConn.Close()
+		return 0, errNoHeaderMemory
+	}
+	return n, err
+}
+
+// takeHeader takes memory for n more bytes of a header.
+func (l *Listener) takeHeader(c *conn, n int64) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if !c.inHeader {
+		return true
+	}
+	c.headerRead += n
+	more := headerGrowth*max(c.headerRead-freeHeader, 0) - c.headerTaken
+	if more <= 0 {
+		return true
+	}
+	if !l.budget.TakeLarge(memory.Bodies, more) {
+		l.metrics.Add(counterHeaders, 1)
+		return false
+	}
+	c.headerTaken += more
+	return true
+}
+
+// endHeader returns the memory of a header; the handler accounts for what is left of it.
+func (l *Listener) endHeader(c *conn) {
+	l.budget.Release(memory.Bodies, c.headerTaken)
+	c.inHeader, c.headerRead, c.headerTaken = false, 0, 0
 }
 
 // begin notes that the server reads a connection for the first time.
@@ -128,6 +179,7 @@
 	if c.started.CompareAndSwap(false, true) {
 		l.starts.Drop()
 	}
+	l.endHeader(c)
 }
 
 // connKey is the context key of a request's connection.
@@ -138,7 +190,7 @@
 func (l *Listener) Attach(s *http.Server) {
 	s.ConnState = func(nc net.Conn, state http.ConnState) {
 		if c, ok := nc.(*conn); ok {
-			l.setIdle(c, state == http.StateIdle)
+			l.setState(c, state)
 		}
 	}
 	s.ConnContext = func(ctx context.Context, nc net.Conn) context.Context {
@@ -147,10 +199,16 @@
 	s.Handler = l.dropEvicted(s.Handler)
 }
 
-func (l *Listener) setIdle(c *conn, idle bool) {
+func (l *Listener) setState(c *conn, state http.ConnState) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.table.SetIdle(c, idle)
+	l.table.SetIdle(c, state == http.StateIdle)
+	switch state {
+	case http.StateActive: // the header has been read
+		l.endHeader(c)
+	case http.StateIdle:
+		c.inHeader = true
+	}
 }
 
 // dropEvicted drops a request that was read while its idle connection was evicted: its
