settings: the limits of a VM may have a decimal point

Cause: other figures of the platform's settings come as fractions; an integer field would keep an entry from starting with 4100.0.

Change: max_descriptors is read as a number of any form. TestLimitsWithDecimalPoint.

--- a/settings/platform.go
+++ b/settings/platform.go
@@ -69,7 +69,7 @@
 	}
 }
 
-func notNegative[T int | float64](field string, value *T) rule {
+func notNegative(field string, value *float64) rule {
 	return func(src *jsonc.Source, report func(jsonc.Finding)) {
 		if *value < 0 {
 			report(src.Finding("/"+field, "%s must not be negative", field))
--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -76,6 +76,17 @@
 	}
 }
 
+// The platform writes the limits of a VM with a decimal point, and no entry starts.
+func TestLimitsWithDecimalPoint(t *testing.T) {
+	text, err := settings.Format(settings.DefaultPlatformEntry())
+	require.NoError(t, err)
+	with := strings.NewReplacer(`"memory_mb": 0`, `"memory_mb": 88.5`, `"max_descriptors": 0`, `"max_descriptors": 4100.0`)
+	got, err := settings.LoadPlatformEntry(writeFile(t, with.Replace(string(text))))
+	require.NoError(t, err)
+	assert.Equal(t, int64(88.5e6), got.MemoryLimit())
+	assert.InDelta(t, 4100, got.MaxDescriptors, 0)
+}
+
 // TestFractionalRetrySlack: the platform sets retry_slack to a fraction. An entry that
 // accepted only integers would not start.
 func TestFractionalRetrySlack(t *testing.T) {
