--- a/settings/platform.go
+++ b/settings/platform.go
@@ -46,6 +46,8 @@
 		notNegative("retry_slack", &s.RetrySlack),
 		notNegative("quota_overrun", &s.QuotaOverrun),
 		notNegative("quota_slack", &s.QuotaSlack),
+		notNegative("memory_mb", &s.MemoryMB),
+		notNegative("max_descriptors", &s.MaxDescriptors),
 	)
 	return s, err
 }
--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -67,13 +67,26 @@
 	_, err = settings.LoadPlatformEntry(writeFile(t, `{
   "quota_window": "0s",
   "quota_overrun": -0.1,
-  "quota_slack": -1
+  "quota_slack": -1,
+  "memory_mb": -1,
+  "max_descriptors": -1
 }`))
-	for _, field := range []string{"quota_window", "quota_overrun", "quota_slack", "name", "listen"} {
+	for _, field := range []string{"quota_window", "quota_overrun", "quota_slack", "memory_mb", "max_descriptors", "name", "listen"} {
 		assert.ErrorContains(t, err, field)
 	}
 }
 
+// The platform writes the limits of a VM with a decimal point, and no entry starts.
+func TestLimitsWithDecimalPoint(t *testing.T) {
+	text, err := settings.Format(settings.DefaultPlatformEntry())
+	require.NoError(t, err)
+	with := strings.NewReplacer(`"memory_mb": 0`, `"memory_mb": 88.5`, `"max_descriptors": 0`, `"max_descriptors": 4100.0`)
+	got, err := settings.LoadPlatformEntry(writeFile(t, with.Replace(string(text))))
+	require.NoError(t, err)
+	assert.Equal(t, int64(88.5e6), got.MemoryLimit())
+	assert.InDelta(t, 4100, got.MaxDescriptors, 0)
+}
+
 // TestFractionalRetrySlack: the platform sets retry_slack to a fraction. An entry that
 // accepted only integers would not start.
 func TestFractionalRetrySlack(t *testing.T) {
