Test: peers that read nothing fill the memory of an entry

Cause: each connection to another entry queues up to 8 MB, and nothing bounds their sum. An answer is queued for each request, whether the ones before were read or not.

--- /dev/null
+++ b/gossip/memory_test.go
@@ -0,0 +1,153 @@
+package gossip_test
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"net"
+	"runtime"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"ebonypulley/catalog"
+	"ebonypulley/event"
+	"ebonypulley/gossip"
+	"ebonypulley/internal/simnet"
+	"ebonypulley/revision"
+	"ebonypulley/router"
+	"ebonypulley/wire"
+)
+
+const (
+	// smallestVM is the memory limit of the smallest VM in bytes, peersFraction the part of it
+	// that connections to other entries may take.
+	smallestVM    = 88 << 20
+	peersFraction = 0.08
+	// connBytes is the memory of one simulated connection without queued frames, both ends.
+	connBytes = 100 << 10
+)
+
+// largeCatalog returns the published entries of a large fleet: a configuration and endpoints.
+func largeCatalog() *catalog.Catalog {
+	at := revision.Revision{Count: 7}
+	var config bytes.Buffer
+	for i := range 60_000 {
+		fmt.Fprintf(&config, "%016x,", uint64(i+1)*0x9e3779b97f4a7c15)
+	}
+	list := []catalog.Entry{{Key: "op/config", Value: config.Bytes(), Revision: at}}
+	for i := range 300 {
+		list = append(list, catalog.Entry{Key: fmt.Sprint("endpoint/", i), Value: bytes.Repeat([]byte("x"), 2000), Revision: at})
+	}
+	cat := catalog.New()
+	cat.Merge(time.Now(), list, at)
+	return cat
+}
+
+// askWithoutReading asks an entry for all of its published entries and for the parts of large
+// ones, ten times a second, and reads no answer. It returns when ctx ends.
+func askWithoutReading(ctx context.Context, dial func(ctx context.Context, network, addr string) (net.Conn, error), from, to string, parts []uint64) {
+	for ctx.Err() == nil {
+		nc, err := dial(ctx, "tcp", to)
+		for ctx.Err() == nil && err == nil {
+			ask, _ := wire.AppendFrame(nil, &wire.Report{From: from, DataCentre: "dc", Incarnation: wire.NewID(), Behind: true})
+			ask, _ = wire.AppendFrame(ask, &wire.PartsRequest{Digests: parts})
+			_, err = nc.Write(ask)
+			time.Sleep(100 * time.Millisecond)
+		}
+		if nc != nil {
+			_ = nc.Close()
+		}
+		time.Sleep(100 * time.Millisecond)
+	}
+}
+
+// acceptWithoutReading accepts connections and reads nothing on them.
+func acceptWithoutReading(ln net.Listener) {
+	for {
+		if _, err := ln.Accept(); err != nil {
+			return
+		}
+	}
+}
+
+// manifestOf fetches the manifest of the configuration from an entry.
+func manifestOf(t *testing.T, n *simnet.Net, addr string) []uint64 {
+	t.Helper()
+	nc, err := n.Dialer("manifest")(t.Context(), "tcp", addr)
+	require.NoError(t, err)
+	defer nc.Close()
+	ask, err := wire.AppendFrame(nil, &wire.Report{From: "manifest:1", DataCentre: "dc", Incarnation: wire.NewID(), Behind: true})
+	require.NoError(t, err)
+	go func() { _, _ = nc.Write(ask) }()
+	m, err := wire.NewReader(nc).Next()
+	require.NoError(t, err)
+	for _, e := range m.(*wire.Reply).Entries {
+		if e.Manifest != nil {
+			return e.Manifest.Parts
+		}
+	}
+	t.Fatal("no manifest")
+	return nil
+}
+
+// heapInUse returns the bytes of live objects.
+func heapInUse() int64 {
+	var m runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&m)
+	return int64(m.HeapAlloc)
+}
+
+// TestPeersThatReadNothing guards against an entry that ends over its memory limit because
+// other entries, partitioned in one direction or stuck, ask it for published entries and read
+// none of its answers.
+func TestPeersThatReadNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const mute = 40
+		n := simnet.New()
+		n.Latency = time.Millisecond
+		ctx, cancel := context.WithCancel(t.Context())
+		serve := func(name string, loads *router.LoadTracker, cat *catalog.Catalog) {
+			ln, err := n.Listen(name, name+":1")
+			require.NoError(t, err)
+			node := gossip.NewNode(gossip.Self{Addr: name + ":1", DataCentre: "dc"}, []string{"entry:1"}, loads, cat, event.Nop(), n.Dialer(name))
+			node.Behind = func() bool { return cat.Revision().IsZero() }
+			go func() { _ = node.Serve(ctx, ln) }()
+		}
+		before := heapInUse()
+		loads, seen, late := router.NewLoadTracker(), router.NewLoadTracker(), catalog.New()
+		serve("entry", loads, largeCatalog())
+		serve("sound", seen, late)
+		time.Sleep(500 * time.Millisecond)
+		parts := manifestOf(t, n, "entry:1")
+		for i := range mute {
+			name := fmt.Sprint("mute-", i)
+			ln, err := n.Listen(name, name+":1")
+			require.NoError(t, err)
+			go acceptWithoutReading(ln)
+			go askWithoutReading(ctx, n.Dialer(name), name+":1", "entry:1", parts)
+		}
+		var peak int64
+		for i := range 32 {
+			endpoint := fmt.Sprint("e", i)
+			loads.Begin(endpoint, router.Load{Calls: 3})
+			time.Sleep(250 * time.Millisecond)
+			peak = max(peak, heapInUse()-before)
+			assert.Equal(t, 3, seen.View(time.Now(), endpoint).Calls, "work reported within 250 ms")
+		}
+		newcomer := catalog.New()
+		serve("newcomer", router.NewLoadTracker(), newcomer)
+		time.Sleep(2 * time.Second)
+		assert.False(t, newcomer.Revision().IsZero(), "published entries within 2 s")
+		t.Logf("the heap grows by %.1f MB", float64(peak)/(1<<20))
+		allowance := peersFraction * smallestVM
+		assert.Less(t, peak, int64(allowance)+2*mute*connBytes)
+		cancel()
+		n.Close()
+		time.Sleep(10 * time.Second)
+	})
+}
