gossip: a peer that has not taken the last report or answer gets no other

Cause: every request of a peer was answered and every round queued another report, whether the ones before had been sent or not, up to 8 MB for each connection, although reports replace each other and a peer that lacks an answer asks again. Change: no report to a peer while bytes to it are unsent, no answer while more than one answer of parts is. Reports of such a peer are still merged.

--- a/gossip/node.go
+++ b/gossip/node.go
@@ -124,18 +124,26 @@
 	_ = c.Serve(ctx, func(m wire.Message) {
 		switch m := m.(type) {
 		case *wire.Report:
-			n.sendReply(c, repliesSent, n.handleReport(m, !introduced))
-			introduced = true
+			now := time.Now()
+			n.mergeReport(now, m)
+			if takesAnswers(c) {
+				n.sendReply(c, repliesSent, n.replyTo(now, m, !introduced))
+				introduced = true
+			}
 		case *wire.PartsRequest:
-			n.sendReply(c, partsSent, n.handlePartsRequest(m))
+			if takesAnswers(c) {
+				n.sendReply(c, partsSent, n.handlePartsRequest(m))
+			}
 		}
 	})
 }
 
-// handleReport merges a report and returns its reply. The first reply on a connection lists
-// members.
-func (n *Node) handleReport(r *wire.Report, first bool) *wire.Reply {
-	now := time.Now()
+// takesAnswers reports whether the peer has taken earlier answers. One that has not gets no
+// others: it asks again.
+func takesAnswers(c *wire.Conn) bool { return c.Unsent() <= maxPartsBytes }
+
+// mergeReport merges a report.
+func (n *Node) mergeReport(now time.Time, r *wire.Report) {
 	n.observe(now, r.From, r.DataCentre, StoreAccess{LinkMbps: r.Link, StoreFailed: r.NoStore}, membersOf(r.Members, r.Centres, r.Links))
 	n.recordRevision(r.From, r.At())
 	work := make(map[string]router.Load, len(r.Work))
@@ -157,6 +165,10 @@
 	n.mergeCrashes(now, r.Crashes, r.CrashRates)
 	n.mergeStreams(now, r.Begun)
 	n.learnMaxEntries(now, r.Most, r.MostAge, r.Counted)
+}
+
+// replyTo returns the reply to a report. The first reply on a connection lists members.
+func (n *Node) replyTo(now time.Time, r *wire.Report, first bool) *wire.Reply {
 	own := n.catalog.Revision()
 	reply := &wire.Reply{
 		DataCentre: n.self.DataCentre, Age: n.CatalogAge(),
--- a/gossip/report.go
+++ b/gossip/report.go
@@ -119,6 +119,9 @@
 			l.conn.Close()
 			continue
 		}
+		if l.conn.Unsent() > 0 {
+			continue // it gets the next report once it has taken the last one
+		}
 		updatesDue := (newestCrash > l.crashSeq || newestStream > l.streamSeq) && now.Sub(l.sent) >= interval
 		if updatesDue || l.due(now, changed, interval, idle, l.addr == asked) {
 			list = append(list, l)
--- a/wire/conn.go
+++ b/wire/conn.go
@@ -25,6 +25,7 @@
 	mu       sync.Mutex
 	queued   *sync.Cond
 	queue    []byte
+	unsent   int // bytes of the write in progress that the network has not taken
 	closed   bool
 	lastRead time.Time // when the last byte was read
 }
@@ -85,6 +86,13 @@
 	_ = c.nc.Close()
 }
 
+// Unsent returns the number of bytes that are queued or being written.
+func (c *Conn) Unsent() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return len(c.queue) + c.unsent
+}
+
 // IdleTime returns the time since the last byte was read.
 func (c *Conn) IdleTime(now time.Time) time.Duration {
 	c.mu.Lock()
@@ -143,14 +151,22 @@
 			return
 		}
 		batch, c.queue = c.queue, batch[:0]
+		c.unsent = len(batch)
 		c.mu.Unlock()
 		_ = c.nc.SetWriteDeadline(time.Now().Add(writeTimeout))
 		if _, err := c.nc.Write(batch); err != nil {
 			c.Close()
 			return
 		}
+		c.endWrite()
 		if cap(batch) > maxKeptBuffer {
 			batch = nil
 		}
 	}
 }
+
+func (c *Conn) endWrite() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.unsent = 0
+}
