wire: encoders of large messages are not kept

Cause: the pool of encoders kept, for each processor, a buffer of the largest message that was ever encoded on it: up to twice 4 MB each. Found in the heap profile of TestPeersThatReadNothing (8 processors): 2.9 MB of 13.2 in these buffers.

--- a/wire/frame.go
+++ b/wire/frame.go
@@ -40,10 +40,17 @@
 	return e
 }}
 
+// keepEncoder keeps an encoder for other messages, unless the last one was large.
+func keepEncoder(e *encoder) {
+	if e.buf.Cap() <= maxKeptBuffer {
+		encoders.Put(e)
+	}
+}
+
 // AppendFrame appends the frame of m to dst.
 func AppendFrame(dst []byte, m Message) ([]byte, error) {
 	e := encoders.Get().(*encoder)
-	defer encoders.Put(e)
+	defer keepEncoder(e)
 	e.buf.Reset()
 	if err := e.enc.Encode(m); err != nil {
 		return dst, ErrFrame.Wrap(err, "encode kind %d", m.Kind())
