gossip: what is queued for all peers together fits into a share of memory

Cause: the bound of 8 MB for each connection says nothing about their sum; 40 peers that read nothing held 38.5 MB. Change: wire.WithBudget makes the buffers that a connection queues and writes take from the Peers share. The first 4 kB of each belong to the connection, so that ordinary reports are never refused. A frame that does not fit is not queued (ErrFull) and is not counted as sent; the connection stays open. Published entries are sent up to half of the share, one answer at a time, and to peers that read nothing within the last 30 s up to a quarter of it. To make room for a peer that reads, the connection that has the most to send and has stalled for a second is closed (event 6025) and is dialled again.

--- a/gossip/link.go
+++ b/gossip/link.go
@@ -136,7 +136,8 @@
 // took; sendReports sends the reports.
 func (n *Node) readReplies(ctx context.Context, l *link, nc net.Conn) time.Duration {
 	began := time.Now()
-	c := wire.NewConn(nc)
+	c := n.openConn(nc, l.addr)
+	defer n.forgetConn(c)
 	n.setConn(l, c)
 	defer n.setConn(l, nil)
 	// The end of the connection is not logged: the loss of the entry is.
--- a/gossip/node.go
+++ b/gossip/node.go
@@ -11,6 +11,7 @@
 	"ebonypulley"
 	"ebonypulley/catalog"
 	"ebonypulley/event"
+	"ebonypulley/memory"
 	"ebonypulley/metrics"
 	"ebonypulley/pace"
 	"ebonypulley/parts"
@@ -52,6 +53,8 @@
 	OnReceive  func(age time.Duration)
 	// OnFleetSize is called with the largest recent fleet size, this entry included.
 	OnFleetSize func(n int)
+	// Budget, if set, bounds the memory of the frames that are queued for other entries.
+	Budget *memory.Budget
 	// Metrics counts what is sent to and received from other entries.
 	Metrics *metrics.Set
 	// Crashes holds the requests that crash endpoints, which entries share.
@@ -71,6 +74,13 @@
 	work        []wire.EndpointWork
 	workChanged time.Time
 	links       map[string]*link
+	// conns holds all open connections to other entries, with their addresses.
+	conns map[*wire.Conn]string
+	// stalledAt holds when a connection to each entry that read nothing was closed last.
+	stalledAt map[string]time.Time
+	// answering serializes answers with published entries, because the buffers in which they are
+	// encoded are not part of the budget.
+	answering sync.Mutex
 	// revisions holds the catalog revision of each other entry.
 	revisions map[string]revision.Revision
 	// eraAnswers holds the last answer to each entry that asks from a former era.
@@ -91,7 +101,7 @@
 		CatalogAge: func() time.Duration { return 0 }, OnReceive: func(time.Duration) {},
 		Metrics: metrics.NewSet(), Crashes: poison.NewDetector(), Quotas: quota.NewLedger(quota.Settings{}),
 		Paces: pace.NewTracker(), Shares: share.NewTable(), Returns: returns.NewCalendar(), Releases: release.NewTracker(),
-		members: NewMembers(self.Addr, self.DataCentre, seeds), links: make(map[string]*link),
+		members: NewMembers(self.Addr, self.DataCentre, seeds), links: make(map[string]*link), conns: make(map[*wire.Conn]string), stalledAt: make(map[string]time.Time),
 		revisions: make(map[string]revision.Revision), eraAnswers: make(map[string]eraAnswer), index: parts.NewIndex(),
 	}
 }
@@ -118,20 +128,23 @@
 
 // serveConn answers the reports on one connection.
 func (n *Node) serveConn(ctx context.Context, nc net.Conn) {
-	c := wire.NewConn(nc)
+	c := n.openConn(nc, nc.RemoteAddr().String())
+	defer n.forgetConn(c)
 	introduced := false
 	// The end of the connection is not logged: the loss of the entry is.
 	_ = c.Serve(ctx, func(m wire.Message) {
+		now := time.Now()
 		switch m := m.(type) {
 		case *wire.Report:
-			now := time.Now()
+			if !introduced {
+				n.nameConn(c, m.From)
+			}
 			n.mergeReport(now, m)
-			if takesAnswers(c) {
-				n.sendReply(c, repliesSent, n.replyTo(now, m, !introduced))
+			if takesAnswers(c) && n.answerReport(now, c, m, !introduced) {
 				introduced = true
 			}
 		case *wire.PartsRequest:
-			if takesAnswers(c) {
+			if takesAnswers(c) && n.hasRoomToPublish(now, c) {
 				n.sendReply(c, partsSent, n.handlePartsRequest(m))
 			}
 		}
@@ -142,6 +155,20 @@
 // others: it asks again.
 func takesAnswers(c *wire.Conn) bool { return c.Unsent() <= maxPartsBytes }
 
+// answerReport sends the reply to a report and reports whether it could be queued.
+func (n *Node) answerReport(now time.Time, c *wire.Conn, r *wire.Report, first bool) bool {
+	reply := n.replyTo(now, r, first)
+	if !r.Behind && !r.Unsure {
+		return n.sendReply(c, repliesSent, reply)
+	}
+	n.answering.Lock()
+	defer n.answering.Unlock()
+	if n.hasRoomToPublish(now, c) {
+		n.addPublishedFor(now, reply, r)
+	}
+	return n.sendReply(c, repliesSent, reply)
+}
+
 // mergeReport merges a report.
 func (n *Node) mergeReport(now time.Time, r *wire.Report) {
 	n.observe(now, r.From, r.DataCentre, StoreAccess{LinkMbps: r.Link, StoreFailed: r.NoStore}, membersOf(r.Members, r.Centres, r.Links))
@@ -180,13 +207,18 @@
 		reply.Counted = n.Quotas.FleetSizeSettled(now)
 		reply.Versions, reply.Begun = n.versionHistory(now), streamVersions(n.Releases.Exceptions(now))
 	}
+	return reply
+}
+
+// addPublishedFor adds to the reply to a report the published entries that the report asks for.
+func (n *Node) addPublishedFor(now time.Time, reply *wire.Reply, r *wire.Report) {
+	own := n.catalog.Revision()
 	if r.Behind && !own.IsZero() && !r.At().After(own) && n.mayAnswer(now, r.From, r.At(), own) {
 		n.addPublishedSince(reply, r.At())
 	}
 	if r.Unsure && len(reply.Entries) == 0 && !r.At().IsZero() && r.Era == own.Era {
 		n.addCorrections(reply)
 	}
-	return reply
 }
 
 // observe records that an entry is alive, and what it says about itself and others.
--- a/gossip/report.go
+++ b/gossip/report.go
@@ -70,10 +70,9 @@
 		if frames[v] == nil {
 			frames[v] = n.encodeReport(now, work, use, limits, v, crashes, begun)
 		}
-		// If the connection has ended, its link replaces it.
-		_ = s.conn.SendFrame(frames[v])
-		n.countSent(reportsSent, frames[v])
-		n.recordUpdatesSent(s, crashes.upTo, begun.upTo)
+		if n.sendFrame(s.conn, reportsSent, frames[v]) {
+			n.recordUpdatesSent(s, crashes.upTo, begun.upTo)
+		}
 	}
 }
 
--- a/gossip/traffic.go
+++ b/gossip/traffic.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/joomcode/errorx"
 	"go.uber.org/zap"
 
 	"ebonypulley"
@@ -28,16 +29,30 @@
 	n.Metrics.Add(kind+"_bytes_out", int64(len(frame)))
 }
 
-// sendReply encodes, counts and sends an answer of a kind.
-func (n *Node) sendReply(c *wire.Conn, kind string, m wire.Message) {
+// sendReply encodes, counts and sends an answer of a kind. It reports whether the answer was
+// queued.
+func (n *Node) sendReply(c *wire.Conn, kind string, m wire.Message) bool {
 	frame, err := wire.AppendFrame(nil, m)
 	if err != nil {
 		n.log.Emit(event.ReportEncodeFailed, event.Err(err))
-		return
+		return false
+	}
+	return n.sendFrame(c, kind, frame)
+}
+
+// sendFrame counts and sends a frame of a kind, and reports whether it was queued. If the
+// connection has ended, or is closed because the budget has no room, the peer asks again.
+func (n *Node) sendFrame(c *wire.Conn, kind string, frame []byte) bool {
+	err := c.SendFrame(frame)
+	if errorx.IsOfType(err, wire.ErrFull) {
+		n.Metrics.Add("peer_frames_refused", 1)
+		n.closeStalled(time.Now())
+	}
+	if err != nil {
+		return false
 	}
 	n.countSent(kind, frame)
-	// If the connection has ended, nobody waits for the answer.
-	_ = c.SendFrame(frame)
+	return true
 }
 
 // logTraffic logs a summary of what was sent each trafficInterval until ctx ends.
--- a/wire/conn.go
+++ b/wire/conn.go
@@ -5,6 +5,8 @@
 	"net"
 	"sync"
 	"time"
+
+	"ebonypulley/memory"
 )
 
 const (
@@ -13,6 +15,8 @@
 	// writeTimeout bounds one write; the connection to a peer that has stopped
 	// reading is closed when it expires.
 	writeTimeout = 5 * time.Second
+	// writeStep is the number of bytes in one write.
+	writeStep = 64 << 10
 )
 
 // Conn is a connection that carries frames. Send and SendFrame are safe for
@@ -21,25 +25,43 @@
 // Frames that are queued while a write is in progress are written together, so
 // that a busy connection needs one system call for many tokens.
 type Conn struct {
-	nc       net.Conn
-	mu       sync.Mutex
-	queued   *sync.Cond
-	queue    []byte
-	unsent   int // bytes of the write in progress that the network has not taken
-	closed   bool
-	lastRead time.Time // when the last byte was read
+	nc     net.Conn
+	mu     sync.Mutex
+	queued *sync.Cond
+	queue  []byte
+	// unsent and writing are the bytes and the capacity of the write in progress, and
+	// progress is when the network last took bytes of it.
+	unsent, writing int
+	progress        time.Time
+	closed          bool
+	lastRead        time.Time // when the last byte was read
+	// sendAccount covers queue and the write in progress.
+	sendAccount account
+}
+
+// Option configures a Conn.
+type Option func(*Conn)
+
+// WithBudget makes a Conn take the memory of its buffers from the Peers share of a budget; nil
+// has no limit.
+func WithBudget(b *memory.Budget) Option {
+	return func(c *Conn) { c.sendAccount.budget = b }
 }
 
 // NewConn returns a Conn on nc and starts its writing side. The Conn owns nc.
-func NewConn(nc net.Conn) *Conn {
+func NewConn(nc net.Conn, options ...Option) *Conn {
 	c := &Conn{nc: nc, lastRead: time.Now()}
+	for _, set := range options {
+		set(c)
+	}
 	c.queued = sync.NewCond(&c.mu)
 	go c.writeLoop()
 	return c
 }
 
 // Send queues m without blocking on the network. It returns ErrClosed if the
-// connection is closed or the queue is full, which closes the connection.
+// connection is closed or the queue is full, which closes the connection, and ErrFull if the
+// budget has no room for m, which is then not sent.
 func (c *Conn) Send(m Message) error {
 	return c.enqueue(func(out []byte) ([]byte, error) { return AppendFrame(out, m) })
 }
@@ -60,11 +82,14 @@
 	if err != nil {
 		return err
 	}
-	c.queue = out
-	if len(c.queue) > maxQueuedBytes {
+	if len(out) > maxQueuedBytes {
 		c.closeLocked()
 		return ErrClosed.New("send queue is full: %d bytes", len(out))
 	}
+	if !c.sendAccount.resize(cap(out) + c.writing) {
+		return ErrFull.New("%d bytes are queued", len(c.queue))
+	}
+	c.queue = out
 	c.queued.Signal()
 	return nil
 }
@@ -82,6 +107,7 @@
 	}
 	c.closed = true
 	c.queue = nil
+	c.sendAccount.resize(c.writing)
 	c.queued.Broadcast()
 	_ = c.nc.Close()
 }
@@ -138,35 +164,78 @@
 	return n, err
 }
 
+// SendStall returns how long the network has taken no byte of the write in progress; zero
+// without one.
+func (c *Conn) SendStall(now time.Time) time.Duration {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.writing == 0 {
+		return 0
+	}
+	return now.Sub(c.progress)
+}
+
 // writeLoop writes the queued frames until the connection is closed.
 func (c *Conn) writeLoop() {
-	var batch []byte
+	var spare []byte
 	for {
-		c.mu.Lock()
-		for len(c.queue) == 0 && !c.closed {
-			c.queued.Wait()
-		}
-		if c.closed {
-			c.mu.Unlock()
+		batch := c.nextBatch(spare)
+		if batch == nil {
 			return
 		}
-		batch, c.queue = c.queue, batch[:0]
-		c.unsent = len(batch)
-		c.mu.Unlock()
-		_ = c.nc.SetWriteDeadline(time.Now().Add(writeTimeout))
-		if _, err := c.nc.Write(batch); err != nil {
+		err := c.write(batch)
+		c.endWrite()
+		if err != nil {
 			c.Close()
 			return
 		}
-		c.endWrite()
-		if cap(batch) > maxKeptBuffer {
-			batch = nil
+		spare = batch
+		if cap(batch) > c.sendAccount.maxKept() {
+			spare = nil
 		}
 	}
 }
 
+// nextBatch waits for queued frames and returns them, or nil once the connection is closed.
+// The next frames are queued in spare.
+func (c *Conn) nextBatch(spare []byte) []byte {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for len(c.queue) == 0 && !c.closed {
+		c.queued.Wait()
+	}
+	if c.closed {
+		return nil
+	}
+	batch := c.queue
+	c.queue = spare[:0]
+	c.unsent, c.writing, c.progress = len(batch), cap(batch), time.Now()
+	return batch
+}
+
+// write writes a batch in steps, so that a slow peer differs from one that reads nothing.
+func (c *Conn) write(batch []byte) error {
+	_ = c.nc.SetWriteDeadline(time.Now().Add(writeTimeout))
+	for len(batch) > 0 {
+		n, err := c.nc.Write(batch[:min(len(batch), writeStep)])
+		if err != nil {
+			return err
+		}
+		batch = batch[n:]
+		c.recordProgress(len(batch))
+	}
+	return nil
+}
+
+func (c *Conn) recordProgress(unsent int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.unsent, c.progress = unsent, time.Now()
+}
+
 func (c *Conn) endWrite() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.unsent = 0
+	c.unsent, c.writing = 0, 0
+	c.sendAccount.resize(cap(c.queue))
 }
--- a/wire/frame.go
+++ b/wire/frame.go
@@ -25,6 +25,8 @@
 	ErrFrame = wireErrors.NewType("frame")
 	// ErrClosed is returned for a send on a closed connection.
 	ErrClosed = wireErrors.NewType("closed")
+	// ErrFull is returned for a frame for which the memory budget has no room.
+	ErrFull = wireErrors.NewType("full")
 )
 
 type encoder struct {
