Tests of peers that read nothing: reports larger than a connection's own buffers, and without a budget

Cause: three guards had no test that fails without them. Change: the reports of these tests have 10 kB, and TestMutePeerGetsOneAnswer counts what is sent to a peer that reads nothing.

--- a/gossip/memory_test.go
+++ b/gossip/memory_test.go
@@ -18,6 +18,7 @@
 	"ebonypulley/gossip"
 	"ebonypulley/internal/simnet"
 	"ebonypulley/memory"
+	"ebonypulley/metrics"
 	"ebonypulley/revision"
 	"ebonypulley/router"
 	"ebonypulley/wire"
@@ -111,28 +112,33 @@
 
 // muteFleet is an entry with published entries among peers that ask for them and read nothing.
 type muteFleet struct {
-	t     *testing.T
-	net   *simnet.Net
-	ctx   context.Context
-	loads *router.LoadTracker
+	t   *testing.T
+	net *simnet.Net
+	ctx context.Context
+	// loads and metrics are those of the entry.
+	loads   *router.LoadTracker
+	metrics *metrics.Set
 }
 
-func newMuteFleet(ctx context.Context, t *testing.T) *muteFleet {
+func newMuteFleet(ctx context.Context, t *testing.T, budget *memory.Budget) *muteFleet {
 	t.Helper()
-	f := &muteFleet{t: t, net: simnet.New(), ctx: ctx, loads: router.NewLoadTracker()}
+	f := &muteFleet{t: t, net: simnet.New(), ctx: ctx, loads: router.NewLoadTracker(), metrics: metrics.NewSet()}
 	f.net.Latency = time.Millisecond
-	f.serve("entry", f.loads, largeCatalog())
+	for i := range 400 { // reports of some 10 kB
+		f.loads.Begin(fmt.Sprint("endpoint-", i), router.Load{Calls: 3})
+	}
+	f.serve("entry", f.loads, largeCatalog(), func(node *gossip.Node) { node.Budget, node.Metrics = budget, f.metrics })
 	return f
 }
 
-// serve starts an entry.
-func (f *muteFleet) serve(name string, loads *router.LoadTracker, cat *catalog.Catalog) {
+// serve starts an entry after set has configured its node.
+func (f *muteFleet) serve(name string, loads *router.LoadTracker, cat *catalog.Catalog, set func(*gossip.Node)) {
 	f.t.Helper()
 	ln, err := f.net.Listen(name, name+":1")
 	require.NoError(f.t, err)
 	node := gossip.NewNode(gossip.Self{Addr: name + ":1", DataCentre: "dc"}, []string{"entry:1"}, loads, cat, event.Nop(), f.net.Dialer(name))
-	node.Budget = memory.NewBudget(smallestVM)
 	node.Behind = func() bool { return cat.Revision().IsZero() }
+	set(node)
 	go func() { _ = node.Serve(f.ctx, ln) }()
 }
 
@@ -156,9 +162,9 @@
 	synctest.Test(t, func(t *testing.T) {
 		const mute = 40
 		ctx, cancel := context.WithCancel(t.Context())
-		f := newMuteFleet(ctx, t)
+		f := newMuteFleet(ctx, t, memory.NewBudget(smallestVM))
 		seen := router.NewLoadTracker()
-		f.serve("sound", seen, catalog.New())
+		f.serve("sound", seen, catalog.New(), func(*gossip.Node) {})
 		time.Sleep(500 * time.Millisecond)
 		before := heapInUse()
 		f.startMute(mute)
@@ -171,7 +177,7 @@
 			assert.Equal(t, 3, seen.View(time.Now(), endpoint).Calls, "work reported within 250 ms")
 		}
 		newcomer := catalog.New()
-		f.serve("newcomer", router.NewLoadTracker(), newcomer)
+		f.serve("newcomer", router.NewLoadTracker(), newcomer, func(*gossip.Node) {})
 		time.Sleep(2 * time.Second)
 		assert.False(t, newcomer.Revision().IsZero(), "published entries within 2 s")
 		t.Logf("the heap grows by %.1f MB", float64(peak)/(1<<20))
@@ -188,11 +194,11 @@
 func TestStalledPeersMakeRoom(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
-		f := newMuteFleet(ctx, t)
+		f := newMuteFleet(ctx, t, memory.NewBudget(smallestVM))
 		f.startMute(40)
 		time.Sleep(3 * time.Second)
 		newcomer := catalog.New()
-		f.serve("newcomer", router.NewLoadTracker(), newcomer)
+		f.serve("newcomer", router.NewLoadTracker(), newcomer, func(*gossip.Node) {})
 		began := time.Now()
 		for newcomer.Revision().IsZero() && time.Since(began) < time.Minute {
 			time.Sleep(100 * time.Millisecond)
@@ -204,3 +210,22 @@
 		time.Sleep(10 * time.Second)
 	})
 }
+
+// TestMutePeerGetsOneAnswer guards against reports and answers that pile up for a peer that
+// reads nothing, where the memory of the VM is not known.
+func TestMutePeerGetsOneAnswer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		f := newMuteFleet(ctx, t, nil)
+		f.startMute(1)
+		for i := range 10 {
+			f.loads.Begin(fmt.Sprint("e", i), router.Load{Calls: 3})
+			time.Sleep(100 * time.Millisecond)
+		}
+		assert.Equal(t, int64(1), f.metrics.Count("reports_out"))
+		assert.LessOrEqual(t, f.metrics.Count("replies_out"), int64(2), "one with published entries, and that of manifestOf")
+		cancel()
+		f.net.Close()
+		time.Sleep(10 * time.Second)
+	})
+}
