Test: peers that stop in the middle of a large frame fill the memory of an entry

Cause: a reader takes up to 4 MB for a frame, for each connection, and nothing bounds the sum. A connection on which nothing arrives any more is kept.

--- a/gossip/memory_test.go
+++ b/gossip/memory_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"fmt"
+	"io"
 	"net"
 	"runtime"
 	"testing"
@@ -13,6 +14,7 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
+	"ebonypulley"
 	"ebonypulley/catalog"
 	"ebonypulley/event"
 	"ebonypulley/gossip"
@@ -51,7 +53,7 @@
 
 // askWithoutReading asks an entry for all of its published entries and for the parts of large
 // ones, ten times a second, and reads no answer. It returns when ctx ends.
-func askWithoutReading(ctx context.Context, dial func(ctx context.Context, network, addr string) (net.Conn, error), from, to string, parts []uint64) {
+func askWithoutReading(ctx context.Context, dial ebonypulley.Dialer, from, to string, parts []uint64) {
 	for ctx.Err() == nil {
 		nc, err := dial(ctx, "tcp", to)
 		for ctx.Err() == nil && err == nil {
@@ -229,3 +231,51 @@
 		time.Sleep(10 * time.Second)
 	})
 }
+
+// sendHalfFrames connects to an entry, sends a frame without its last byte, and connects again
+// once the connection is closed. It returns when ctx ends.
+func sendHalfFrames(ctx context.Context, dial ebonypulley.Dialer, to string, frame []byte) {
+	for ctx.Err() == nil {
+		nc, err := dial(ctx, "tcp", to)
+		if err == nil {
+			if _, err = nc.Write(frame[:len(frame)-1]); err == nil {
+				_, _ = io.Copy(io.Discard, nc)
+			}
+			_ = nc.Close()
+		}
+		time.Sleep(100 * time.Millisecond)
+	}
+}
+
+// TestPeersWithHalfFrames guards against an entry that ends over its memory limit because the
+// links of other entries become silent in the middle of large messages.
+func TestPeersWithHalfFrames(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const stuck = 40
+		ctx, cancel := context.WithCancel(t.Context())
+		f := newMuteFleet(ctx, t, memory.NewBudget(smallestVM))
+		seen, late := router.NewLoadTracker(), catalog.New()
+		f.serve("sound", seen, late, func(*gossip.Node) {})
+		time.Sleep(500 * time.Millisecond)
+		frame, err := wire.AppendFrame(nil, &wire.Parts{Packed: [][]byte{make([]byte, wire.MaxFrame-100)}})
+		require.NoError(t, err)
+		before := heapInUse()
+		for i := range stuck {
+			go sendHalfFrames(ctx, f.net.Dialer(fmt.Sprint("stuck-", i)), "entry:1", frame)
+		}
+		var peak int64
+		for i := range 32 {
+			endpoint := fmt.Sprint("e", i)
+			f.loads.Begin(endpoint, router.Load{Calls: 3})
+			time.Sleep(250 * time.Millisecond)
+			peak = max(peak, heapInUse()-before)
+			assert.Equal(t, 3, seen.View(time.Now(), endpoint).Calls, "work reported within 250 ms")
+		}
+		t.Logf("the heap grows by %.1f MB", float64(peak)/(1<<20))
+		allowance := peersFraction * smallestVM
+		assert.Less(t, peak, int64(allowance)+2*stuck*connBytes)
+		cancel()
+		f.net.Close()
+		time.Sleep(10 * time.Second)
+	})
+}
