wire: frames that are read take from the same share of memory

Cause: a reader takes up to 4 MB for a frame, for each connection, and nothing bounds the sum. Change: the body of a frame takes from the Peers share as it arrives, beyond the 4 kB that belong to the connection, and is freed once the message is decoded. A frame that does not fit ends its connection (ErrFull, event 6026), which is dialled again; of those that stall, the one that holds most is closed.

--- a/gossip/link.go
+++ b/gossip/link.go
@@ -140,8 +140,7 @@
 	defer n.forgetConn(c)
 	n.setConn(l, c)
 	defer n.setConn(l, nil)
-	// The end of the connection is not logged: the loss of the entry is.
-	_ = c.Serve(ctx, func(m wire.Message) {
+	err := c.Serve(ctx, func(m wire.Message) {
 		switch m := m.(type) {
 		case *wire.Reply:
 			n.observe(time.Now(), l.addr, m.DataCentre, StoreAccess{LinkMbps: m.Link, StoreFailed: m.NoStore}, membersOf(m.Members, m.Centres, m.Links))
@@ -154,6 +153,7 @@
 			n.handleParts(l.addr, m, c)
 		}
 	})
+	n.recordRefusal(err)
 	return time.Since(began)
 }
 
--- a/gossip/node.go
+++ b/gossip/node.go
@@ -131,8 +131,7 @@
 	c := n.openConn(nc, nc.RemoteAddr().String())
 	defer n.forgetConn(c)
 	introduced := false
-	// The end of the connection is not logged: the loss of the entry is.
-	_ = c.Serve(ctx, func(m wire.Message) {
+	err := c.Serve(ctx, func(m wire.Message) {
 		now := time.Now()
 		switch m := m.(type) {
 		case *wire.Report:
@@ -149,6 +148,7 @@
 			}
 		}
 	})
+	n.recordRefusal(err)
 }
 
 // takesAnswers reports whether the peer has taken earlier answers. One that has not gets no
--- a/gossip/slow.go
+++ b/gossip/slow.go
@@ -5,6 +5,7 @@
 	"net"
 	"time"
 
+	"github.com/joomcode/errorx"
 	"go.uber.org/zap"
 
 	"ebonypulley/event"
@@ -16,12 +17,10 @@
 	// stallTimeout is how long a peer may take no byte before its connection may be closed to
 	// make room for others.
 	stallTimeout = time.Second
-	// publishedShare is the part of the peers' share of memory up to which published entries
-	// are sent, and stalledShare the part for peers that read nothing lately. The rest is for
-	// reports, without which entries overload engines.
-	publishedShare = 0.5
-	stalledShare   = 0.25
-	// stallMemory is how long a peer counts as one that read nothing.
+	// stalledShare is the part of the peers' share of memory up to which published entries are
+	// sent to peers that stalled lately.
+	stalledShare = 0.25
+	// stallMemory is how long a peer counts as one that stalled lately.
 	stallMemory = 30 * time.Second
 )
 
@@ -48,18 +47,14 @@
 // hasRoomToPublish reports whether published entries may be sent on a connection, and makes
 // room for a peer that reads.
 func (n *Node) hasRoomToPublish(now time.Time, c *wire.Conn) bool {
-	limit := n.Budget.Limit(memory.Peers)
-	if limit == 0 {
-		return true
-	}
-	used := float64(n.Budget.Used(memory.Peers)) / float64(limit)
 	if n.stalledLately(now, c) {
-		return used <= stalledShare
+		return float64(n.Budget.Used(memory.Peers)) <= stalledShare*float64(n.Budget.Limit(memory.Peers))
 	}
-	if used > publishedShare {
+	room := wire.HasRoomForLarge(n.Budget, 0)
+	if !room {
 		n.closeStalled(now)
 	}
-	return used <= publishedShare
+	return room
 }
 
 func (n *Node) stalledLately(now time.Time, c *wire.Conn) bool {
@@ -69,15 +64,15 @@
 	return ok && now.Sub(at) <= stallMemory
 }
 
-// closeStalled closes the connection that has the most to send of those whose peers read
-// nothing. The peer, if it is alive, connects again.
+// closeStalled closes the connection that holds the most memory of those whose peers neither
+// read nor complete what they send. The peer, if it is alive, connects again.
 func (n *Node) closeStalled(now time.Time) {
 	n.mu.Lock()
 	var worst *wire.Conn
-	unsent := 0
+	held := int64(0)
 	for c := range n.conns {
-		if c.SendStall(now) >= stallTimeout && c.Unsent() > unsent {
-			worst, unsent = c, c.Unsent()
+		if c.Stall(now) >= stallTimeout && c.Held() > held {
+			worst, held = c, c.Held()
 		}
 	}
 	addr := n.conns[worst]
@@ -89,6 +84,16 @@
 	if worst == nil {
 		return
 	}
-	n.log.Emit(event.PeerStalled, zap.String("peer", addr), zap.Int("unsent", unsent), zap.Duration("stalled", worst.SendStall(now)))
+	n.log.Emit(event.PeerStalled, zap.String("peer", addr), zap.Int64("held", held), zap.Duration("stalled", worst.Stall(now)))
 	worst.Close()
 }
+
+// recordRefusal makes room if a frame could not be queued or read for lack of memory. The end
+// of a connection for other reasons is not logged: the loss of the entry is.
+func (n *Node) recordRefusal(err error) {
+	if errorx.IsOfType(err, wire.ErrFull) {
+		n.Metrics.Add("peer_frames_refused", 1)
+		n.log.Emit(event.PeerFrameRefused, event.Err(err))
+		n.closeStalled(time.Now())
+	}
+}
--- a/gossip/traffic.go
+++ b/gossip/traffic.go
@@ -4,7 +4,6 @@
 	"context"
 	"time"
 
-	"github.com/joomcode/errorx"
 	"go.uber.org/zap"
 
 	"ebonypulley"
@@ -44,11 +43,8 @@
 // connection has ended, or is closed because the budget has no room, the peer asks again.
 func (n *Node) sendFrame(c *wire.Conn, kind string, frame []byte) bool {
 	err := c.SendFrame(frame)
-	if errorx.IsOfType(err, wire.ErrFull) {
-		n.Metrics.Add("peer_frames_refused", 1)
-		n.closeStalled(time.Now())
-	}
 	if err != nil {
+		n.recordRefusal(err)
 		return false
 	}
 	n.countSent(kind, frame)
--- a/wire/conn.go
+++ b/wire/conn.go
@@ -35,8 +35,8 @@
 	progress        time.Time
 	closed          bool
 	lastRead        time.Time // when the last byte was read
-	// sendAccount covers queue and the write in progress.
-	sendAccount account
+	// sendAccount covers queue and the write in progress, readAccount the frame being read.
+	sendAccount, readAccount account
 }
 
 // Option configures a Conn.
@@ -45,7 +45,7 @@
 // WithBudget makes a Conn take the memory of its buffers from the Peers share of a budget; nil
 // has no limit.
 func WithBudget(b *memory.Budget) Option {
-	return func(c *Conn) { c.sendAccount.budget = b }
+	return func(c *Conn) { c.sendAccount.budget, c.readAccount.budget = b, b }
 }
 
 // NewConn returns a Conn on nc and starts its writing side. The Conn owns nc.
@@ -136,7 +136,7 @@
 	stop := context.AfterFunc(ctx, c.Close)
 	defer stop()
 	defer c.Close()
-	r := NewReader(activityReader{c})
+	r := newReader(activityReader{c}, &c.readAccount)
 	for {
 		m, err := r.Next()
 		if err != nil {
@@ -164,15 +164,22 @@
 	return n, err
 }
 
-// SendStall returns how long the network has taken no byte of the write in progress; zero
-// without one.
-func (c *Conn) SendStall(now time.Time) time.Duration {
+// Held returns the bytes that the connection has taken from its budget.
+func (c *Conn) Held() int64 { return c.sendAccount.taken.Load() + c.readAccount.taken.Load() }
+
+// Stall returns how long the peer has neither taken bytes of the write in progress nor sent
+// the rest of a frame; zero if neither is pending.
+func (c *Conn) Stall(now time.Time) time.Duration {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.writing == 0 {
-		return 0
+	var d time.Duration
+	if c.writing > 0 {
+		d = now.Sub(c.progress)
+	}
+	if c.readAccount.taken.Load() > 0 {
+		d = max(d, now.Sub(c.lastRead))
 	}
-	return now.Sub(c.progress)
+	return d
 }
 
 // writeLoop writes the queued frames until the connection is closed.
--- a/wire/frame.go
+++ b/wire/frame.go
@@ -72,19 +72,23 @@
 	body []byte
 	src  bytes.Reader
 	dec  *msgpack.Decoder
+	// account covers body.
+	account *account
 }
 
 // NewReader returns a Reader on r.
-func NewReader(r io.Reader) *Reader {
-	fr := &Reader{r: bufio.NewReaderSize(r, readBufferSize)}
+func NewReader(r io.Reader) *Reader { return newReader(r, new(account)) }
+
+func newReader(r io.Reader, a *account) *Reader {
+	fr := &Reader{r: bufio.NewReaderSize(r, readBufferSize), account: a}
 	fr.dec = msgpack.NewDecoder(&fr.src)
 	return fr
 }
 
 const (
 	readBufferSize = 4 << 10 // bytes
-	// maxReadStep is the number of bytes by which a body buffer grows at a time.
-	// It bounds the memory that a false length in a header can make a reader
+	// maxReadStep is the size in bytes of a body buffer before it grows to at most twice what
+	// has arrived. It bounds the memory that a false length in a header can make a reader
 	// allocate.
 	maxReadStep = 64 << 10
 	// maxKeptBuffer is the size in bytes of the largest buffer that is kept for
@@ -92,8 +96,9 @@
 	maxKeptBuffer = 64 << 10
 )
 
-// Next returns the next message. The error is ErrFrame for a malformed frame,
-// else that of the read: io.EOF if the stream ends between two frames.
+// Next returns the next message. The error is ErrFrame for a malformed frame, ErrFull for one
+// for which the memory budget has no room, else that of the read: io.EOF if the stream ends
+// between two frames.
 func (r *Reader) Next() (Message, error) {
 	if _, err := io.ReadFull(r.r, r.head[:]); err != nil {
 		return nil, err
@@ -106,6 +111,7 @@
 	if m == nil {
 		return nil, ErrFrame.New("unknown kind %d", r.head[4])
 	}
+	defer r.freeBody()
 	body, err := r.readBody(n)
 	if err != nil {
 		return nil, err
@@ -113,6 +119,14 @@
 	return m, r.decode(body, m)
 }
 
+// freeBody frees the body unless it is small enough to be kept for the next frame.
+func (r *Reader) freeBody() {
+	if cap(r.body) > r.account.maxKept() {
+		r.body = nil
+	}
+	r.account.resize(cap(r.body))
+}
+
 func (r *Reader) decode(body []byte, m Message) error {
 	r.src.Reset(body)
 	r.dec.Reset(&r.src)
@@ -125,20 +139,34 @@
 	return nil
 }
 
-// readBody reads n bytes into a buffer that grows only as they arrive. The
-// result is valid until the next call.
+// readBody reads n bytes into a buffer that grows only as they arrive. The result is valid
+// until freeBody.
 func (r *Reader) readBody(n int) ([]byte, error) {
-	if cap(r.body) > maxKeptBuffer {
-		r.body = nil
-	}
 	r.body = r.body[:0]
 	for len(r.body) < n {
-		step := min(n-len(r.body), maxReadStep)
+		if err := r.growBody(n); err != nil {
+			return nil, err
+		}
 		at := len(r.body)
-		r.body = append(r.body, make([]byte, step)...)
+		r.body = r.body[:min(n, cap(r.body))]
 		if _, err := io.ReadFull(r.r, r.body[at:]); err != nil {
 			return nil, err
 		}
 	}
 	return r.body, nil
 }
+
+// growBody makes room for further bytes of a body of n bytes.
+func (r *Reader) growBody(n int) error {
+	if len(r.body) < cap(r.body) {
+		return nil
+	}
+	size := min(n, max(2*cap(r.body), maxReadStep))
+	if !r.account.resize(size) {
+		return ErrFull.New("frame of %d bytes", n)
+	}
+	grown := make([]byte, len(r.body), size)
+	copy(grown, r.body)
+	r.body = grown
+	return nil
+}
