gossip: incoming connections that bring nothing are closed, and their number is bounded

Cause: an entry closes only the connections that it made itself. Those that others made stay until the kernel gives them up, after minutes if their VM lost power, and any number is accepted. Change: a connection on which nothing arrives for 3 s is closed. Beyond 1,024 incoming ones the longest silent of those that never sent a report is closed, or without any, the longest silent. TestSilentPeersAreClosed fails before (2,048 of 2,048 connections open, also after 5 s); now at most 1,024, none after 5 s, and an entry that starts beside them gets reports.

--- a/gossip/slow.go
+++ b/gossip/conns.go
@@ -20,22 +20,82 @@
 	// stalledShare is the part of the peers' share of memory up to which published entries are
 	// sent to peers that stalled lately.
 	stalledShare = 0.25
+	// silenceTimeout is how long a connection may bring nothing, not even the rest of a message:
+	// each entry reports several times in it.
+	silenceTimeout = aliveTimeout
+	// maxIncoming bounds the connections that other entries make to this one, each of which takes
+	// some 16 kB of memory. It is above the largest fleet.
+	maxIncoming = 1024
 	// stallMemory is how long a peer counts as one that stalled lately.
 	stallMemory = 30 * time.Second
 )
 
-// openConn returns a connection to another entry; forgetConn must be called when it ends.
-func (n *Node) openConn(nc net.Conn, addr string) *wire.Conn {
+// peerConn is an open connection to another entry.
+type peerConn struct {
+	// addr is the address of the entry, or of its end of the connection until it has introduced
+	// itself.
+	addr string
+	// incoming says that the entry made the connection, introduced that it has sent a report.
+	incoming, introduced bool
+}
+
+// openConn returns a connection to an entry; forgetConn must be called when it ends.
+func (n *Node) openConn(nc net.Conn, peer peerConn) *wire.Conn {
 	c := wire.NewConn(nc, wire.WithBudget(n.Budget))
-	n.nameConn(c, addr)
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if peer.incoming {
+		n.makeRoomForIncoming(time.Now())
+	}
+	n.conns[c] = peer
 	return c
 }
 
-// nameConn sets the address of the entry at the other end of a connection.
-func (n *Node) nameConn(c *wire.Conn, addr string) {
+// makeRoomForIncoming closes a connection if there are maxIncoming: the one that has been
+// silent for longest of those that were never introduced or, without any, of all. The caller
+// holds n.mu.
+func (n *Node) makeRoomForIncoming(now time.Time) {
+	count := 0
+	var silent *wire.Conn
+	for c, peer := range n.conns {
+		if !peer.incoming {
+			continue
+		}
+		count++
+		if silent == nil || n.closesBefore(now, c, silent) {
+			silent = c
+		}
+	}
+	if count >= maxIncoming {
+		silent.Close()
+		delete(n.conns, silent)
+	}
+}
+
+// closesBefore reports whether to close connection a rather than b. The caller holds n.mu.
+func (n *Node) closesBefore(now time.Time, a, b *wire.Conn) bool {
+	if x, y := n.conns[a].introduced, n.conns[b].introduced; x != y {
+		return !x
+	}
+	return a.IdleTime(now) > b.IdleTime(now)
+}
+
+// closeSilent closes the connections that bring nothing any more. The caller holds n.mu.
+func (n *Node) closeSilent(now time.Time) {
+	for c := range n.conns {
+		if c.IdleTime(now) > silenceTimeout {
+			c.Close()
+		}
+	}
+}
+
+// introduce records which entry made a connection.
+func (n *Node) introduce(c *wire.Conn, addr string) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	n.conns[c] = addr
+	if _, open := n.conns[c]; open {
+		n.conns[c] = peerConn{addr: addr, incoming: true, introduced: true}
+	}
 }
 
 func (n *Node) forgetConn(c *wire.Conn) {
@@ -60,7 +120,7 @@
 func (n *Node) stalledLately(now time.Time, c *wire.Conn) bool {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	at, ok := n.stalledAt[n.conns[c]]
+	at, ok := n.stalledAt[n.conns[c].addr]
 	return ok && now.Sub(at) <= stallMemory
 }
 
@@ -75,7 +135,7 @@
 			worst, held = c, c.Held()
 		}
 	}
-	addr := n.conns[worst]
+	addr := n.conns[worst].addr
 	if worst != nil {
 		maps.DeleteFunc(n.stalledAt, func(_ string, at time.Time) bool { return now.Sub(at) > stallMemory })
 		n.stalledAt[addr] = now
--- a/gossip/link.go
+++ b/gossip/link.go
@@ -77,6 +77,7 @@
 func (n *Node) checkLinks(ctx context.Context, now time.Time) (lost []string) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
+	n.closeSilent(now)
 	lost = n.members.ExpireSilent(now)
 	n.reconcileLinks(ctx, n.members.Targets(now))
 	n.Releases.SetReachesAll(n.reachesAll(now))
@@ -136,7 +137,7 @@
 // took; sendReports sends the reports.
 func (n *Node) readReplies(ctx context.Context, l *link, nc net.Conn) time.Duration {
 	began := time.Now()
-	c := n.openConn(nc, l.addr)
+	c := n.openConn(nc, peerConn{addr: l.addr})
 	defer n.forgetConn(c)
 	n.setConn(l, c)
 	defer n.setConn(l, nil)
--- a/gossip/memory_test.go
+++ b/gossip/memory_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"runtime"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -31,6 +32,8 @@
 	// that connections to other entries may take.
 	smallestVM    = 88 << 20
 	peersFraction = 0.08
+	// maxIncoming is the number of connections of other entries that an entry keeps.
+	maxIncoming = 1024
 	// connBytes is the memory of one simulated connection without queued frames, both ends.
 	connBytes = 50 << 10
 )
@@ -279,3 +282,36 @@
 		time.Sleep(10 * time.Second)
 	})
 }
+
+// TestSilentPeersAreClosed guards against connections of entries that lost power or restart in
+// a loop, which would be kept until the kernel gives them up after minutes.
+func TestSilentPeersAreClosed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		f := newMuteFleet(ctx, t, nil)
+		time.Sleep(time.Second)
+		var open atomic.Int64
+		for range 2 * maxIncoming {
+			nc, err := f.net.Dialer("silent")(ctx, "tcp", "entry:1")
+			require.NoError(t, err)
+			open.Add(1)
+			go func() {
+				_, _ = io.Copy(io.Discard, nc)
+				_ = nc.Close()
+				open.Add(-1)
+			}()
+		}
+		time.Sleep(100 * time.Millisecond)
+		assert.LessOrEqual(t, open.Load(), int64(maxIncoming))
+		seen := router.NewLoadTracker()
+		f.serve("sound", seen, catalog.New(), func(*gossip.Node) {})
+		time.Sleep(2 * time.Second)
+		assert.Equal(t, 3, seen.View(time.Now(), "endpoint-0").Calls, "an entry that starts beside them gets reports")
+		time.Sleep(3 * time.Second)
+		assert.LessOrEqual(t, open.Load(), int64(0))
+		assert.Equal(t, 3, seen.View(time.Now(), "endpoint-0").Calls)
+		cancel()
+		f.net.Close()
+		time.Sleep(10 * time.Second)
+	})
+}
--- a/gossip/node.go
+++ b/gossip/node.go
@@ -74,8 +74,8 @@
 	work        []wire.EndpointWork
 	workChanged time.Time
 	links       map[string]*link
-	// conns holds all open connections to other entries, with their addresses.
-	conns map[*wire.Conn]string
+	// conns holds all open connections to other entries.
+	conns map[*wire.Conn]peerConn
 	// stalledAt holds when a connection to each entry that read nothing was closed last.
 	stalledAt map[string]time.Time
 	// answering serializes answers with published entries, because the buffers in which they are
@@ -101,7 +101,7 @@
 		CatalogAge: func() time.Duration { return 0 }, OnReceive: func(time.Duration) {},
 		Metrics: metrics.NewSet(), Crashes: poison.NewDetector(), Quotas: quota.NewLedger(quota.Settings{}),
 		Paces: pace.NewTracker(), Shares: share.NewTable(), Returns: returns.NewCalendar(), Releases: release.NewTracker(),
-		members: NewMembers(self.Addr, self.DataCentre, seeds), links: make(map[string]*link), conns: make(map[*wire.Conn]string), stalledAt: make(map[string]time.Time),
+		members: NewMembers(self.Addr, self.DataCentre, seeds), links: make(map[string]*link), conns: make(map[*wire.Conn]peerConn), stalledAt: make(map[string]time.Time),
 		revisions: make(map[string]revision.Revision), eraAnswers: make(map[string]eraAnswer), index: parts.NewIndex(),
 	}
 }
@@ -128,7 +128,7 @@
 
 // serveConn answers the reports on one connection.
 func (n *Node) serveConn(ctx context.Context, nc net.Conn) {
-	c := n.openConn(nc, nc.RemoteAddr().String())
+	c := n.openConn(nc, peerConn{addr: nc.RemoteAddr().String(), incoming: true})
 	defer n.forgetConn(c)
 	introduced := false
 	err := c.Serve(ctx, func(m wire.Message) {
@@ -136,7 +136,7 @@
 		switch m := m.(type) {
 		case *wire.Report:
 			if !introduced {
-				n.nameConn(c, m.From)
+				n.introduce(c, m.From)
 			}
 			n.mergeReport(now, m)
 			if takesAnswers(c) && n.answerReport(now, c, m, !introduced) {
