router: streams of one endpoint share the probes of it

Cause: when an engine falls silent, each of its streams probes it by itself, on two new connections, with two goroutines and 16 kB of buffers. Ruled out: a loop. What is expected to be lost to probes that get lost is the same as before, but streams that share a check are lost together.

--- a/router/router.go
+++ b/router/router.go
@@ -1,6 +1,7 @@
 package router
 
 import (
+	"context"
 	"maps"
 	"math/rand/v2"
 	"slices"
@@ -63,6 +64,7 @@
 	directory  atomic.Pointer[Directory]
 	cacheIndex cacheIndex
 	rooms      *roomQueues
+	probes     *probes
 
 	mu      sync.Mutex
 	budgets map[string]*limit.RetryBudget
@@ -109,6 +111,7 @@
 		holds:           make(map[string]*hold),
 		rnd:             rand.New(rand.NewPCG(seed, seed+1)),
 	}
+	r.probes = newProbes(func(ctx context.Context, e *Endpoint) error { return r.endpoints.Probe(ctx, e) })
 	r.crashes.OnBlocked = r.poisonFound
 	r.rooms = newRoomQueues(r)
 	r.loads.onRoom = r.rooms.wakeSoon
--- a/router/watch.go
+++ b/router/watch.go
@@ -1,12 +1,9 @@
 package router
 
 import (
-	"context"
 	"sync"
 	"time"
 
-	"github.com/joomcode/errorx"
-
 	"ebonypulley/estimate"
 )
 
@@ -23,12 +20,6 @@
 	// networkAllowance is added to expected durations for the network path to an endpoint
 	// and back: a few round trips between data centres, and pauses of a busy process.
 	networkAllowance = 50 * time.Millisecond
-	// probeTimeout is how long an endpoint may take to answer a probe. Probes use none of
-	// its slots.
-	probeTimeout = 250 * time.Millisecond
-	// probeCount is the number of concurrent probes of one check, so that a lost packet
-	// does not end an answer.
-	probeCount = 2
 	// hangFactor is how long a live endpoint is waited for, as a multiple of the longest
 	// expected duration.
 	hangFactor = 3
@@ -164,7 +155,7 @@
 		return
 	}
 	w.r.metrics.Add("endpoints_asked_alive", 1)
-	if !w.r.alive(w.e) {
+	if !w.r.probes.alive(w.e) {
 		w.conclude(epoch, gone)
 		return
 	}
@@ -206,20 +197,3 @@
 	w.mu.Unlock()
 	w.cancel()
 }
-
-// alive probes an endpoint and reports whether it answers at all.
-func (r *Router) alive(e *Endpoint) bool {
-	ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
-	defer cancel()
-	answers := make(chan error, probeCount)
-	for range probeCount {
-		go func() { answers <- r.endpoints.Probe(ctx, e) }()
-	}
-	for range probeCount {
-		err := <-answers
-		if err == nil || errorx.IsOfType(err, ErrLost) && ctx.Err() == nil {
-			return true // a reset comes from a live host
-		}
-	}
-	return false
-}
