router: a stream that joins a check of its endpoint waits as long as one that begins it

Cause: a check that fails ended all streams that had joined it, up to 50 ms before the time that each would have given the endpoint alone. Change: probes go on for as long as the last stream that may have joined waits; each waits probeTimeout. TestJoinedCheckHasFullTime fails before.

--- a/router/probes.go
+++ b/router/probes.go
@@ -16,8 +16,7 @@
 	// does not end an answer.
 	probeCount = 2
 	// probeSharing is how long after its beginning a check may be joined by other streams of
-	// the same endpoint. It is short beside probeTimeout, because a check that fails tells
-	// those that joined it that the endpoint did not answer.
+	// the same endpoint.
 	probeSharing = 50 * time.Millisecond
 )
 
@@ -42,11 +41,18 @@
 	return &probes{probe: probe, latest: make(map[string]*probeCheck)}
 }
 
-// alive reports whether an endpoint answers at all.
+// alive reports whether an endpoint answers at all. It waits for probeTimeout, also if it joins
+// a check that began before.
 func (p *probes) alive(e *Endpoint) bool {
 	q := p.check(time.Now(), e)
-	<-q.done
-	return q.alive
+	timeout := time.NewTimer(probeTimeout)
+	defer timeout.Stop()
+	select {
+	case <-q.done:
+		return q.alive
+	case <-timeout.C:
+		return false
+	}
 }
 
 // check returns a check of the endpoint that has just begun.
@@ -75,7 +81,7 @@
 
 // answers probes an endpoint.
 func (p *probes) answers(e *Endpoint) bool {
-	ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
+	ctx, cancel := context.WithTimeout(context.Background(), probeTimeout+probeSharing)
 	defer cancel()
 	answers := make(chan error, probeCount)
 	for range probeCount {
--- a/router/probes_test.go
+++ b/router/probes_test.go
@@ -78,3 +78,18 @@
 		})
 	}
 }
+
+// TestJoinedCheckHasFullTime guards against streams that are ended because they joined a check
+// of their endpoint shortly before its time was over.
+func TestJoinedCheckHasFullTime(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := newProbes((&probedEndpoints{answerAfter: probeTimeout + 10*time.Millisecond}).Probe)
+		e := &Endpoint{ID: "e"}
+		first := make(chan bool, 1)
+		go func() { first <- p.alive(e) }()
+		time.Sleep(probeSharing - 10*time.Millisecond)
+		assert.True(t, p.alive(e), "answered in less than probeTimeout after it asked")
+		assert.False(t, <-first)
+		time.Sleep(time.Second)
+	})
+}
