upstream: the idle connections to all endpoints together are bounded

Cause: eight idle connections are kept for each endpoint; with hundreds of endpoints their buffers, 8 kB each, have no bound of their own. Change: beyond 512 the idle connection that expires next is closed. TestIdleConnectionsAreBounded fails before (more than 512 of 1,600 connections stay open). upstream passes with -race.

--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -50,6 +50,9 @@
 	// a burst and well below the number of connections that the smallest endpoint
 	// accepts from all entries.
 	maxIdleConns = 8
+	// maxIdleTotal bounds the idle connections to all endpoints together, each of which takes
+	// some 10 kB of memory.
+	maxIdleTotal = 512
 	// For brokenTTL after a new connection to an endpoint broke, further new ones
 	// are checked for a reset before they are used. The check waits for
 	// resetWaitRTTs times the time that the connection took to establish, plus
@@ -77,6 +80,8 @@
 	dial ebonypulley.Dialer
 	mu   sync.Mutex
 	idle map[Target][]*conn
+	// idleTotal is the number of connections in idle.
+	idleTotal int
 	// brokenAt is when a new connection to a target last ended before any answer.
 	brokenAt map[Target]time.Time
 }
@@ -201,6 +206,7 @@
 
 // setIdleLocked sets the idle connections of a target. The caller holds p.mu.
 func (p *Pool) setIdleLocked(t Target, list []*conn) {
+	p.idleTotal += len(list) - len(p.idle[t])
 	if len(list) == 0 {
 		delete(p.idle, t)
 		return
@@ -218,7 +224,24 @@
 		_ = c.nc.Close()
 		return
 	}
-	p.idle[t] = append(p.idle[t], c)
+	if p.idleTotal >= maxIdleTotal {
+		p.closeOldestLocked()
+	}
+	p.setIdleLocked(t, append(p.idle[t], c))
+}
+
+// closeOldestLocked closes the idle connection that expires next. The caller holds p.mu.
+func (p *Pool) closeOldestLocked() {
+	var oldest Target
+	var until time.Time
+	for t, list := range p.idle {
+		if until.IsZero() || list[0].idleUntil.Before(until) {
+			oldest, until = t, list[0].idleUntil
+		}
+	}
+	list := p.idle[oldest]
+	_ = list[0].nc.Close()
+	p.setIdleLocked(oldest, list[1:])
 }
 
 // CloseExpired closes the connections whose idle timeout has expired.
@@ -249,6 +272,7 @@
 		}
 	}
 	clear(p.idle)
+	p.idleTotal = 0
 }
 
 // keepAliveTimeout returns how long an idle connection may be kept according to
--- a/upstream/upstream_test.go
+++ b/upstream/upstream_test.go
@@ -4,9 +4,11 @@
 	"bufio"
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -328,6 +330,36 @@
 	assert.Eventually(t, func() bool { return open.Load() <= 2 }, time.Second, 5*time.Millisecond, "idle connections stay open")
 }
 
+// TestIdleConnectionsAreBounded guards against a pool that keeps connections, with their
+// buffers, to each of hundreds of endpoints until the memory of a small VM is used up.
+func TestIdleConnectionsAreBounded(t *testing.T) {
+	const endpoints, each, maxIdle = 200, 8, 512
+	var open atomic.Int32
+	target, _ := serveConns(t, func(_ int, c net.Conn) {
+		open.Add(1)
+		defer open.Add(-1)
+		br := bufio.NewReader(c)
+		for r := readRequest(t, br); r != nil; r = readRequest(t, br) {
+			time.Sleep(20 * time.Millisecond)
+			_, _ = io.WriteString(c, rawAnswer(r.Header.Get("Id"), "ok"))
+		}
+	})
+	p := upstream.NewPool(nil)
+	defer p.Close()
+	var wg sync.WaitGroup
+	for i := range endpoints {
+		e := upstream.Target{ID: fmt.Sprint("e", i), Addr: target.Addr}
+		for range each {
+			wg.Go(func() {
+				_, err := call(p, e, getRequest("a"))
+				assert.NoError(t, err)
+			})
+		}
+	}
+	wg.Wait()
+	assert.Eventually(t, func() bool { return open.Load() <= maxIdle }, time.Second, 5*time.Millisecond, "idle connections stay open")
+}
+
 // TestResetBeforeSendIsConnectError: an endpoint at its connection limit resets each new
 // connection. The error must say that no part of the request was sent; otherwise the
 // request counts as possibly run and is not sent to another endpoint.
