upstream: the header of an answer is bounded

Cause: http.ReadResponse has no bound for a header; an endpoint that sends header lines without end has them kept in memory until the request's deadline. Change: a header beyond 64 kB breaks the connection (ErrLost). TestEndlessHeaderIsBroken fails before (all of 4 MB are read). upstream passes twice with -race, and TestEndToEnd, Answer and Stream tests of platform pass.

--- a/upstream/exchange.go
+++ b/upstream/exchange.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"io"
+	"net"
 	"net/http"
 	"net/url"
 	"sync/atomic"
@@ -41,6 +42,31 @@
 // maxInterimAnswers is the number of 1xx answers that are skipped before an answer.
 const maxInterimAnswers = 5
 
+// maxHeader bounds the header of an answer in bytes, and unlimited is no bound.
+const (
+	maxHeader = 64 << 10
+	unlimited = -1
+)
+
+// headReader reads from a connection, at most left bytes while the header of an answer is read:
+// package http has no bound of its own.
+type headReader struct {
+	nc   net.Conn
+	left int
+}
+
+func (h *headReader) Read(b []byte) (int, error) {
+	if h.left == unlimited {
+		return h.nc.Read(b)
+	}
+	if h.left == 0 {
+		return 0, ErrLost.New("the header exceeds %d bytes", maxHeader)
+	}
+	n, err := h.nc.Read(b[:min(len(b), h.left)])
+	h.left -= n
+	return n, err
+}
+
 // Response is an answer. The caller reads its body with Read and must call Close.
 type Response struct {
 	Status  int
@@ -144,7 +170,9 @@
 func (r *Response) readHead(hr *http.Request, matches func(http.Header, bool) bool) error {
 	first := !r.conn.reused
 	for stale, interim := 0, 0; ; {
+		r.conn.head.left = maxHeader
 		resp, err := http.ReadResponse(r.conn.br, hr)
+		r.conn.head.left = unlimited
 		if err != nil {
 			return err
 		}
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -97,7 +97,8 @@
 // conn is a connection. It carries one request at a time.
 type conn struct {
 	nc          net.Conn
-	br          *bufio.Reader
+	head        *headReader
+	br          *bufio.Reader // reads from head
 	bw          *bufio.Writer
 	idleUntil   time.Time // when the connection is closed if it stays idle
 	reused      bool      // it has carried a request before
@@ -118,7 +119,8 @@
 	if err != nil {
 		return nil, ErrConnect.Wrap(err, "connect to %s", t.Addr)
 	}
-	c := &conn{nc: nc, br: bufio.NewReaderSize(nc, bufferSize), bw: bufio.NewWriterSize(nc, bufferSize), idleTimeout: defaultIdleTimeout}
+	head := &headReader{nc: nc, left: unlimited}
+	c := &conn{nc: nc, head: head, br: bufio.NewReaderSize(head, bufferSize), bw: bufio.NewWriterSize(nc, bufferSize), idleTimeout: defaultIdleTimeout}
 	if err := p.awaitReset(t, c, time.Since(began)); err != nil {
 		_ = nc.Close()
 		return nil, err
--- a/upstream/upstream_test.go
+++ b/upstream/upstream_test.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -330,6 +331,28 @@
 	assert.Eventually(t, func() bool { return open.Load() <= 2 }, time.Second, 5*time.Millisecond, "idle connections stay open")
 }
 
+// TestEndlessHeaderIsBroken guards against an endpoint that sends header lines without end,
+// which would be kept in memory until the request's deadline.
+func TestEndlessHeaderIsBroken(t *testing.T) {
+	const enough = 4 << 20
+	sent := make(chan int, 1)
+	target, _ := serveConns(t, func(_ int, c net.Conn) {
+		readRequest(t, bufio.NewReader(c))
+		n, err := io.WriteString(c, "HTTP/1.1 200 OK\r\n")
+		for err == nil && n < enough {
+			var more int
+			more, err = io.WriteString(c, "Line: "+strings.Repeat("x", 1000)+"\r\n")
+			n += more
+		}
+		sent <- n
+	})
+	p := upstream.NewPool(nil)
+	defer p.Close()
+	_, err := call(p, target, getRequest("a"))
+	assert.True(t, errorx.IsOfType(err, upstream.ErrLost))
+	assert.Less(t, <-sent, enough)
+}
+
 // TestIdleConnectionsAreBounded guards against a pool that keeps connections, with their
 // buffers, to each of hundreds of endpoints until the memory of a small VM is used up.
 func TestIdleConnectionsAreBounded(t *testing.T) {
