--- a/parts/parts_test.go
+++ b/parts/parts_test.go
@@ -164,3 +164,10 @@
 		require.NoError(b, err)
 	}
 }
+
+// TestLargestValue guards against a manifest that makes a process of a small VM assemble a value
+// which takes, with its parts, most of its memory.
+func TestLargestValue(t *testing.T) {
+	const smallestVM = 88 << 20
+	assert.LessOrEqual(t, 2*parts.MaxValueBytes, smallestVM/10, "the value and its parts")
+}
