parts: an index keeps 8 MB of values

Cause: the index keeps the last value of each key for good, also of keys that are gone. Change: beyond 8 MB the values that were added first are dropped. Whoever asks for their parts gets none and then a new manifest.

--- a/parts/index.go
+++ b/parts/index.go
@@ -12,10 +12,15 @@
 	mu     sync.Mutex
 	values map[string]*indexedValue
 	packer packer
+	// added counts the values added, bytes is the size of those in values.
+	added uint64
+	bytes int
 }
 
 type indexedValue struct {
 	revision revision.Revision
+	// addedAs is the number of values added before.
+	addedAs  uint64
 	manifest Manifest
 	parts    map[uint64][]byte
 	// packed caches compressed parts that were requested: one process sends the same ones to
@@ -27,7 +32,8 @@
 func NewIndex() *Index { return &Index{values: make(map[string]*indexedValue)} }
 
 // Add returns the manifest of a key's value at a revision, and indexes its parts in
-// place of those of the key's former value.
+// place of those of the key's former value. Beyond maxIndexBytes the values that were added
+// first are dropped; whoever asks for their parts gets a new manifest.
 func (x *Index) Add(key string, at revision.Revision, value []byte) Manifest {
 	x.mu.Lock()
 	defer x.mu.Unlock()
@@ -37,6 +43,7 @@
 	}
 	v := &indexedValue{
 		revision: at,
+		addedAs:  x.added,
 		manifest: Manifest{Size: len(value), Digest: digest(value)},
 		parts:    make(map[uint64][]byte),
 		packed:   make(map[uint64][]byte),
@@ -49,10 +56,35 @@
 			v.packed[d] = old.packed[d]
 		}
 	}
+	x.remove(key)
 	x.values[key] = v
+	x.added++
+	x.bytes += v.manifest.Size
+	for x.bytes > maxIndexBytes && len(x.values) > 1 {
+		x.remove(x.oldest())
+	}
 	return v.manifest
 }
 
+// remove removes the value of a key, if there is one. The caller holds x.mu.
+func (x *Index) remove(key string) {
+	if v := x.values[key]; v != nil {
+		x.bytes -= v.manifest.Size
+		delete(x.values, key)
+	}
+}
+
+// oldest returns the key whose value was added first. The caller holds x.mu.
+func (x *Index) oldest() (key string) {
+	first := x.added
+	for k, v := range x.values {
+		if v.addedAs < first {
+			key, first = k, v.addedAs
+		}
+	}
+	return key
+}
+
 // Part returns a part of an indexed value.
 func (x *Index) Part(d uint64) ([]byte, bool) {
 	x.mu.Lock()
--- a/parts/parts.go
+++ b/parts/parts.go
@@ -22,6 +22,8 @@
 	// MaxValueBytes bounds the size of a value, so that a wrong size in a manifest can't
 	// exhaust memory. It is far above the 1 MB that a published value may have.
 	MaxValueBytes = 4 << 20
+	// maxIndexBytes bounds the values of an index together; a removed value is not taken out.
+	maxIndexBytes = 2 * MaxValueBytes
 	// gearSeed generates the table of the rolling hash. It must be the same in every process;
 	// otherwise equal values are split differently and share no parts.
 	gearSeed = 0x9e3779b97f4a7c15
--- a/parts/parts_test.go
+++ b/parts/parts_test.go
@@ -165,6 +165,27 @@
 	}
 }
 
+// TestIndexIsBounded guards against an index that keeps the parts of all values that were ever
+// published, also under keys that are gone, until the memory of a small VM is used up.
+func TestIndexIsBounded(t *testing.T) {
+	const values, size, maxKept = 40, 1 << 20, 8
+	x := parts.NewIndex()
+	first := make([]uint64, values)
+	for i := range values {
+		value := bytes.Repeat(fmt.Appendf(nil, "%08d", i), size/8)
+		first[i] = x.Add(fmt.Sprint("key-", i), revision.Revision{Count: uint64(i + 1)}, value).Parts[0]
+	}
+	kept := 0
+	for _, d := range first {
+		if _, ok := x.Part(d); ok {
+			kept++
+		}
+	}
+	assert.LessOrEqual(t, kept, maxKept)
+	_, ok := x.Part(first[values-1])
+	assert.True(t, ok, "the last value is kept")
+}
+
 // TestLargestValue guards against a manifest that makes a process of a small VM assemble a value
 // which takes, with its parts, most of its memory.
 func TestLargestValue(t *testing.T) {
