gossip: answers to entries of a former era are forgotten with the entry

Cause: eraAnswers keeps the last answer to each address that ever asked from a former era. Change: it is dropped when the entry has fallen silent, like its revision. TestLostEntriesAreForgotten fails before (100 of 100 are kept).

--- a/gossip/link.go
+++ b/gossip/link.go
@@ -83,6 +83,7 @@
 	n.Releases.SetReachesAll(n.reachesAll(now))
 	for _, addr := range lost {
 		delete(n.revisions, addr)
+		delete(n.eraAnswers, addr)
 	}
 	if len(n.members.Alive(now)) > 0 || len(n.members.seeds) == 0 {
 		most, _ := n.members.MaxEntries(now)
