--- a/gossip/link.go
+++ b/gossip/link.go
@@ -77,11 +77,13 @@
 func (n *Node) checkLinks(ctx context.Context, now time.Time) (lost []string) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
+	n.closeSilent(now)
 	lost = n.members.ExpireSilent(now)
 	n.reconcileLinks(ctx, n.members.Targets(now))
 	n.Releases.SetReachesAll(n.reachesAll(now))
 	for _, addr := range lost {
 		delete(n.revisions, addr)
+		delete(n.eraAnswers, addr)
 	}
 	if len(n.members.Alive(now)) > 0 || len(n.members.seeds) == 0 {
 		most, _ := n.members.MaxEntries(now)
@@ -136,11 +138,11 @@
 // took; sendReports sends the reports.
 func (n *Node) readReplies(ctx context.Context, l *link, nc net.Conn) time.Duration {
 	began := time.Now()
-	c := wire.NewConn(nc)
+	c := n.openConn(nc, peerConn{addr: l.addr})
+	defer n.forgetConn(c)
 	n.setConn(l, c)
 	defer n.setConn(l, nil)
-	// The end of the connection is not logged: the loss of the entry is.
-	_ = c.Serve(ctx, func(m wire.Message) {
+	err := c.Serve(ctx, func(m wire.Message) {
 		switch m := m.(type) {
 		case *wire.Reply:
 			n.observe(time.Now(), l.addr, m.DataCentre, StoreAccess{LinkMbps: m.Link, StoreFailed: m.NoStore}, membersOf(m.Members, m.Centres, m.Links))
@@ -153,6 +155,7 @@
 			n.handleParts(l.addr, m, c)
 		}
 	})
+	n.recordRefusal(err)
 	return time.Since(began)
 }
 
--- a/gossip/report.go
+++ b/gossip/report.go
@@ -70,10 +70,9 @@
 		if frames[v] == nil {
 			frames[v] = n.encodeReport(now, work, use, limits, v, crashes, begun)
 		}
-		// If the connection has ended, its link replaces it.
-		_ = s.conn.SendFrame(frames[v])
-		n.countSent(reportsSent, frames[v])
-		n.recordUpdatesSent(s, crashes.upTo, begun.upTo)
+		if n.sendFrame(s.conn, reportsSent, frames[v]) {
+			n.recordUpdatesSent(s, crashes.upTo, begun.upTo)
+		}
 	}
 }
 
@@ -119,6 +118,9 @@
 			l.conn.Close()
 			continue
 		}
+		if l.conn.Unsent() > 0 {
+			continue // it gets the next report once it has taken the last one
+		}
 		updatesDue := (newestCrash > l.crashSeq || newestStream > l.streamSeq) && now.Sub(l.sent) >= interval
 		if updatesDue || l.due(now, changed, interval, idle, l.addr == asked) {
 			list = append(list, l)
--- a/wire/conn.go
+++ b/wire/conn.go
@@ -5,6 +5,8 @@
 	"net"
 	"sync"
 	"time"
+
+	"ebonypulley/memory"
 )
 
 const (
@@ -13,6 +15,8 @@
 	// writeTimeout bounds one write; the connection to a peer that has stopped
 	// reading is closed when it expires.
 	writeTimeout = 5 * time.Second
+	// writeStep is the number of bytes in one write.
+	writeStep = 64 << 10
 )
 
 // Conn is a connection that carries frames. Send and SendFrame are safe for
@@ -21,24 +25,43 @@
 // Frames that are queued while a write is in progress are written together, so
 // that a busy connection needs one system call for many tokens.
 type Conn struct {
-	nc       net.Conn
-	mu       sync.Mutex
-	queued   *sync.Cond
-	queue    []byte
-	closed   bool
-	lastRead time.Time // when the last byte was read
+	nc     net.Conn
+	mu     sync.Mutex
+	queued *sync.Cond
+	queue  []byte
+	// unsent and writing are the bytes and the capacity of the write in progress, and
+	// progress is when the network last took bytes of it.
+	unsent, writing int
+	progress        time.Time
+	closed          bool
+	lastRead        time.Time // when the last byte was read
+	// sendAccount covers queue and the write in progress, readAccount the frame being read.
+	sendAccount, readAccount account
+}
+
+// Option configures a Conn.
+type Option func(*Conn)
+
+// WithBudget makes a Conn take the memory of its buffers from the Peers share of a budget; nil
+// has no limit.
+func WithBudget(b *memory.Budget) Option {
+	return func(c *Conn) { c.sendAccount.budget, c.readAccount.budget = b, b }
 }
 
 // NewConn returns a Conn on nc and starts its writing side. The Conn owns nc.
-func NewConn(nc net.Conn) *Conn {
+func NewConn(nc net.Conn, options ...Option) *Conn {
 	c := &Conn{nc: nc, lastRead: time.Now()}
+	for _, set := range options {
+		set(c)
+	}
 	c.queued = sync.NewCond(&c.mu)
 	go c.writeLoop()
 	return c
 }
 
 // Send queues m without blocking on the network. It returns ErrClosed if the
-// connection is closed or the queue is full, which closes the connection.
+// connection is closed or the queue is full, which closes the connection, and ErrFull if the
+// budget has no room for m, which is then not sent.
 func (c *Conn) Send(m Message) error {
 	return c.enqueue(func(out []byte) ([]byte, error) { return AppendFrame(out, m) })
 }
@@ -59,11 +82,14 @@
 	if err != nil {
 		return err
 	}
-	c.queue = out
-	if len(c.queue) > maxQueuedBytes {
+	if len(out) > maxQueuedBytes {
 		c.closeLocked()
 		return ErrClosed.New("send queue is full: %d bytes", len(out))
 	}
+	if !c.sendAccount.resize(cap(out) + c.writing) {
+		return ErrFull.New("%d bytes are queued", len(c.queue))
+	}
+	c.queue = out
 	c.queued.Signal()
 	return nil
 }
@@ -81,10 +107,18 @@
 	}
 	c.closed = true
 	c.queue = nil
+	c.sendAccount.resize(c.writing)
 	c.queued.Broadcast()
 	_ = c.nc.Close()
 }
 
+// Unsent returns the number of bytes that are queued or being written.
+func (c *Conn) Unsent() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return len(c.queue) + c.unsent
+}
+
 // IdleTime returns the time since the last byte was read.
 func (c *Conn) IdleTime(now time.Time) time.Duration {
 	c.mu.Lock()
@@ -102,7 +136,7 @@
 	stop := context.AfterFunc(ctx, c.Close)
 	defer stop()
 	defer c.Close()
-	r := NewReader(activityReader{c})
+	r := newReader(activityReader{c}, &c.readAccount)
 	for {
 		m, err := r.Next()
 		if err != nil {
@@ -130,27 +164,85 @@
 	return n, err
 }
 
+// Held returns the bytes that the connection has taken from its budget.
+func (c *Conn) Held() int64 { return c.sendAccount.taken.Load() + c.readAccount.taken.Load() }
+
+// Stall returns how long the peer has neither taken bytes of the write in progress nor sent
+// the rest of a frame; zero if neither is pending.
+func (c *Conn) Stall(now time.Time) time.Duration {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var d time.Duration
+	if c.writing > 0 {
+		d = now.Sub(c.progress)
+	}
+	if c.readAccount.taken.Load() > 0 {
+		d = max(d, now.Sub(c.lastRead))
+	}
+	return d
+}
+
 // writeLoop writes the queued frames until the connection is closed.
 func (c *Conn) writeLoop() {
-	var batch []byte
+	var spare []byte
 	for {
-		c.mu.Lock()
-		for len(c.queue) == 0 && !c.closed {
-			c.queued.Wait()
-		}
-		if c.closed {
-			c.mu.Unlock()
+		batch := c.nextBatch(spare)
+		if batch == nil {
 			return
 		}
-		batch, c.queue = c.queue, batch[:0]
-		c.mu.Unlock()
-		_ = c.nc.SetWriteDeadline(time.Now().Add(writeTimeout))
-		if _, err := c.nc.Write(batch); err != nil {
+		err := c.write(batch)
+		c.endWrite()
+		if err != nil {
 			c.Close()
 			return
 		}
-		if cap(batch) > maxKeptBuffer {
-			batch = nil
+		spare = batch
+		if cap(batch) > c.sendAccount.maxKept() {
+			spare = nil
 		}
 	}
 }
+
+// nextBatch waits for queued frames and returns them, or nil once the connection is closed.
+// The next frames are queued in spare.
+func (c *Conn) nextBatch(spare []byte) []byte {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for len(c.queue) == 0 && !c.closed {
+		c.queued.Wait()
+	}
+	if c.closed {
+		return nil
+	}
+	batch := c.queue
+	c.queue = spare[:0]
+	c.unsent, c.writing, c.progress = len(batch), cap(batch), time.Now()
+	return batch
+}
+
+// write writes a batch in steps, so that a slow peer differs from one that reads nothing.
+func (c *Conn) write(batch []byte) error {
+	_ = c.nc.SetWriteDeadline(time.Now().Add(writeTimeout))
+	for len(batch) > 0 {
+		n, err := c.nc.Write(batch[:min(len(batch), writeStep)])
+		if err != nil {
+			return err
+		}
+		batch = batch[n:]
+		c.recordProgress(len(batch))
+	}
+	return nil
+}
+
+func (c *Conn) recordProgress(unsent int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.unsent, c.progress = unsent, time.Now()
+}
+
+func (c *Conn) endWrite() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.unsent, c.writing = 0, 0
+	c.sendAccount.resize(cap(c.queue))
+}
