router: events that wait for slow callers take memory from the budget

Cause: each stream buffers up to 64 KB for a caller that reads slowly, and nothing bounds the sum: 34 MB for the 537 connections that an entry with 88 MB accepts, beside shares that are full. Ruled out: a smaller buffer for all; a caller that pauses for seconds would make its engine look silent. Change: 8 KB of it belong to the connection, the rest is taken from the Answers share. Without room the engine is read at the caller's pace, as when the buffer is full.

--- a/router/delivery.go
+++ b/router/delivery.go
@@ -3,12 +3,18 @@
 import (
 	"context"
 	"sync"
+
+	"ebonypulley/memory"
 )
 
-// maxBuffered is the maximum size in bytes of the events that are buffered for one
-// caller. It exceeds the size of most answers, and a hundred slow callers need little of
-// the smallest VM's memory.
-const maxBuffered = 64 << 10
+const (
+	// maxBuffered is the maximum size in bytes of the events that are buffered for one
+	// caller. It exceeds the size of most answers.
+	maxBuffered = 64 << 10
+	// freeBuffered is the size in bytes up to which they are part of the memory of the
+	// caller's connection. Beyond it they take memory from the budget.
+	freeBuffered = 8 << 10
+)
 
 // delivery buffers the events of one answer for a caller that may read slowly.
 //
@@ -16,12 +22,14 @@
 // Without the buffer, a caller that stops reading for some seconds makes the endpoint
 // look silent or makes it abort the stream, and the prompt is prefilled once more.
 type delivery struct {
-	sink Sink
+	sink   Sink
+	budget *memory.Budget
 
 	mu    sync.Mutex
 	queue []Event
-	// buffered is the size of queue in bytes.
+	// buffered is the size of queue in bytes, taken what is taken from the budget for it.
 	buffered int
+	taken    int64
 	// closed says that no more events follow. err is the error of the sink.
 	closed bool
 	err    error
@@ -32,8 +40,8 @@
 }
 
 // newDelivery starts a delivery. It must be ended with finish.
-func newDelivery(sink Sink) *delivery {
-	d := &delivery{sink: sink, done: make(chan struct{})}
+func newDelivery(sink Sink, budget *memory.Budget) *delivery {
+	d := &delivery{sink: sink, budget: budget, done: make(chan struct{})}
 	d.changed = sync.NewCond(&d.mu)
 	go d.write()
 	return d
@@ -46,7 +54,7 @@
 	defer stop()
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	for d.buffered >= maxBuffered && d.err == nil && ctx.Err() == nil {
+	for d.err == nil && ctx.Err() == nil && !d.takeRoom(len(ev.Bytes)) {
 		d.changed.Wait()
 	}
 	if d.err != nil {
@@ -61,6 +69,36 @@
 	return nil
 }
 
+// takeRoom takes room for an event, and reports whether there was any. An empty buffer has
+// room for any event, so that a caller that reads always gets on. The caller holds d.mu.
+func (d *delivery) takeRoom(size int) bool {
+	if d.buffered == 0 {
+		return true
+	}
+	if d.buffered >= maxBuffered {
+		return false
+	}
+	beyond := int64(d.buffered+size-freeBuffered) - d.taken
+	if beyond <= 0 {
+		return true
+	}
+	if !d.budget.Take(memory.Answers, beyond) {
+		return false
+	}
+	d.taken += beyond
+	return true
+}
+
+// shrink returns what the buffer no longer needs to the budget. The caller holds d.mu.
+func (d *delivery) shrink() {
+	unused := d.taken - max(0, int64(d.buffered-freeBuffered))
+	if unused <= 0 {
+		return
+	}
+	d.budget.Release(memory.Answers, unused)
+	d.taken -= unused
+}
+
 // finish waits until the caller has received all events, and returns the sink's error.
 func (d *delivery) finish() error {
 	d.mu.Lock()
@@ -104,8 +142,10 @@
 		return Event{}, false
 	}
 	ev := d.queue[0]
+	d.queue[0] = Event{} // its bytes are not kept as long as the array
 	d.queue = d.queue[1:]
 	d.buffered -= len(ev.Bytes)
+	d.shrink()
 	d.changed.Broadcast()
 	return ev, true
 }
@@ -114,6 +154,7 @@
 func (d *delivery) fail(err error) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.err, d.queue = err, nil
+	d.err, d.queue, d.buffered = err, nil, 0
+	d.shrink()
 	d.changed.Broadcast()
 }
--- a/router/delivery_test.go
+++ b/router/delivery_test.go
@@ -1,12 +1,17 @@
 package router_test
 
 import (
+	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"github.com/stretchr/testify/assert"
 
+	"ebonypulley/event"
+	"ebonypulley/memory"
+	"ebonypulley/metrics"
 	"ebonypulley/router"
 )
 
@@ -61,3 +66,46 @@
 		time.Sleep(time.Minute)
 	})
 }
+
+// stalledSink is a caller that reads nothing until released.
+type stalledSink struct {
+	fakeSink
+	released chan struct{}
+}
+
+func (s *stalledSink) Event(e router.Event) error {
+	<-s.released
+	return s.fakeSink.Event(e)
+}
+
+// TestStalledReadersShareMemory guards against callers that read nothing, whose events fill the
+// memory of the VM together.
+func TestStalledReadersShareMemory(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const callers, events, eventBytes = 60, 60, 1 << 10
+		budget := memory.NewBudget(10e6) // a share of 0.8 MB for answers
+		f := &fakeEndpoints{events: events, pause: 50 * time.Millisecond, eventBytes: eventBytes}
+		r := router.New(router.Settings{RetryRatio: 0.2, RetryWindow: 10 * time.Second, RetrySlack: 50, SingleEntry: true, Seed: 1, Budget: budget}, f, event.Nop(), metrics.NewSet())
+		r.SetDirectory(router.NewDirectory(1, 0, nil, []*router.Service{llm}, []*router.Endpoint{engine("p", router.Prefill), engine("d", router.Decode)}))
+		released := make(chan struct{})
+		var wg sync.WaitGroup
+		var whole atomic.Int64
+		for range callers {
+			wg.Go(func() {
+				s := &stalledSink{released: released}
+				c := newCall(nonResumableRoute, llm)
+				c.PromptTokens, c.MaxOutputTokens = 100, 60
+				if _, fail := r.Generate(t.Context(), c, s); fail == nil && len(s.got) == events {
+					whole.Add(1)
+				}
+			})
+		}
+		time.Sleep(5 * time.Second)
+		assert.Greater(t, budget.Used(memory.Answers), budget.Limit(memory.Answers)/2)
+		assert.LessOrEqual(t, f.eventsSent()*eventBytes, int(budget.Limit(memory.Answers))+callers*(8<<10+2*eventBytes))
+		close(released)
+		wg.Wait()
+		assert.EqualValues(t, callers, whole.Load())
+		assert.Zero(t, budget.Used(memory.Answers))
+	})
+}
--- a/router/fake_test.go
+++ b/router/fake_test.go
@@ -38,9 +38,12 @@
 	breakAt []int64
 	// cached maps a session to the engine that caches it.
 	cached map[string]string
-	// pause is the gap between two events, events their number.
-	pause  time.Duration
-	events int64
+	// pause is the gap between two events, events their number and eventBytes their size; sent
+	// counts them over all streams.
+	pause      time.Duration
+	events     int64
+	eventBytes int
+	sent       int
 	// longPause is the gap before event 4, once.
 	longPause time.Duration
 	// firstAfter, if set, is when the first event arrives, even if the attempt was ended
@@ -192,7 +195,14 @@
 		return router.Event{}, router.ErrLost.New("reset")
 	}
 	s.next++
-	return router.Event{Number: s.next - 1}, nil
+	s.f.sent++
+	return router.Event{Number: s.next - 1, Bytes: make([]byte, s.f.eventBytes)}, nil
+}
+
+func (f *fakeEndpoints) eventsSent() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.sent
 }
 
 // fakeSink records the event numbers that the caller received.
--- a/router/router.go
+++ b/router/router.go
@@ -11,6 +11,7 @@
 
 	"ebonypulley/event"
 	"ebonypulley/limit"
+	"ebonypulley/memory"
 	"ebonypulley/metrics"
 	"ebonypulley/pace"
 	"ebonypulley/poison"
@@ -43,6 +44,8 @@
 	// Seed seeds the random numbers, so that a test can be repeated; zero means a random
 	// seed.
 	Seed uint64
+	// Budget, if set, bounds the memory of events that wait for slow callers.
+	Budget *memory.Budget
 	// Chooser is set for fleets with an agent in front of each endpoint; see Chooser.
 	Chooser Chooser
 }
--- a/router/stream.go
+++ b/router/stream.go
@@ -203,7 +203,7 @@
 		return g.sink.Event(ev)
 	}
 	if g.delivery == nil {
-		g.delivery = newDelivery(g.sink)
+		g.delivery = newDelivery(g.sink, g.r.set.Budget)
 	}
 	return g.delivery.put(ctx, ev)
 }
