--- a/emulator/crash.go
+++ b/emulator/crash.go
@@ -19,6 +19,8 @@
 	// ContentHash is that of the call that crashed the engine, or zero if it crashed for
 	// another reason.
 	ContentHash uint64
+	// Part is the part of the prompt that crashed the engine, or zero.
+	Part uint64
 }
 
 // PoisonArrival records that a poison call, which crashes engines, reached an engine.
@@ -27,6 +29,8 @@
 	// CallID identifies the caller's attempt.
 	CallID   string
 	Endpoint string
+	// Part is the part of the prompt that crashes engines, or zero if the whole content does.
+	Part uint64
 }
 
 // AddPoison makes calls with this content hash crash each engine that starts to generate for
@@ -43,11 +47,29 @@
 	return f.poison[hash]
 }
 
+// AddPoisonPart makes prompts with this part crash each engine that starts to generate for them.
+func (f *Fleet) AddPoisonPart(part uint64) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.poisonParts[part] = true
+}
+
+// poisonPart returns the first part of a prompt that crashes engines, or zero.
+func (f *Fleet) poisonPart(parts []uint64) uint64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if i := slices.IndexFunc(parts, func(part uint64) bool { return f.poisonParts[part] }); i >= 0 {
+		return parts[i]
+	}
+	return 0
+}
+
 func (f *Fleet) recordPoisonArrival(c *router.Call, e *router.Endpoint) {
+	part := f.poisonPart(c.PromptParts)
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.poison[c.ContentHash] {
-		f.PoisonArrivals = append(f.PoisonArrivals, PoisonArrival{At: time.Now(), CallID: c.ID, Endpoint: e.ID})
+	if f.poison[c.ContentHash] || part != 0 {
+		f.PoisonArrivals = append(f.PoisonArrivals, PoisonArrival{At: time.Now(), CallID: c.ID, Endpoint: e.ID, Part: part})
 	}
 }
 
@@ -73,7 +95,7 @@
 	if m := f.slowMoments; m.Period > 0 {
 		e.pace = func(now time.Time) float64 { return m.pace(index, now) }
 	}
-	e.onCrash = func(hash uint64) { f.crashEngine(index, e, hash) }
+	e.onCrash = func(j *job) { f.crashEngine(index, e, j) }
 	f.engines[f.engineEndpoints[index].ID] = e
 }
 
@@ -82,11 +104,12 @@
 	f.mu.Lock()
 	e := f.engines[f.engineEndpoints[index].ID]
 	f.mu.Unlock()
-	f.crashEngine(index, e, 0)
+	f.crashEngine(index, e, &job{})
 }
 
-// crashEngine stops e, if it is still the engine with this index, and schedules its restart.
-func (f *Fleet) crashEngine(index int, e *engine, hash uint64) {
+// crashEngine stops e, if it is still the engine with this index, because of a job, and schedules
+// its restart.
+func (f *Fleet) crashEngine(index int, e *engine, cause *job) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	id := f.engineEndpoints[index].ID
@@ -95,7 +118,7 @@
 	}
 	delete(f.engines, id)
 	close(e.down)
-	f.Crashes = append(f.Crashes, Crash{At: time.Now(), Endpoint: id, ContentHash: hash})
+	f.Crashes = append(f.Crashes, Crash{At: time.Now(), Endpoint: id, ContentHash: cause.contentHash, Part: cause.poisonPart})
 	role := e.currentRole()
 	time.AfterFunc(restartDelay, func() { f.restart(index, role, e.slowdown) })
 }
--- a/emulator/engine.go
+++ b/emulator/engine.go
@@ -14,7 +14,7 @@
 	spec *EngineSpec
 	// onCrash is called, without holding mu, when a poison job reaches its first token. It
 	// closes down.
-	onCrash func(hash uint64)
+	onCrash func(j *job)
 	down    chan struct{}
 	// slowdown multiplies the duration of each step.
 	slowdown float64
@@ -39,8 +39,10 @@
 type job struct {
 	ctx context.Context
 	// contentHash is that of the call. A poison job crashes the engine that starts it.
-	contentHash  uint64
-	poison       bool
+	contentHash uint64
+	poison      bool
+	// poisonPart is the part of the prompt that makes it a poison job, or zero.
+	poisonPart   uint64
 	promptTokens int
 	prefillLeft  int // prompt tokens still to be computed
 	answerTokens int
@@ -126,7 +128,7 @@
 		}
 		time.Sleep(time.Duration(float64(d) * e.slowdown * e.pace(time.Now())))
 		if j := e.poisonStream(); j != nil {
-			e.onCrash(j.contentHash)
+			e.onCrash(j)
 			return
 		}
 		e.endStep()
--- a/emulator/fleet.go
+++ b/emulator/fleet.go
@@ -35,6 +35,8 @@
 	slowMoments     SlowMoments
 	// poison holds the content hashes of calls that crash engines.
 	poison map[uint64]bool
+	// poisonParts holds the parts of prompts that crash engines.
+	poisonParts map[uint64]bool
 	// PlainService is nil if there is no plain service; plainEndpoints are its endpoints.
 	PlainService   *router.Service
 	plainEndpoints []*router.Endpoint
@@ -68,6 +70,7 @@
 		spec:          spec,
 		engines:       make(map[string]*engine),
 		poison:        make(map[uint64]bool),
+		poisonParts:   make(map[uint64]bool),
 		limits:        make(map[string]router.RequestLimit),
 	}
 	for i := range engines {
@@ -190,7 +193,8 @@
 		return nil, err
 	}
 	f.recordPoisonArrival(c, e)
-	j := &job{ctx: ctx, contentHash: c.ContentHash, poison: f.isPoison(c.ContentHash), promptTokens: c.PromptTokens, prefillLeft: c.PromptTokens, answerTokens: c.LengthHint, events: make(chan int64, c.LengthHint/f.spec.Stride+2)}
+	part := f.poisonPart(c.PromptParts)
+	j := &job{ctx: ctx, contentHash: c.ContentHash, poison: part != 0 || f.isPoison(c.ContentHash), poisonPart: part, promptTokens: c.PromptTokens, prefillLeft: c.PromptTokens, answerTokens: c.LengthHint, events: make(chan int64, c.LengthHint/f.spec.Stride+2)}
 	if s.Result != nil {
 		if time.Now().After(s.Result.Expiry) {
 			return nil, router.ErrNotRun.New("the prefill result has expired")
--- /dev/null
+++ b/emulator/parts_test.go
@@ -0,0 +1,331 @@
+package emulator_test
+
+import (
+	"context"
+	"strconv"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"ebonypulley/emulator"
+	"ebonypulley/router"
+)
+
+const (
+	partEngines = 12
+	partEntries = 4
+	partSeed    = 1
+	soundRate   = 40 // requests per second
+	// Each bad part comes in badRate requests per second.
+	badRate = 4
+
+	calmTime = 4 * time.Second
+	badTime  = 16 * time.Second
+	// partThreshold is the number of crashes after which a bad part must become known.
+	partThreshold = 5
+	// maxPartArrivals is how many requests with a bad part may still reach engines after
+	// propagationTime; prefills and decodes count each.
+	maxPartArrivals = 3
+	// minSound is how often sound requests must begin at the first attempt from
+	// 2 x propagationTime after the threshold on, as a fraction of before.
+	minSound = 0.95
+)
+
+// Parts of prompts. Sound prompts begin with firstPart and have some of the shared parts.
+const (
+	firstPart  = 0xf1
+	badPart    = 0xbad1
+	secondBad  = 0xbad2
+	companion  = 0xc0
+	sharedBase = 0x5000
+	shared     = 24
+)
+
+// promptCall is the outcome of a caller's only attempt.
+type promptCall struct {
+	sentAt time.Time
+	entry  string
+	bad    bool
+	begun  bool
+	fail   *router.Failure
+}
+
+// refusedForParts reports whether the call was refused because of the parts of its prompt.
+func (c *promptCall) refusedForParts() bool {
+	return c.fail != nil && c.fail.Reason == router.NotRun && c.fail.RetryAfter == time.Minute
+}
+
+// partsTest sends sound and bad prompts to a cluster.
+type partsTest struct {
+	*clusterTest
+	calls map[string]*promptCall
+	// outOfTouch holds the spans in which an entry is cut off or has just started.
+	outOfTouch map[string][2]time.Time
+	badStart   time.Time
+	end        time.Time
+}
+
+// runParts runs fn against engines that have room for about four times the sound requests.
+func runParts(t *testing.T, fn func(d *partsTest)) {
+	t.Parallel()
+	spec := smallBatchSpec()
+	newFleet := func() *emulator.Fleet { return emulator.NewFleet(&spec, partEngines, 4, nil) }
+	runSeededCluster(t, partEntries, partSeed, newFleet, emulator.Workload{MeanPrompt: 600, MeanAnswer: 200}, partSeed, func(c *clusterTest) {
+		fn(&partsTest{clusterTest: c, calls: make(map[string]*promptCall), outOfTouch: make(map[string][2]time.Time)})
+	})
+}
+
+func (d *partsTest) sharedPart() uint64 {
+	u := d.rnd.Float64()
+	return sharedBase + uint64(u*u*shared)
+}
+
+func (d *partsTest) uniquePart() uint64 { return d.rnd.Uint64() }
+
+func (d *partsTest) soundPrompt() []uint64 {
+	switch d.rnd.IntN(5) {
+	case 0:
+		return []uint64{firstPart, d.uniquePart()}
+	case 1:
+		return []uint64{firstPart, d.sharedPart(), d.sharedPart()}
+	}
+	return []uint64{firstPart, d.sharedPart()}
+}
+
+// send sends one request to any entry.
+func (d *partsTest) send(bad bool, parts []uint64) {
+	e := d.cluster.Entries[d.rnd.IntN(len(d.cluster.Entries))]
+	id := strconv.Itoa(len(d.calls))
+	now := time.Now()
+	out := &promptCall{sentAt: now, entry: e.Name, bad: bad}
+	d.calls[id] = out
+	const wait = 14 * time.Second
+	route := &router.Route{Name: "draft", Kind: router.Generation, MaxAttempts: 2, Resumable: true, LatencyTarget: ttftTarget, MaxGap: maxGap, SilenceTimeout: 4 * ttftTarget}
+	prompt, answer := d.work.MeanPrompt/2+d.rnd.IntN(d.work.MeanPrompt), d.work.MeanAnswer/4+d.rnd.IntN(d.work.MeanAnswer*3/2)
+	c := &router.Call{ID: id, Route: route, Service: d.fleet.Service, ReceivedAt: now, Deadline: now.Add(wait), Timeout: wait, ContentHash: d.rnd.Uint64(), PromptParts: parts,
+		PromptTokens: prompt, MaxOutputTokens: 2 * d.work.MeanAnswer, LengthHint: answer, ResumeAfter: router.NoEvent}
+	d.wg.Go(func() {
+		s := &sink{}
+		_, out.fail = e.Router.Generate(d.ctx, c, s)
+		out.begun = !s.first.IsZero()
+	})
+}
+
+// run sends sound prompts, after calmTime also bad ones, and calls each of events at its time
+// after the first bad one.
+func (d *partsTest) run(events map[time.Duration]func(), bad ...func() []uint64) {
+	d.badStart = time.Now().Add(calmTime)
+	d.end = d.badStart.Add(badTime)
+	for after, event := range events {
+		d.wg.Go(func() {
+			time.Sleep(calmTime + after)
+			event()
+		})
+	}
+	next := make([]time.Time, 1+len(bad))
+	rates := []float64{soundRate}
+	next[0] = time.Now()
+	for i := range bad {
+		next[i+1], rates = d.badStart, append(rates, badRate)
+	}
+	for {
+		first := 0
+		for i := range next {
+			if next[i].Before(next[first]) {
+				first = i
+			}
+		}
+		if !next[first].Before(d.end) {
+			break
+		}
+		time.Sleep(time.Until(next[first]))
+		next[first] = next[first].Add(time.Duration(d.rnd.ExpFloat64() / rates[first] * float64(time.Second)))
+		if first == 0 {
+			d.send(false, d.soundPrompt())
+		} else {
+			d.send(true, bad[first-1]())
+		}
+	}
+	d.wg.Wait()
+}
+
+func (d *partsTest) inTouch(entry string, at time.Time) bool {
+	span, ok := d.outOfTouch[entry]
+	return !ok || at.Before(span[0]) || at.After(span[1])
+}
+
+// thresholdCrash returns when a part had crashed partThreshold engines.
+func (d *partsTest) thresholdCrash(part uint64) time.Time {
+	n := 0
+	for _, c := range d.fleet.Crashes {
+		if c.Part == part {
+			n++
+		}
+		if n == partThreshold {
+			return c.At
+		}
+	}
+	return time.Time{}
+}
+
+// begunFraction returns how often sound requests of a span began.
+func (d *partsTest) begunFraction(from, to time.Time) (begun float64, n int) {
+	good := 0
+	for _, c := range d.calls {
+		if c.bad || c.sentAt.Before(from) || !c.sentAt.Before(to) || !d.inTouch(c.entry, c.sentAt) {
+			continue
+		}
+		n++
+		if c.begun {
+			good++
+		}
+	}
+	return float64(good) / float64(max(n, 1)), n
+}
+
+func (d *partsTest) soundRefusedForParts() (n int) {
+	for _, c := range d.calls {
+		if !c.bad && c.refusedForParts() {
+			n++
+		}
+	}
+	return n
+}
+
+// check checks what a play with bad parts must have shown.
+func (d *partsTest) check(parts ...uint64) {
+	before, _ := d.begunFraction(d.badStart.Add(-calmTime), d.badStart)
+	var known time.Time
+	for _, part := range parts {
+		threshold := d.thresholdCrash(part)
+		require.False(d.t, threshold.IsZero())
+		if threshold.After(known) {
+			known = threshold
+		}
+		late, crashes := 0, 0
+		for _, a := range d.fleet.PoisonArrivals {
+			if a.Part == part && a.At.After(threshold.Add(propagationTime)) && d.inTouch(d.calls[a.CallID].entry, a.At) {
+				late++
+			}
+		}
+		for _, c := range d.fleet.Crashes {
+			if c.Part == part {
+				crashes++
+			}
+		}
+		d.t.Logf("part %x: %d crashes, the fifth %v after the first request; %d arrivals too late", part, crashes, threshold.Sub(d.badStart), late)
+		assert.LessOrEqual(d.t, late, maxPartArrivals)
+	}
+	during, _ := d.begunFraction(d.badStart, known.Add(2*propagationTime))
+	after, n := d.begunFraction(known.Add(2*propagationTime), d.end)
+	d.t.Logf("sound requests begin at the first attempt: %.3f before, %.3f until 6 s after the fifth crash, %.3f of %d then; %d refused for their parts", before, during, after, n, d.soundRefusedForParts())
+	assert.GreaterOrEqual(d.t, n, 20)
+	assert.GreaterOrEqual(d.t, after, minSound*before)
+	assert.Zero(d.t, d.soundRefusedForParts(), "sound requests refused for their parts")
+}
+
+// TestPartThatCrashesEngines guards against a part of prompts that crashes each engine which
+// begins to answer, while no two requests with it are alike.
+func TestPartThatCrashesEngines(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		prompt func(d *partsTest) []uint64
+	}{
+		{"after the first part", func(*partsTest) []uint64 { return []uint64{firstPart, badPart} }},
+		{"before a varied part", func(d *partsTest) []uint64 { return []uint64{firstPart, badPart, d.uniquePart()} }},
+		{"after a varied part", func(d *partsTest) []uint64 { return []uint64{firstPart, d.uniquePart(), badPart} }},
+		{"between shared parts", func(d *partsTest) []uint64 { return []uint64{firstPart, d.sharedPart(), badPart, d.sharedPart()} }},
+		{"with a companion", func(d *partsTest) []uint64 { return []uint64{firstPart, companion, d.sharedPart(), badPart} }},
+		{"at any place", func(d *partsTest) []uint64 {
+			parts := []uint64{firstPart, d.sharedPart(), d.sharedPart(), d.uniquePart(), badPart}
+			d.rnd.Shuffle(4, func(i, j int) { parts[i+1], parts[j+1] = parts[j+1], parts[i+1] })
+			return parts
+		}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			runParts(t, func(d *partsTest) {
+				d.fleet.AddPoisonPart(badPart)
+				d.run(nil, func() []uint64 { return c.prompt(d) })
+				d.check(badPart)
+			})
+		})
+	}
+}
+
+// badPrompt is a prompt with a bad part beside a shared and a varied one.
+func (d *partsTest) badPrompt(part uint64) func() []uint64 {
+	return func() []uint64 { return []uint64{firstPart, d.sharedPart(), part, d.uniquePart()} }
+}
+
+// TestTwoPartsThatCrashEngines guards against the crashes of one part hiding those of another.
+func TestTwoPartsThatCrashEngines(t *testing.T) {
+	runParts(t, func(d *partsTest) {
+		d.fleet.AddPoisonPart(badPart)
+		d.fleet.AddPoisonPart(secondBad)
+		d.run(nil, d.badPrompt(badPart), d.badPrompt(secondBad))
+		d.check(badPart, secondBad)
+	})
+}
+
+// TestRestartedEntryKnowsParts guards against an entry that has lost its record of crashes.
+func TestRestartedEntryKnowsParts(t *testing.T) {
+	const restartAt = 3 * time.Second
+	runParts(t, func(d *partsTest) {
+		d.fleet.AddPoisonPart(badPart)
+		d.run(map[time.Duration]func(){restartAt: func() {
+			require.NoError(d.t, d.cluster.RestartEntry(d.ctx, partEntries-1))
+			now := time.Now()
+			d.outOfTouch[d.cluster.Entries[partEntries-1].Name] = [2]time.Time{now, now.Add(propagationTime)}
+		}}, d.badPrompt(badPart))
+		d.check(badPart)
+	})
+}
+
+// TestEntryCutOffFindsParts guards against an entry that hears of no crash at the others.
+func TestEntryCutOffFindsParts(t *testing.T) {
+	const cutAt, cutTime = 500 * time.Millisecond, 5 * time.Second
+	runParts(t, func(d *partsTest) {
+		d.fleet.AddPoisonPart(badPart)
+		cut := d.cluster.Entries[partEntries-1].Name
+		d.run(map[time.Duration]func(){cutAt: func() {
+			now := time.Now()
+			d.outOfTouch[cut] = [2]time.Time{now, now.Add(cutTime + propagationTime)}
+			d.cluster.Net.Partition(cut)
+			time.Sleep(cutTime)
+			d.cluster.Net.Partition()
+		}}, d.badPrompt(badPart))
+		d.check(badPart)
+	})
+}
+
+// crashOthers crashes engines one after the other for reasons of their own.
+func (d *partsTest) crashOthers(ctx context.Context) {
+	for i := 0; time.Now().Before(d.end) && ctx.Err() == nil; i++ {
+		d.fleet.Crash(i * 5 % partEngines)
+		time.Sleep(700 * time.Millisecond)
+	}
+}
+
+// TestPartAmongOtherCrashes guards against blocking parts that were present by coincidence when
+// engines crash for other reasons as well.
+func TestPartAmongOtherCrashes(t *testing.T) {
+	runParts(t, func(d *partsTest) {
+		d.fleet.AddPoisonPart(badPart)
+		d.run(map[time.Duration]func(){0: func() { d.crashOthers(d.ctx) }}, d.badPrompt(badPart))
+		d.check(badPart)
+	})
+}
+
+// TestOtherCrashesBlockNoPart guards against blocking parts when no part crashes engines.
+func TestOtherCrashesBlockNoPart(t *testing.T) {
+	runParts(t, func(d *partsTest) {
+		d.run(map[time.Duration]func(){0: func() { d.crashOthers(d.ctx) }})
+		t.Logf("%d engines crashed", len(d.fleet.Crashes))
+		assert.Zero(t, d.soundRefusedForParts())
+		for _, e := range d.cluster.Entries {
+			assert.Zero(t, e.Metrics.Count("parts_found"))
+		}
+	})
+}
--- a/emulator/site.go
+++ b/emulator/site.go
@@ -31,6 +31,8 @@
 	Router     *router.Router
 	Metrics    *metrics.Set
 	node       *gossip.Node
+	// link is the bandwidth of the entry's link in Mbit/s.
+	link float64
 	// cancel stops the entry.
 	cancel context.CancelFunc
 }
@@ -50,8 +52,30 @@
 // StartEntry adds an entry in a data centre and starts it. The bandwidth of its link is in
 // Mbit/s.
 func (s *Cluster) StartEntry(ctx context.Context, dataCentre string, link float64) (*Entry, error) {
+	e, err := s.newEntry(ctx, fmt.Sprintf("entry-%03d", len(s.Entries)), dataCentre, link)
+	if err == nil {
+		s.Entries = append(s.Entries, e)
+	}
+	return e, err
+}
+
+// RestartEntry replaces the entry with this index by one that knows nothing and has the same
+// name. The requests of the old one go on, and its connections to other entries are closed.
+func (s *Cluster) RestartEntry(ctx context.Context, index int) error {
+	old := s.Entries[index]
+	old.cancel()
+	s.Net.Crash(old.Name)
+	e, err := s.newEntry(ctx, old.Name, old.DataCentre, old.link)
+	if err == nil {
+		s.Entries[index] = e
+	}
+	return err
+}
+
+// newEntry starts an entry.
+func (s *Cluster) newEntry(ctx context.Context, name, dataCentre string, link float64) (*Entry, error) {
 	ctx, end := context.WithCancel(ctx)
-	e := &Entry{Name: fmt.Sprintf("entry-%03d", len(s.Entries)), DataCentre: dataCentre, Metrics: metrics.NewSet(), cancel: end}
+	e := &Entry{Name: name, DataCentre: dataCentre, Metrics: metrics.NewSet(), cancel: end, link: link}
 	settings := s.settings
 	settings.DataCentre = dataCentre
 	if settings.Seed != 0 {
@@ -64,7 +88,6 @@
 		end()
 		return nil, err
 	}
-	s.Entries = append(s.Entries, e)
 	e.node = gossip.NewNode(gossip.Self{Addr: addr, DataCentre: dataCentre, LinkMbps: link}, []string{"entry-000:1"}, e.Router.Loads(), catalog.New(), event.Nop(), s.Net.Dialer(e.Name))
 	e.node.OnFleetSize, e.node.Crashes, e.node.Quotas = e.Router.SetFleetSize, e.Router.PoisonDetector(), e.Router.Quotas()
 	e.node.Paces, e.node.Shares, e.node.Returns = e.Router.Paces(), e.Router.Shares(), e.Router.Returns()
--- a/emulator/site_test.go
+++ b/emulator/site_test.go
@@ -54,9 +54,14 @@
 
 // runClusterOf is runCluster with other engines and generations.
 func runClusterOf(t *testing.T, entries int, newFleet func() *emulator.Fleet, work emulator.Workload, seed uint64, fn func(d *clusterTest)) {
+	runSeededCluster(t, entries, 0, newFleet, work, seed, fn)
+}
+
+// runSeededCluster is runClusterOf with a seed for the entries; zero for none.
+func runSeededCluster(t *testing.T, entries int, entrySeed uint64, newFleet func() *emulator.Fleet, work emulator.Workload, seed uint64, fn func(d *clusterTest)) {
 	synctest.Test(t, func(t *testing.T) {
 		fleet := newFleet()
-		cluster := emulator.NewCluster(fleet, router.Settings{RetryRatio: 0.2, RetryWindow: 10 * time.Second, RetrySlack: 176, EndpointTolerance: endpointTolerance})
+		cluster := emulator.NewCluster(fleet, router.Settings{RetryRatio: 0.2, RetryWindow: 10 * time.Second, RetrySlack: 176, EndpointTolerance: endpointTolerance, Seed: entrySeed})
 		links := make(map[string]float64)
 		for i := range entries {
 			link := float64(narrowLink)
