router: the detector of prompt parts is told of crashes and begun answers, and asked before each arrival

Cause: requests that share a part which crashes engines, no two alike, are each new to the router. Change: a crash before the third event of an answer is recorded with the parts of the prompt, the third event clears them, and each arrival asks whether the parts are blocked. Crashes during a prefill, which begins no answer, don't count. Events per attempt are counted as the engine sends them, so that events repeated after a resume count as well. Event 6025, counters parts_refused and parts_found.

--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -83,6 +83,7 @@
 	EndpointDraining        = define(6021, zap.InfoLevel, "endpoint reports that it is draining")
 	KeyRefused              = define(6022, zap.InfoLevel, "a caller without a published key is turned away")
 	EndpointLimited         = define(6023, zap.InfoLevel, "endpoint advertises a different limit, or none")
+	PartsFound              = define(6025, zap.ErrorLevel, "part of prompts blocked: it crashes the engines that begin to answer")
 	// PeerTraffic is emitted once a minute.
 	PeerTraffic      = define(6024, zap.InfoLevel, "sent to other entries in the last minute")
 	QuotaRefused     = define(6030, zap.InfoLevel, "request refused at the limit of its workspace")
--- a/router/poison.go
+++ b/router/poison.go
@@ -29,15 +29,23 @@
 // PoisonDetector returns the detector of requests that crash endpoints.
 func (r *Router) PoisonDetector() *poison.Detector { return r.crashes }
 
-// refusePoison returns an error if the request is blocked because it crashes endpoints.
-// It is called before each arrival at an endpoint, because other entries may have
-// reported crashes meanwhile.
+// PartDetector returns the detector of parts of prompts that crash endpoints.
+func (r *Router) PartDetector() *poison.PartDetector { return r.parts }
+
+// refusePoison returns an error if the request is blocked because it, or a part of its prompt,
+// crashes endpoints. It is called before each arrival at an endpoint, because other entries
+// may have reported crashes meanwhile.
 func (r *Router) refusePoison(c *Call) error {
-	if c.ContentHash == 0 || !r.crashes.Blocked(time.Now(), c.ContentHash) {
-		return nil
+	now := time.Now()
+	switch {
+	case c.ContentHash != 0 && r.crashes.Blocked(now, c.ContentHash):
+		r.metrics.Add("poison_refused", 1)
+		return WithRetryAfter(errPoison.New("the request crashed the endpoints that ran it"), poisonRetryDelay)
+	case len(c.PromptParts) > 0 && r.parts.Blocked(now, c.PromptParts):
+		r.metrics.Add("parts_refused", 1)
+		return WithRetryAfter(errPoison.New("a part of the prompt crashed the endpoints that ran it"), poisonRetryDelay)
 	}
-	r.metrics.Add("poison_refused", 1)
-	return WithRetryAfter(errPoison.New("the request crashed the endpoints that ran it"), poisonRetryDelay)
+	return nil
 }
 
 func (r *Router) poisonFound(content uint64, crashes int) {
@@ -45,6 +53,19 @@
 	r.log.Emit(event.PoisonFound, zap.String("content", strconv.FormatUint(content, 16)), zap.Int("crashes", crashes))
 }
 
+func (r *Router) partsFound(parts []uint64, crashes int) {
+	r.metrics.Add("parts_found", 1)
+	r.log.Emit(event.PartsFound, partsField(parts), zap.Int("crashes", crashes))
+}
+
+func partsField(parts []uint64) zap.Field {
+	list := make([]string, 0, len(parts))
+	for _, part := range parts {
+		list = append(list, strconv.FormatUint(part, 16))
+	}
+	return zap.Strings("parts", list)
+}
+
 // minRunEvents is the number of events above which an attempt counts as having run for a
 // while before its endpoint crashed.
 const minRunEvents = 2
@@ -64,8 +85,13 @@
 			return
 		}
 		r.log.Emit(event.EndpointCrashed, zap.String("endpoint", e.ID), zap.String("request", c.ID), c.ContentField(),
-			zap.Duration("lasted", a.Lasted), zap.Bool("ran", a.Ran))
-		r.crashes.RecordCrash(time.Now(), c.ContentHash, a)
+			zap.Duration("lasted", a.Lasted), zap.Bool("ran", a.Ran), partsField(c.PromptParts))
+		now := time.Now()
+		r.crashes.RecordCrash(now, c.ContentHash, a)
+		beginsAnswers := e.Role == Decode
+		if beginsAnswers && !a.Ran && len(c.PromptParts) > 0 {
+			r.parts.RecordCrash(now, poison.PartCrash{Endpoint: e.ID, Content: c.ContentHash, Parts: c.PromptParts})
+		}
 	}()
 	select {
 	case <-known:
--- a/router/router.go
+++ b/router/router.go
@@ -53,6 +53,7 @@
 	endpoints  EndpointClient
 	loads      *LoadTracker
 	crashes    *poison.Detector
+	parts      *poison.PartDetector
 	quotas     *quota.Ledger
 	paces      *pace.Tracker
 	shares     *share.Table
@@ -91,6 +92,7 @@
 		endpoints: endpoints,
 		loads:     NewLoadTracker(),
 		crashes:   poison.NewDetector(),
+		parts:     poison.NewPartDetector(),
 		quotas: quota.NewLedger(quota.Settings{
 			Tolerance: set.QuotaTolerance, EndpointTolerance: set.EndpointTolerance,
 			Started: time.Now(), Restarted: set.Restarted, SingleEntry: set.SingleEntry, Seed: seed,
@@ -109,7 +111,7 @@
 		holds:           make(map[string]*hold),
 		rnd:             rand.New(rand.NewPCG(seed, seed+1)),
 	}
-	r.crashes.OnBlocked = r.poisonFound
+	r.crashes.OnBlocked, r.parts.OnBlocked = r.poisonFound, r.partsFound
 	r.rooms = newRoomQueues(r)
 	r.loads.onRoom = r.rooms.wakeSoon
 	r.loads.paces = r.paces
--- a/router/run.go
+++ b/router/run.go
@@ -28,6 +28,8 @@
 	// endpoint.
 	prefillTokens int
 	begun         bool
+	// events counts the events of the endpoint.
+	events int
 }
 
 // stream delivers events until the end of the answer.
@@ -49,6 +51,7 @@
 			return ErrLost.New("the first event arrived after the attempt was abandoned")
 		}
 		u.learnFirstEvent()
+		u.countEvent()
 		u.watchdog.pause()
 		if err := g.deliver(ctx, s, ev, u.endpoint); err != nil {
 			return err
@@ -57,6 +60,15 @@
 	}
 }
 
+// countEvent counts an event. The endpoint has survived the beginning of the answer once it has
+// run for a while.
+func (u *decodeAttempt) countEvent() {
+	u.events++
+	if c := u.g.c; u.events == minRunEvents+1 && len(c.PromptParts) > 0 && !u.g.r.usesAgents() {
+		u.g.r.parts.RecordBegun(time.Now(), c.PromptParts)
+	}
+}
+
 // abandoned reports whether the watchdog ended the attempt before the caller received
 // anything.
 //
--- a/router/stream.go
+++ b/router/stream.go
@@ -107,7 +107,7 @@
 	}
 	defer run.prefillWork.End()
 	s, err := g.r.endpoints.Generate(ctx, p.decode, g.c, start)
-	at, events := run.sentAt, g.events
+	at := run.sentAt
 	if err == nil {
 		g.recordArrival()
 		defer s.Close()
@@ -116,7 +116,7 @@
 	}
 	run.learnTimeout()
 	if ctx.Err() == nil || w.verdict() == gone {
-		g.r.recordIfCrashed(g.c, poison.Attempt{Lasted: time.Since(at), Ran: g.events-events > minRunEvents}, p.decode, err)
+		g.r.recordIfCrashed(g.c, poison.Attempt{Lasted: time.Since(at), Ran: run.events > minRunEvents}, p.decode, err)
 	}
 	return err
 }
