router: what waits for room is refused once it is blocked

Change: a content or parts that become blocked refuse what waits with them at once, of generations and plain calls; and each try to place a generation asks first. Tests: TestBlockedRequestsWaitNoLonger (100 of one kind, 50 blocked), a step of TestWaitListAgainstOracle. The tests' calls of wait have its new form; what they check is the same.

--- a/router/admit.go
+++ b/router/admit.go
@@ -187,6 +187,9 @@
 // tryPlace makes one attempt to place the generation. An error refuses it. A generation that has
 // to leave the room to others is not placed.
 func (g *generationRun) tryPlace(now, began time.Time, leave bool) (placement, bool, error) {
+	if err := g.r.refusePoison(g.c); err != nil {
+		return placement{}, false, err
+	}
 	g.expireKept(now)
 	if eng := g.c.Service.Engine; eng != nil && g.c.PromptTokens > eng.KVCapacity {
 		return placement{}, false, errNoEndpoint.New("the prompt of %d tokens exceeds an engine's memory", g.c.PromptTokens)
--- a/router/hold.go
+++ b/router/hold.go
@@ -128,12 +128,13 @@
 	h.mu.Lock()
 	h.waiting[w.request] = w
 	h.mu.Unlock()
-	err := h.list.wait(ctx, w.request, func(now time.Time) (bool, error) {
+	try := func(now time.Time) (bool, error) {
 		if ctx.Err() != nil {
 			return false, ctx.Err()
 		}
 		return h.try(now, w)
-	})
+	}
+	err := h.list.wait(ctx, w.request, &waiter{try: try, refused: func() error { return h.r.refusePoison(p.c) }})
 	h.mu.Lock()
 	if _, waits := h.waiting[w.request]; waits {
 		delete(h.waiting, w.request)
--- a/router/poison.go
+++ b/router/poison.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"strconv"
 	"time"
 
@@ -51,11 +53,24 @@
 func (r *Router) poisonFound(content uint64, crashes int) {
 	r.metrics.Add("poison_found", 1)
 	r.log.Emit(event.PoisonFound, zap.String("content", strconv.FormatUint(content, 16)), zap.Int("crashes", crashes))
+	r.refuseWaiting()
 }
 
 func (r *Router) partsFound(parts []uint64, crashes int) {
 	r.metrics.Add("parts_found", 1)
 	r.log.Emit(event.PartsFound, partsField(parts), zap.Int("crashes", crashes))
+	r.refuseWaiting()
+}
+
+// refuseWaiting refuses the requests that wait for room and have become blocked.
+func (r *Router) refuseWaiting() {
+	r.rooms.refuse()
+	r.mu.Lock()
+	holds := slices.Collect(maps.Values(r.holds))
+	r.mu.Unlock()
+	for _, h := range holds {
+		h.list.refuse()
+	}
 }
 
 func partsField(parts []uint64) zap.Field {
--- a/router/queued.go
+++ b/router/queued.go
@@ -47,6 +47,15 @@
 	}
 }
 
+// refuse refuses the requests that must wait no longer.
+func (q *roomQueues) refuse() {
+	q.mu.RLock()
+	defer q.mu.RUnlock()
+	for _, l := range q.byService {
+		l.refuse()
+	}
+}
+
 // queueForRoom waits in the queue of the service until the generation is placed or refused.
 func (g *generationRun) queueForRoom(ctx context.Context) (admission, error) {
 	began := time.Now()
@@ -74,7 +83,7 @@
 	defer g.r.metrics.Add("waiting."+q.service, -1)
 	var decision line.Decision
 	var lineAge time.Duration
-	err = q.wait(ctx, request, func(now time.Time) (bool, error) {
+	try := func(now time.Time) (bool, error) {
 		decision, lineAge = q.admit(now, request), now.Sub(q.lineAt)
 		p, ok, err := g.tryPlace(now, began, decision.Leave)
 		if ok {
@@ -84,7 +93,8 @@
 			a.share = q.started(now, request)
 		}
 		return ok, err
-	})
+	}
+	err = q.wait(ctx, request, &waiter{try: try, refused: func() error { return g.r.refusePoison(g.c) }})
 	if err != nil {
 		g.logRefusal(request, decision, lineAge, err)
 	}
--- a/router/waiting.go
+++ b/router/waiting.go
@@ -47,6 +47,8 @@
 	// try starts the request, reports false if there is no room for it yet, or refuses it
 	// with an error. It must not block and is never called after it has returned otherwise.
 	try func(now time.Time) (started bool, err error)
+	// refused returns an error if the request must wait no longer, whatever room there is.
+	refused func() error
 	// ended receives the result of the wait.
 	ended chan error
 }
@@ -69,8 +71,8 @@
 }
 
 // wait blocks until the request has started, is refused or its caller is gone.
-func (l *waitList) wait(ctx context.Context, r *queue.Request, try func(now time.Time) (bool, error)) error {
-	w := &waiter{try: try, ended: make(chan error, 1)}
+func (l *waitList) wait(ctx context.Context, r *queue.Request, w *waiter) error {
+	w.ended = make(chan error, 1)
 	l.mu.Lock()
 	l.queue.Add(time.Now(), r)
 	l.waiters[r] = w
@@ -95,6 +97,21 @@
 	return ctx.Err()
 }
 
+// refuse refuses the requests that must wait no longer.
+func (l *waitList) refuse() {
+	if l.length.Load() == 0 {
+		return
+	}
+	l.mu.Lock()
+	for r, w := range l.waiters {
+		if err := w.refused(); err != nil {
+			l.end(r, err)
+		}
+	}
+	l.mu.Unlock()
+	l.wake()
+}
+
 // wakeSoon wakes the list within maxPassInterval. It costs nothing while no request waits, and
 // it may be called with locks held.
 func (l *waitList) wakeSoon(now time.Time) {
--- a/router/waiting_rapid_test.go
+++ b/router/waiting_rapid_test.go
@@ -18,6 +18,8 @@
 type waitCase struct {
 	cancel  context.CancelFunc
 	refused bool
+	// blocked says that the request is to wait no longer.
+	blocked bool
 	// err is the result, set once done.
 	err   error
 	done  bool
@@ -63,10 +65,19 @@
 		}
 		return false, nil
 	}
+	refused := func() error {
+		if w.refused || w.holds {
+			p.wrong = "refused after its end"
+		}
+		if w.refused = w.blocked; w.refused {
+			return errRefused
+		}
+		return nil
+	}
 	go func() {
-		for refused := 0; ; refused++ {
-			w.err = p.l.wait(ctx, r, try)
-			if w.err != nil || refused == s.RefusedStarts {
+		for starts := 0; ; starts++ {
+			w.err = p.l.wait(ctx, r, &waiter{try: try, refused: refused})
+			if w.err != nil || starts == s.RefusedStarts {
 				w.done = true
 				return
 			}
@@ -95,6 +106,13 @@
 		}
 	case 4:
 		time.Sleep(s.Time)
+	case 5:
+		if len(p.all) > 0 {
+			p.l.mu.Lock()
+			p.all[s.Caller%len(p.all)].blocked = true
+			p.l.mu.Unlock()
+		}
+		p.l.refuse()
 	}
 }
 
@@ -117,13 +135,13 @@
 }
 
 // TestWaitListAgainstOracle: over any order of arrivals, callers that leave, refused starts,
-// room that appears and wakes that are lost, each request must end once, never as refused after
+// room that appears, wakes that are lost and requests that become blocked, each request must end once, never as refused after
 // it started, and no room may be lost.
 func TestWaitListAgainstOracle(t *testing.T) {
 	steps := rapid.SliceOfN(rapid.Custom(func(rt *rapid.T) waitStep {
 		n := rapid.IntRange(0, 4)
 		return waitStep{
-			Kind: n.Draw(rt, "kind"), Caller: rapid.IntRange(0, 50).Draw(rt, "caller"), Rank: n.Draw(rt, "rank"), Workspace: n.Draw(rt, "workspace"),
+			Kind: rapid.IntRange(0, 5).Draw(rt, "kind"), Caller: rapid.IntRange(0, 50).Draw(rt, "caller"), Rank: n.Draw(rt, "rank"), Workspace: n.Draw(rt, "workspace"),
 			RefusedStarts: n.Draw(rt, "refused starts"), Time: time.Duration(rapid.IntRange(1, 200).Draw(rt, "ms")) * time.Millisecond, Wake: rapid.Bool().Draw(rt, "wake"),
 		}
 	}), 1, 60)
--- a/router/waiting_test.go
+++ b/router/waiting_test.go
@@ -4,10 +4,12 @@
 	"context"
 	"errors"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
 
+	"github.com/joomcode/errorx"
 	"github.com/stretchr/testify/assert"
 
 	"ebonypulley/queue"
@@ -54,13 +56,13 @@
 			ctx, cancel := context.WithCancel(t.Context())
 			defer cancel()
 			take := room.try(1)
-			err := l.wait(ctx, request(1, time.Minute), func(now time.Time) (bool, error) {
+			err := l.wait(ctx, request(1, time.Minute), &waiter{try: func(now time.Time) (bool, error) {
 				started, err := take(now)
 				if started {
 					cancel()
 				}
 				return started, err
-			})
+			}})
 			if err == nil {
 				room.release(1)
 				l.wake()
@@ -79,7 +81,7 @@
 		l, room := newWaitList(queue.ByUrgency), &fakeRoom{}
 		time.AfterFunc(100*time.Millisecond, func() { room.release(1) })
 		began := time.Now()
-		assert.NoError(t, l.wait(t.Context(), request(1, time.Second), room.try(1)))
+		assert.NoError(t, l.wait(t.Context(), request(1, time.Second), &waiter{try: room.try(1)}))
 		assert.LessOrEqual(t, time.Since(began), 100*time.Millisecond+maxPassInterval)
 	})
 }
@@ -98,7 +100,7 @@
 		storm()
 		assert.Zero(t, room.tries)
 		done := make(chan error, 1)
-		go func() { done <- l.wait(t.Context(), request(1, time.Second), room.try(1)) }()
+		go func() { done <- l.wait(t.Context(), request(1, time.Second), &waiter{try: room.try(1)}) }()
 		storm()
 		assert.LessOrEqual(t, room.tries, int(time.Second/minPassInterval)+2)
 		room.release(1)
@@ -114,11 +116,11 @@
 		ctx, cancel := context.WithCancel(t.Context())
 		var wg sync.WaitGroup
 		for range 20 {
-			wg.Go(func() { _ = l.wait(ctx, request(9000, 100*time.Millisecond), room.try(9000)) })
+			wg.Go(func() { _ = l.wait(ctx, request(9000, 100*time.Millisecond), &waiter{try: room.try(9000)}) })
 		}
 		synctest.Wait()
 		began := time.Now()
-		assert.NoError(t, l.wait(ctx, request(1000, time.Second), room.try(1000)))
+		assert.NoError(t, l.wait(ctx, request(1000, time.Second), &waiter{try: room.try(1000)}))
 		assert.Zero(t, time.Since(began))
 		cancel()
 		wg.Wait()
@@ -134,21 +136,59 @@
 		ctx, cancel := context.WithCancel(t.Context())
 		var wg sync.WaitGroup
 		for range 2 * blockedTries {
-			wg.Go(func() { _ = l.wait(ctx, request(10, time.Second), room.try(10)) })
+			wg.Go(func() { _ = l.wait(ctx, request(10, time.Second), &waiter{try: room.try(10)}) })
 		}
 		synctest.Wait()
 		began := time.Now()
 		last := request(10, 2*time.Second)
 		last.GiveUpAt = began.Add(300 * time.Millisecond)
-		err := l.wait(ctx, last, func(now time.Time) (bool, error) {
+		err := l.wait(ctx, last, &waiter{try: func(now time.Time) (bool, error) {
 			if !now.Before(last.GiveUpAt) {
 				return false, errOver
 			}
 			return false, nil
-		})
+		}})
 		assert.ErrorIs(t, err, errOver)
 		assert.Equal(t, 300*time.Millisecond, time.Since(began))
 		cancel()
 		wg.Wait()
 	})
 }
+
+// TestBlockedRequestsWaitNoLonger guards against requests that have become blocked and still wait,
+// because a pass tries only the first of their kind.
+func TestBlockedRequestsWaitNoLonger(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l, room := newWaitList(queue.ByUrgency), &fakeRoom{}
+		ctx, cancel := context.WithCancel(t.Context())
+		var wg sync.WaitGroup
+		var isBlocked atomic.Bool
+		var refused, others atomic.Int64
+		for i := range 100 {
+			wg.Go(func() {
+				err := l.wait(ctx, request(10, time.Minute), &waiter{try: room.try(10), refused: func() error {
+					if isBlocked.Load() && i%2 == 1 {
+						return errPoison.New("blocked")
+					}
+					return nil
+				}})
+				if errorx.IsOfType(err, errPoison) {
+					refused.Add(1)
+				} else {
+					others.Add(1)
+				}
+			})
+		}
+		synctest.Wait()
+		isBlocked.Store(true)
+		began := time.Now()
+		l.refuse()
+		synctest.Wait()
+		assert.Equal(t, int64(50), refused.Load())
+		assert.Zero(t, others.Load())
+		assert.Zero(t, time.Since(began))
+		cancel()
+		wg.Wait()
+		assert.Equal(t, int64(50), others.Load())
+	})
+}
