poison: tests of prompt parts that crash engines, seen failing

Cause: crashes are related by the hash of whole requests; requests that only share a part are each new. Change: tests of PartDetector by name, and a fleet of 13 entries and 12 engines in virtual time with news of up to 0.2 s: 4 bad requests a second, 40 sound ones, engines back after 3 s.

--- /dev/null
+++ b/poison/parts_fleet_test.go
@@ -0,0 +1,301 @@
+package poison_test
+
+import (
+	"cmp"
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+
+	"ebonypulley/poison"
+)
+
+const (
+	simEntries   = 13
+	simEngines   = 12
+	simRestart   = 3 * time.Second
+	simSound     = 40 // requests per second
+	simAttempts  = 2
+	simMinBegin  = 40 * time.Millisecond
+	simBegin     = 300 * time.Millisecond // after simMinBegin, at most
+	simNotice    = 250 * time.Millisecond // until an entry knows that an engine crashed, at most
+	simNewsDelay = 150 * time.Millisecond // at most
+	simNewsPause = 50 * time.Millisecond
+	// simContact is the time within which entries know what others know.
+	simContact = 3 * time.Second
+	// simAllowed is the number of requests with a bad part that may reach engines later than
+	// simContact after the fifth crash.
+	simAllowed = 3
+)
+
+// partDay is a day of a fleet on which some parts crash engines.
+type partDay struct {
+	bad          []uint64
+	badPerSecond float64
+	length       time.Duration
+	// outage is the pause between two crashes of a third of the engines for other reasons;
+	// zero for none.
+	outage time.Duration
+	// resets is the probability that a connection between entries is lost as it brings news.
+	resets float64
+}
+
+// partSim is a fleet in virtual time: engines, and entries that exchange updates with delay.
+type partSim struct {
+	partDay
+	rng     *rand.Rand
+	now     time.Time
+	events  eventHeap
+	entries []*simEntry
+	engines []*simEngine
+	nextID  int
+
+	crashes  map[uint64][]time.Time // of each bad part
+	arrivals map[uint64][]time.Time // of each bad part at engines
+	refused  int                    // sound requests
+	blocked  map[string]int         // sound requests, by the parts that were found
+	begun    int                    // sound requests
+}
+
+type simEntry struct {
+	detector *poison.PartDetector
+	sent     []uint64 // sequence numbers, by entry
+}
+
+type simEngine struct {
+	id      string
+	up      bool
+	waiting []*simRequest
+}
+
+type simRequest struct {
+	entry    *simEntry
+	content  uint64
+	parts    []uint64
+	bad      uint64
+	attempts int
+}
+
+func newPartSim(seed uint64, day partDay) *partSim {
+	s := &partSim{
+		partDay: day, rng: rand.New(rand.NewPCG(seed, 1)), now: start,
+		crashes: make(map[uint64][]time.Time), arrivals: make(map[uint64][]time.Time), blocked: make(map[string]int),
+	}
+	for range simEntries {
+		s.entries = append(s.entries, &simEntry{detector: poison.NewPartDetector(), sent: make([]uint64, simEntries)})
+	}
+	for range simEngines {
+		s.nextID++
+		s.engines = append(s.engines, &simEngine{id: name(s.nextID), up: true})
+	}
+	return s
+}
+
+// upTo returns a random duration below a limit.
+func (s *partSim) upTo(limit time.Duration) time.Duration {
+	return time.Duration(s.rng.Int64N(int64(limit)))
+}
+
+func (s *partSim) after(d time.Duration, f func()) {
+	s.nextID++
+	heap.Push(&s.events, simEvent{at: s.now.Add(d), order: s.nextID, do: f})
+}
+
+// every calls f at random times, with an average rate, until the day ends.
+func (s *partSim) every(perSecond float64, f func()) {
+	s.after(time.Duration(s.rng.ExpFloat64()/perSecond*float64(time.Second)), func() {
+		f()
+		s.every(perSecond, f)
+	})
+}
+
+func (s *partSim) run() {
+	s.every(simSound, func() { s.arrive(0) })
+	for _, part := range s.bad {
+		// The first seconds are calm.
+		s.after(3*time.Second, func() { s.every(s.badPerSecond, func() { s.arrive(part) }) })
+	}
+	if s.outage > 0 {
+		s.after(3*time.Second, s.crashThird)
+	}
+	for i := range s.entries {
+		s.after(s.upTo(simNewsPause), func() { s.sendNews(i) })
+	}
+	for end := start.Add(s.length); s.now.Before(end); {
+		e := heap.Pop(&s.events).(simEvent)
+		s.now = e.at
+		e.do()
+	}
+}
+
+// arrive begins a request at a random entry; bad is zero for a sound one.
+func (s *partSim) arrive(bad uint64) {
+	s.nextID++
+	r := &simRequest{entry: s.entries[s.rng.IntN(simEntries)], content: uint64(s.nextID), bad: bad}
+	r.parts = prompt(first, uint64(0x100+s.rng.IntN(4)))
+	if s.rng.IntN(2) == 0 {
+		r.parts = append(r.parts, uint64(0x200+s.rng.IntN(60)))
+	}
+	if bad != 0 {
+		r.parts = slices.Insert(r.parts, 1+s.rng.IntN(len(r.parts)), bad)
+	}
+	s.try(r)
+}
+
+// try sends a request to an engine, unless it is blocked.
+func (s *partSim) try(r *simRequest) {
+	if r.entry.detector.Blocked(s.now, r.parts) {
+		if r.bad == 0 {
+			s.refused++
+			s.blocked[fmt.Sprintf("%x", r.parts)]++
+		}
+		return
+	}
+	up := slices.DeleteFunc(slices.Clone(s.engines), func(e *simEngine) bool { return !e.up })
+	if r.attempts == simAttempts || len(up) == 0 {
+		return
+	}
+	r.attempts++
+	e := up[s.rng.IntN(len(up))]
+	e.waiting = append(e.waiting, r)
+	if r.bad != 0 {
+		s.arrivals[r.bad] = append(s.arrivals[r.bad], s.now)
+	}
+	id := e.id
+	s.after(simMinBegin+s.upTo(simBegin), func() {
+		if e.id == id && e.up {
+			s.begin(e, r)
+		}
+	})
+}
+
+// begin lets an engine begin to answer a request.
+func (s *partSim) begin(e *simEngine, r *simRequest) {
+	if r.bad != 0 {
+		s.crashes[r.bad] = append(s.crashes[r.bad], s.now)
+		s.crash(e)
+		return
+	}
+	e.waiting = slices.DeleteFunc(e.waiting, func(x *simRequest) bool { return x == r })
+	s.begun++
+	r.entry.detector.RecordBegun(s.now, r.parts)
+}
+
+func (s *partSim) crash(e *simEngine) {
+	lost, id := e.waiting, e.id
+	e.up, e.waiting = false, nil
+	for _, r := range lost {
+		s.after(s.upTo(simNotice), func() {
+			r.entry.detector.RecordCrash(s.now, poison.PartCrash{Endpoint: id, Content: r.content, Parts: r.parts})
+			s.try(r)
+		})
+	}
+	s.after(simRestart, func() {
+		s.nextID++
+		e.id, e.up = name(s.nextID), true
+	})
+}
+
+// crashThird crashes a third of the engines within a second.
+func (s *partSim) crashThird() {
+	for _, i := range s.rng.Perm(simEngines)[:simEngines/3] {
+		s.after(s.upTo(time.Second), func() {
+			if s.engines[i].up {
+				s.crash(s.engines[i])
+			}
+		})
+	}
+	s.after(s.outage, s.crashThird)
+}
+
+// sendNews sends the updates of an entry to all others.
+func (s *partSim) sendNews(from int) {
+	e := s.entries[from]
+	for to, other := range s.entries {
+		if to == from {
+			continue
+		}
+		if s.rng.Float64() < s.resets {
+			e.sent[to] = 0 // what is on the way is lost, and all is sent again
+			continue
+		}
+		updates, upTo := e.detector.Updates(s.now, e.sent[to])
+		e.sent[to] = upTo
+		if len(updates.Crashes)+len(updates.Begun) > 0 {
+			s.after(s.upTo(simNewsDelay), func() { other.detector.Merge(s.now, updates) })
+		}
+	}
+	s.after(simNewsPause, func() { s.sendNews(from) })
+}
+
+// tooMany returns how many requests with a bad part reached engines later than simContact
+// after the fifth crash.
+func (s *partSim) tooMany(part uint64) int {
+	crashes := s.crashes[part]
+	if len(crashes) < 5 {
+		return 0
+	}
+	n := 0
+	for _, at := range s.arrivals[part] {
+		if at.After(crashes[4].Add(simContact)) {
+			n++
+		}
+	}
+	return n
+}
+
+// TestBadPartsInFleet guards against bad parts that crash engines long after all entries could
+// have known, and against sound requests that are refused with them.
+func TestBadPartsInFleet(t *testing.T) {
+	const minute = time.Minute
+	for _, c := range []struct {
+		name string
+		partDay
+	}{
+		{"one part", partDay{bad: prompt(badPart), badPerSecond: 4, length: minute}},
+		{"one part, seldom", partDay{bad: prompt(badPart), badPerSecond: 0.3, length: 2 * minute}},
+		{"two parts", partDay{bad: prompt(badPart, badTwo), badPerSecond: 4, length: minute}},
+		{"four parts", partDay{bad: prompt(badPart, badTwo, 0xbad3, 0xbad4), badPerSecond: 2, length: minute}},
+		{"lost connections", partDay{bad: prompt(badPart), badPerSecond: 4, length: minute, resets: 0.02}},
+		{"outage", partDay{length: minute, outage: 2 * time.Second}},
+		{"outage without pause", partDay{length: minute, outage: time.Second}},
+		{"part in an outage", partDay{bad: prompt(badPart), badPerSecond: 4, length: minute, outage: 2 * time.Second}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			for seed := range uint64(5) {
+				s := newPartSim(seed, c.partDay)
+				s.run()
+				for _, part := range c.bad {
+					assert.GreaterOrEqual(t, len(s.crashes[part]), 4, "seed %d", seed)
+					assert.LessOrEqual(t, s.tooMany(part), simAllowed, "seed %d: arrivals of part %x, %d crashes", seed, part, len(s.crashes[part]))
+				}
+				assert.Zero(t, s.refused, "seed %d: refused sound requests %v, %d begun", seed, s.blocked, s.begun)
+			}
+		})
+	}
+}
+
+type simEvent struct {
+	at    time.Time
+	order int
+	do    func()
+}
+
+type eventHeap []simEvent
+
+func (h eventHeap) Len() int { return len(h) }
+func (h eventHeap) Less(i, j int) bool {
+	return cmp.Or(h[i].at.Compare(h[j].at), cmp.Compare(h[i].order, h[j].order)) < 0
+}
+func (h eventHeap) Swap(i, j int) { h[i], h[j] = h[j], h[i] }
+func (h *eventHeap) Push(x any)   { *h = append(*h, x.(simEvent)) }
+func (h *eventHeap) Pop() any {
+	last := len(*h) - 1
+	e := (*h)[last]
+	*h = (*h)[:last]
+	return e
+}
