poison: block prompt parts that crash engines

Cause: no two requests with the part are alike, so no content collects crashes. Change: PartDetector, as in docs/design/prompt-parts.md.

--- /dev/null
+++ b/poison/attempts.go
@@ -0,0 +1,99 @@
+package poison
+
+import (
+	"slices"
+	"time"
+)
+
+const (
+	// maxOwnCrashes bounds the own attempts at crashed endpoints that are kept.
+	maxOwnCrashes = 256
+	// priorAttempts is the weight, in attempts, of the assumption that the share
+	// priorCrashShare of attempts crashes.
+	priorAttempts   = 1.0
+	priorCrashShare = 0.1
+	// begunSlots is the number of slots of begun answers in rateWindow.
+	begunSlots = 10
+)
+
+// recentAttempts counts attempts of the last rateWindow.
+type recentAttempts struct {
+	// own are the attempts of this entry that had no answer begun when their endpoint crashed.
+	own []ownCrash
+	// begun counts those that had, by slots of a tenth of rateWindow.
+	begun [begunSlots]struct {
+		slot  int64
+		count int
+	}
+	// crashed holds the endpoints that any entry saw crash, with the times.
+	crashed map[string]time.Time
+}
+
+type ownCrash struct {
+	endpoint string
+	at       time.Time
+}
+
+func begunSlot(now time.Time) int64 { return now.UnixNano() / int64(rateWindow/begunSlots) }
+
+func (a *recentAttempts) countBegun(now time.Time) {
+	slot := begunSlot(now)
+	b := &a.begun[slot%begunSlots]
+	if b.slot != slot {
+		b.slot, b.count = slot, 0
+	}
+	b.count++
+}
+
+func (a *recentAttempts) countCrash(now time.Time, endpoint string) {
+	a.own = slices.DeleteFunc(a.own, func(c ownCrash) bool { return now.Sub(c.at) > rateWindow })
+	if len(a.own) == maxOwnCrashes {
+		a.own = slices.Delete(a.own, 0, 1)
+	}
+	a.own = append(a.own, ownCrash{endpoint, now})
+}
+
+// addEndpoint adds an endpoint that crashed.
+func (a *recentAttempts) addEndpoint(now time.Time, endpoint string, at time.Time) {
+	if _, known := a.crashed[endpoint]; known {
+		return
+	}
+	if len(a.crashed) >= maxEndpoints {
+		for id, t := range a.crashed {
+			if now.Sub(t) > rateWindow {
+				delete(a.crashed, id)
+			}
+		}
+	}
+	if len(a.crashed) < maxEndpoints {
+		a.crashed[endpoint] = at
+	}
+}
+
+// crashedBetween returns the number of endpoints that crashed from one time to another.
+func (a *recentAttempts) crashedBetween(from, to time.Time) int {
+	n := 0
+	for _, t := range a.crashed {
+		if !t.Before(from) && !t.After(to) {
+			n++
+		}
+	}
+	return n
+}
+
+// crashShare returns the share of own attempts that had no answer begun when their endpoint
+// crashed, without the given endpoints.
+func (a *recentAttempts) crashShare(now time.Time, without map[string]bool) float64 {
+	crashes, begun := 0, 0
+	for _, c := range a.own {
+		if now.Sub(c.at) <= rateWindow && !without[c.endpoint] {
+			crashes++
+		}
+	}
+	for _, b := range a.begun {
+		if begunSlot(now)-b.slot < begunSlots {
+			begun += b.count
+		}
+	}
+	return (float64(crashes) + priorAttempts*priorCrashShare) / (float64(crashes+begun) + priorAttempts)
+}
--- a/poison/parts.go
+++ b/poison/parts.go
@@ -1,6 +1,29 @@
 package poison
 
-import "time"
+import (
+	"cmp"
+	"slices"
+	"sync"
+	"time"
+)
+
+const (
+	// maxParts is the number of parts of a request that are considered. They are the last ones:
+	// the first parts are shared by most requests, so that their answers clear them.
+	maxParts = 32
+	// maxSuspects bounds the suspects, which take some 600 bytes each, and maxBlockedSuspects
+	// those of blocked parts once there are maxSuspects, so that new parts can be blocked.
+	maxSuspects        = 512
+	maxBlockedSuspects = maxSuspects * 3 / 4
+	// evictedSuspects is the number of suspects that are evicted beyond what is necessary.
+	evictedSuspects = 16
+	// maxSuspectsOfPart bounds the suspects of a blocked part. The newest are kept.
+	maxSuspectsOfPart = 32
+	// maxPartRecords bounds the records of parts. It leaves room for those without suspects,
+	// which are kept for clearTTL to tell other entries of their answers.
+	maxPartRecords = maxSuspects*maxParts + 1024
+	clearTTL       = time.Minute
+)
 
 // PartDetector finds the parts of prompts that crash each endpoint which begins to answer a
 // request with them, whatever else the requests hold. Parts are identified by hashes, in the
@@ -10,6 +33,48 @@
 	// OnBlocked, if set, is called when requests with all of these parts become blocked, with
 	// the number of crashes.
 	OnBlocked func(parts []uint64, crashes int)
+
+	mu       sync.Mutex
+	suspects map[suspectKey]*suspect
+	parts    map[uint64]*partRecord
+	// frequent holds the parts of minPartCrashes or more suspects.
+	frequent map[uint64]bool
+	// begun holds the times of recent answers of all parts.
+	begun    recentSuccesses
+	attempts recentAttempts
+	// verdicts holds the blocked classes, by the part that was convicted.
+	verdicts map[uint64]*partVerdict
+	// changed is set if the evidence has changed since the verdicts were worked out. They are
+	// due again at reviewAt if it is set, even without new evidence.
+	changed  bool
+	reviewAt time.Time
+	// seq is the sequence number of the newest update for other entries.
+	seq uint64
+}
+
+// suspect is a request that had no answer begun at an endpoint that crashed.
+type suspect struct {
+	suspectKey
+	at time.Time
+	// parts are the parts of which no answer has begun since.
+	parts []uint64
+	// seq is the sequence number of the update for other entries; zero if there is none.
+	seq uint64
+}
+
+type suspectKey struct {
+	endpoint string
+	content  uint64
+}
+
+// partRecord is what is known of a part that was at a crashed endpoint.
+type partRecord struct {
+	// suspects are those that have the part uncleared.
+	suspects []*suspect
+	// begun is the time of the last answer. sequencedBegun is the one that other entries are
+	// notified of, and begunSeq the sequence number of that update.
+	begun, sequencedBegun time.Time
+	begunSeq              uint64
 }
 
 // PartCrash is a crash of an endpoint before a request there had an answer.
@@ -38,26 +103,235 @@
 }
 
 // NewPartDetector returns a PartDetector that knows nothing.
-func NewPartDetector() *PartDetector { return &PartDetector{} }
+func NewPartDetector() *PartDetector {
+	return &PartDetector{
+		suspects: make(map[suspectKey]*suspect), parts: make(map[uint64]*partRecord), frequent: make(map[uint64]bool), verdicts: make(map[uint64]*partVerdict),
+		attempts: recentAttempts{crashed: make(map[string]time.Time)},
+	}
+}
 
 // Blocked reports whether a request with these parts is blocked.
-func (d *PartDetector) Blocked(now time.Time, parts []uint64) bool { return false }
+func (d *PartDetector) Blocked(now time.Time, parts []uint64) bool {
+	d.mu.Lock()
+	found := d.review(now)
+	blocked := d.blocks(now, considered(parts))
+	d.mu.Unlock()
+	d.notifyBlocked(found)
+	return blocked
+}
 
 // RecordCrash records a crash that this entry has seen itself.
-func (d *PartDetector) RecordCrash(now time.Time, c PartCrash) {}
+func (d *PartDetector) RecordCrash(now time.Time, c PartCrash) {
+	d.mu.Lock()
+	d.attempts.countCrash(now, c.Endpoint)
+	if s := d.add(now, c); s != nil {
+		d.assignSeq(s)
+	}
+	found := d.review(now)
+	d.mu.Unlock()
+	d.notifyBlocked(found)
+}
 
 // RecordBegun records that an endpoint has begun to answer a request with these parts and
-// still runs.
-func (d *PartDetector) RecordBegun(now time.Time, parts []uint64) {}
+// still runs. A bad part never gets that far, so all crashes before it had other causes.
+func (d *PartDetector) RecordBegun(now time.Time, parts []uint64) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.attempts.countBegun(now)
+	for _, part := range considered(parts) {
+		d.begun.add(part, now)
+		if r := d.parts[part]; r != nil && d.clear(part, r, now) {
+			d.assignBegunSeq(r)
+		}
+	}
+}
+
+// considered returns the parts of a request that are considered.
+func considered(parts []uint64) []uint64 { return parts[max(0, len(parts)-maxParts):] }
+
+// add adds a suspect unless it is known or all its parts are cleared, and returns it if it was
+// added, else nil. The caller holds d.mu.
+func (d *PartDetector) add(now time.Time, c PartCrash) *suspect {
+	s := &suspect{suspectKey: suspectKey{c.Endpoint, c.Content}, at: now.Add(-c.Age)}
+	d.attempts.addEndpoint(now, c.Endpoint, s.at)
+	for _, part := range considered(c.Parts) {
+		r := d.record(now, part)
+		if !s.at.After(r.begun) {
+			d.assignBegunSeq(r) // the sender of the update does not know of the answer
+		} else if !slices.Contains(s.parts, part) {
+			s.parts = append(s.parts, part)
+		}
+	}
+	if d.suspects[s.suspectKey] != nil || len(s.parts) == 0 {
+		return nil
+	}
+	slices.Sort(s.parts)
+	d.suspects[s.suspectKey] = s
+	for _, part := range s.parts {
+		r := d.parts[part]
+		r.suspects = append(r.suspects, s)
+		d.recount(part, r)
+		if d.verdicts[part] != nil && len(r.suspects) > maxSuspectsOfPart {
+			d.remove(oldest(r.suspects))
+		}
+	}
+	d.evict(now, s)
+	return s
+}
+
+// recount takes note of a changed number of suspects of a part. The caller holds d.mu.
+func (d *PartDetector) recount(part uint64, r *partRecord) {
+	if len(r.suspects) >= minPartCrashes {
+		d.frequent[part], d.changed = true, true
+	} else if d.frequent[part] {
+		delete(d.frequent, part)
+		d.changed = true
+	}
+}
 
-// LatestSeq returns the sequence number of the newest update.
-func (d *PartDetector) LatestSeq() uint64 { return 0 }
+// record returns the record of a part, a new one if there is none. The caller holds d.mu.
+func (d *PartDetector) record(now time.Time, part uint64) *partRecord {
+	r := d.parts[part]
+	if r == nil {
+		if len(d.parts) >= maxPartRecords {
+			d.evictRecords(now)
+		}
+		r = &partRecord{begun: d.begun.last(part)}
+		d.parts[part] = r
+		if !r.begun.IsZero() {
+			d.assignBegunSeq(r) // others may never have seen an answer
+		}
+	}
+	return r
+}
+
+// clear records an answer and removes the part from the suspects of all crashes up to it. It
+// reports whether there were any. The caller holds d.mu.
+func (d *PartDetector) clear(part uint64, r *partRecord, at time.Time) bool {
+	if !at.After(r.begun) {
+		return false
+	}
+	r.begun = at
+	before := len(r.suspects)
+	r.suspects = slices.DeleteFunc(r.suspects, func(s *suspect) bool {
+		if s.at.After(at) {
+			return false
+		}
+		s.parts = slices.DeleteFunc(s.parts, func(p uint64) bool { return p == part })
+		if len(s.parts) == 0 {
+			delete(d.suspects, s.suspectKey)
+		}
+		return true
+	})
+	if len(r.suspects) == before {
+		return false
+	}
+	d.recount(part, r)
+	return true
+}
+
+// remove removes a suspect. The caller holds d.mu.
+func (d *PartDetector) remove(s *suspect) {
+	delete(d.suspects, s.suspectKey)
+	for _, part := range s.parts {
+		r := d.parts[part]
+		r.suspects = slices.DeleteFunc(r.suspects, func(x *suspect) bool { return x == s })
+		d.recount(part, r)
+		if len(r.suspects) == 0 && r.begun.IsZero() {
+			delete(d.parts, part)
+		}
+	}
+}
 
-// Updates returns the updates for an entry that has received all up to a sequence number, and
-// the number up to which it then has all of them.
-func (d *PartDetector) Updates(now time.Time, after uint64) (PartUpdates, uint64) {
-	return PartUpdates{}, 0
+// expire removes the suspects that no longer count. The caller holds d.mu.
+func (d *PartDetector) expire(now time.Time) {
+	for _, s := range d.suspects {
+		if now.Sub(s.at) > evidenceTTL {
+			d.remove(s)
+		}
+	}
 }
 
-// Merge merges updates from another entry.
-func (d *PartDetector) Merge(now time.Time, u PartUpdates) {}
+// evict keeps the number of suspects within maxSuspects, without removing the one that is
+// being added. The least useful go first, several at a time. The caller holds d.mu.
+func (d *PartDetector) evict(now time.Time, added *suspect) {
+	if len(d.suspects) <= maxSuspects {
+		return
+	}
+	d.expire(now)
+	type ranked struct {
+		*suspect
+		use int
+	}
+	list := make([]ranked, 0, len(d.suspects))
+	blocked := 0
+	for _, s := range d.suspects {
+		use := d.use(s)
+		if use == useBlocked {
+			blocked++
+		}
+		if s != added {
+			list = append(list, ranked{s, use})
+		}
+	}
+	rank := func(r ranked) int {
+		if r.use == useBlocked && blocked > maxBlockedSuspects {
+			return useNone - 1
+		}
+		return r.use
+	}
+	slices.SortFunc(list, func(a, b ranked) int { return cmp.Or(cmp.Compare(rank(a), rank(b)), a.at.Compare(b.at)) })
+	for _, r := range list[:max(0, len(list)+1-maxSuspects+evictedSuspects)] {
+		d.remove(r.suspect)
+	}
+}
+
+// What a suspect is of use for.
+const (
+	useNone = iota
+	useCorroborated
+	useBlocked
+)
+
+// use returns what a suspect is of use for. The caller holds d.mu.
+func (d *PartDetector) use(s *suspect) int {
+	for _, part := range s.parts {
+		if d.verdicts[part] != nil {
+			return useBlocked
+		}
+	}
+	if d.corroborated(s) {
+		return useCorroborated
+	}
+	return useNone
+}
+
+// corroborated reports whether another endpoint crashed under one of the suspect's parts. The
+// caller holds d.mu.
+func (d *PartDetector) corroborated(s *suspect) bool {
+	return slices.ContainsFunc(s.parts, func(part uint64) bool { return d.parts[part].crashedElsewhere(s.endpoint) })
+}
+
+// crashedElsewhere reports whether an endpoint other than the given one crashed.
+func (r *partRecord) crashedElsewhere(endpoint string) bool {
+	return slices.ContainsFunc(r.suspects, func(s *suspect) bool { return s.endpoint != endpoint })
+}
+
+// evictRecords removes the records without suspects that need not be reported, or else all
+// without suspects. The caller holds d.mu.
+func (d *PartDetector) evictRecords(now time.Time) {
+	for _, ttl := range []time.Duration{clearTTL, 0} {
+		for part, r := range d.parts {
+			if len(r.suspects) == 0 && now.Sub(r.begun) >= ttl {
+				delete(d.parts, part)
+			}
+		}
+		if len(d.parts) < maxPartRecords {
+			return
+		}
+	}
+}
+
+func oldest(list []*suspect) *suspect {
+	return slices.MinFunc(list, func(a, b *suspect) int { return a.at.Compare(b.at) })
+}
--- /dev/null
+++ b/poison/partverdict.go
@@ -0,0 +1,276 @@
+package poison
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"time"
+)
+
+const (
+	// minPartContents is the number of different requests that must have had a part for a
+	// verdict: Detector judges a request that is repeated.
+	minPartContents = 3
+	// minPartCrashes is the number of crashed endpoints below which no part is convicted, and
+	// minPartTime the time since the first of them, in which answers become known.
+	minPartCrashes = 4
+	minPartTime    = 500 * time.Millisecond
+	// keptPartCrashes is the number of crashes that other parts must leave unexplained for a
+	// part to become or remain convicted.
+	keptPartCrashes = 2
+	// maxPartCoincidence is the probability that a part was at all its crashed endpoints by
+	// coincidence, at or below which it is convicted.
+	maxPartCoincidence = 1.1e-4
+	// A part that was at halfPartCrashes endpoints, half of those that crashed meanwhile, or at
+	// manyPartCrashes endpoints, an eighth of them, is convicted however probable coincidence is.
+	// Crashes that another part explains have explainedWeight.
+	halfPartCrashes, halfPartShare = 4.5, 0.5
+	manyPartCrashes, manyPartShare = 8, 0.125
+	explainedWeight                = 0.5
+	// A part that has the suspects of narrower ones, which may crash endpoints in its stead,
+	// needs widePartCrashes and no answer within widePartTime of the first crash.
+	widePartCrashes = 8
+	widePartTime    = 2 * time.Second
+	// A part that has been answered before needs answeredPartCrashes and no answer within
+	// answeredPartTime of the first crash.
+	answeredPartCrashes = 12
+	answeredPartTime    = 10 * time.Second
+	// doubtfulTTL is how long a verdict against such parts lasts after the last crash: nobody
+	// can clear a part that everybody blocks.
+	doubtfulTTL = 10 * time.Second
+)
+
+// partVerdict blocks requests with all parts of a class.
+type partVerdict struct {
+	class   []uint64
+	crashes int
+	until   time.Time
+}
+
+// partCandidate is a part that may be convicted.
+type partCandidate struct {
+	part uint64
+	// class holds the parts that all suspects with the part share.
+	class []uint64
+	// endpoints are the crashed endpoints.
+	endpoints   map[string]bool
+	suspects    int
+	first, last time.Time
+	// wide is set if there are narrower parts; answered is set if an answer has begun before.
+	wide, answered bool
+}
+
+// blocks reports whether a request with these parts is blocked. The caller holds d.mu.
+func (d *PartDetector) blocks(now time.Time, parts []uint64) bool {
+	for _, part := range parts {
+		v := d.verdicts[part]
+		if v == nil || now.After(v.until) {
+			continue
+		}
+		if !slices.ContainsFunc(v.class, func(p uint64) bool { return !slices.Contains(parts, p) }) {
+			return true
+		}
+	}
+	return false
+}
+
+// review works out the verdicts again if they are due, and returns the new ones. The caller
+// holds d.mu.
+func (d *PartDetector) review(now time.Time) []*partVerdict {
+	if !d.changed && (d.reviewAt.IsZero() || now.Before(d.reviewAt)) {
+		return nil
+	}
+	d.expire(now)
+	d.changed, d.reviewAt = false, time.Time{}
+	verdicts := make(map[uint64]*partVerdict)
+	explained := make(map[string]bool)
+	var found []*partVerdict
+	for _, c := range d.candidates() {
+		v := d.judge(now, c, explained)
+		if v == nil {
+			continue
+		}
+		for endpoint := range c.endpoints {
+			explained[endpoint] = true
+		}
+		verdicts[c.part] = v
+		d.reviewBy(v.until)
+		if d.verdicts[c.part] == nil {
+			found = append(found, v)
+		}
+	}
+	d.verdicts = verdicts
+	return found
+}
+
+// reviewBy makes the verdicts due at a time. The caller holds d.mu.
+func (d *PartDetector) reviewBy(at time.Time) {
+	if d.reviewAt.IsZero() || at.Before(d.reviewAt) {
+		d.reviewAt = at
+	}
+}
+
+// candidates returns the parts with enough crashes for a verdict. Those that explain most go
+// first, and narrow ones before wide ones. The caller holds d.mu.
+func (d *PartDetector) candidates() []*partCandidate {
+	var list []*partCandidate
+	for part := range d.frequent {
+		if c := d.candidate(part, d.parts[part]); c != nil {
+			list = append(list, c)
+		}
+	}
+	slices.SortFunc(list, func(a, b *partCandidate) int {
+		return cmp.Or(cmp.Compare(a.doubt(), b.doubt()), cmp.Compare(len(b.endpoints), len(a.endpoints)),
+			cmp.Compare(a.suspects, b.suspects), cmp.Compare(a.part, b.part))
+	})
+	return list
+}
+
+// doubt orders candidates by how much speaks for them, whatever their crashes.
+func (c *partCandidate) doubt() int {
+	switch {
+	case c.answered:
+		return 2
+	case c.wide:
+		return 1
+	}
+	return 0
+}
+
+// candidate returns a part as a candidate; nil if it has too few crashes, or if another part
+// has the same suspects and stands for both. The caller holds d.mu.
+func (d *PartDetector) candidate(part uint64, r *partRecord) *partCandidate {
+	c := &partCandidate{part: part, endpoints: make(map[string]bool), suspects: len(r.suspects), first: r.suspects[0].at, last: r.suspects[0].at}
+	contents := make(map[uint64]bool)
+	c.class = slices.Clone(r.suspects[0].parts)
+	for _, s := range r.suspects {
+		c.endpoints[s.endpoint], contents[s.content] = true, true
+		c.first, c.last = earliest(c.first, s.at), latest(c.last, s.at)
+		c.class = slices.DeleteFunc(c.class, func(p uint64) bool { return !slices.Contains(s.parts, p) })
+	}
+	if len(c.endpoints) < minPartCrashes || len(contents) < minPartContents {
+		return nil
+	}
+	for _, p := range c.class {
+		if p < part && len(d.parts[p].suspects) == c.suspects {
+			return nil
+		}
+	}
+	c.wide = d.hasNarrower(r)
+	for _, p := range c.class {
+		// A class is as good as its most doubtful part only if all of it was answered.
+		c.answered = !d.parts[p].begun.IsZero()
+		if !c.answered {
+			break
+		}
+	}
+	return c
+}
+
+func earliest(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
+}
+
+// hasNarrower reports whether some of a part's suspects share another part that no other
+// suspect has, and that was at several crashed endpoints. The caller holds d.mu.
+func (d *PartDetector) hasNarrower(r *partRecord) bool {
+	count := make(map[uint64]int)
+	for _, s := range r.suspects {
+		for _, p := range s.parts {
+			count[p]++
+		}
+	}
+	for p, n := range count {
+		other := d.parts[p]
+		if n < len(r.suspects) && n == len(other.suspects) && other.suspectedTwice() {
+			return true
+		}
+	}
+	return false
+}
+
+// suspectedTwice reports whether two requests with the part were at two crashed endpoints.
+func (r *partRecord) suspectedTwice() bool {
+	s := r.suspects[0]
+	return r.crashedElsewhere(s.endpoint) && slices.ContainsFunc(r.suspects, func(x *suspect) bool { return x.content != s.content })
+}
+
+// judge returns a verdict against a candidate, or nil. The endpoints in explained crashed under
+// parts that are already convicted. The caller holds d.mu.
+func (d *PartDetector) judge(now time.Time, c *partCandidate, explained map[string]bool) *partVerdict {
+	v := &partVerdict{class: c.class, crashes: len(c.endpoints), until: c.last.Add(doubtfulTTL)}
+	switch c.doubt() {
+	case 2:
+		if c.unexplained(explained) < answeredPartCrashes || !d.reached(now, c.first.Add(answeredPartTime)) {
+			return nil
+		}
+	case 1:
+		if len(c.endpoints) < widePartCrashes || !d.reached(now, c.first.Add(widePartTime)) {
+			return nil
+		}
+	default:
+		if !d.improbable(now, c, c.unexplained(explained)) {
+			return nil
+		}
+		v.until = c.last.Add(evidenceTTL)
+	}
+	if now.After(v.until) {
+		return nil
+	}
+	return v
+}
+
+// reached reports whether a time has come, and else makes the verdicts due then. The caller
+// holds d.mu.
+func (d *PartDetector) reached(now, at time.Time) bool {
+	if now.Before(at) {
+		d.reviewBy(at)
+		return false
+	}
+	return true
+}
+
+func (c *partCandidate) unexplained(explained map[string]bool) int {
+	n := 0
+	for endpoint := range c.endpoints {
+		if !explained[endpoint] {
+			n++
+		}
+	}
+	return n
+}
+
+// improbable reports whether coincidence does not explain that a part was at its crashed
+// endpoints without an answer, of which other parts leave some unexplained. The caller holds
+// d.mu.
+func (d *PartDetector) improbable(now time.Time, c *partCandidate, unexplained int) bool {
+	if unexplained < keptPartCrashes {
+		return false
+	}
+	if d.verdicts[c.part] != nil {
+		return true // only an answer, or another part that explains the crashes, acquits
+	}
+	if !d.reached(now, c.first.Add(minPartTime)) {
+		return false
+	}
+	all := len(c.endpoints)
+	weight := float64(unexplained) + explainedWeight*float64(all-unexplained)
+	share := float64(all) / float64(max(d.attempts.crashedBetween(c.first, c.last), 1))
+	if weight >= halfPartCrashes && share >= halfPartShare || weight >= manyPartCrashes && share >= manyPartShare {
+		return true
+	}
+	return unexplained >= minPartCrashes && math.Pow(d.attempts.crashShare(now, c.endpoints), float64(unexplained)) <= maxPartCoincidence
+}
+
+// notifyBlocked calls the callback for new verdicts. The caller must not hold d.mu.
+func (d *PartDetector) notifyBlocked(found []*partVerdict) {
+	if d.OnBlocked == nil {
+		return
+	}
+	for _, v := range found {
+		d.OnBlocked(slices.Clone(v.class), v.crashes)
+	}
+}
