router: parts that become blocked while a waiting request asks don't lock its line again

Cause: PartDetector works verdicts out when it is asked, and a request asks with the lock of its line held; the callback that refuses what waits would take the same lock. Change: the callback for parts refuses what waits in a goroutine of its own. Tests of the router with the detector: TestBlockedPartIsRefused, TestMendedPartIsServed, TestCrashAfterBegunAnswer, TestBegunAnswerClearsParts, TestCrashDuringPrefillBlamesNoPart, TestWaitingPromptsAreRefused (queue and polling).

--- a/router/poison.go
+++ b/router/poison.go
@@ -56,13 +56,15 @@
 	r.refuseWaiting()
 }
 
+// partsFound is also called while a waiting request asks whether it is blocked.
 func (r *Router) partsFound(parts []uint64, crashes int) {
 	r.metrics.Add("parts_found", 1)
 	r.log.Emit(event.PartsFound, partsField(parts), zap.Int("crashes", crashes))
-	r.refuseWaiting()
+	go r.refuseWaiting()
 }
 
-// refuseWaiting refuses the requests that wait for room and have become blocked.
+// refuseWaiting refuses the requests that wait for room and have become blocked. The caller must
+// not hold the lock of a waitList.
 func (r *Router) refuseWaiting() {
 	r.rooms.refuse()
 	r.mu.Lock()
@@ -103,8 +105,7 @@
 			zap.Duration("lasted", a.Lasted), zap.Bool("ran", a.Ran), partsField(c.PromptParts))
 		now := time.Now()
 		r.crashes.RecordCrash(now, c.ContentHash, a)
-		beginsAnswers := e.Role == Decode
-		if beginsAnswers && !a.Ran && len(c.PromptParts) > 0 {
+		if beginsAnswers := e.Role == Decode; beginsAnswers && !a.Ran && len(c.PromptParts) > 0 {
 			r.parts.RecordCrash(now, poison.PartCrash{Endpoint: e.ID, Content: c.ContentHash, Parts: c.PromptParts})
 		}
 	}()
