gossip: report prompt parts that crash engines

Cause: each entry would need all crashes under a part itself. Change: two lists at the end of Report, sent once on a connection like the updates about crashes, with a sequence number of their own on each link. Entries of the version before skip them. Seen failing: TestCrashingPartsAreReported without the crashes, and without the answers. After: packages gossip and wire pass with the race detector.

--- a/gossip/crashes.go
+++ b/gossip/crashes.go
@@ -27,13 +27,34 @@
 	return updates
 }
 
-// recordUpdatesSent records the crash updates and the versions of streams that were sent on the
-// connection of a report.
-func (n *Node) recordUpdatesSent(s dueReport, crashes, streams uint64) {
+// partUpdates holds the updates about parts after a sequence number, and the number up to which
+// they are complete.
+type partUpdates struct {
+	crashes []wire.PartCrash
+	begun   []wire.PartBegun
+	upTo    uint64
+}
+
+// partUpdates returns the updates about parts for an entry that knows all up to a sequence
+// number.
+func (n *Node) partUpdates(now time.Time, after uint64) partUpdates {
+	pending, upTo := n.CrashingParts.Updates(now, after)
+	updates := partUpdates{upTo: upTo}
+	for _, c := range pending.Crashes {
+		updates.crashes = append(updates.crashes, wire.PartCrash(c))
+	}
+	for _, b := range pending.Begun {
+		updates.begun = append(updates.begun, wire.PartBegun(b))
+	}
+	return updates
+}
+
+// recordUpdatesSent records the updates that were sent on the connection of a report.
+func (n *Node) recordUpdatesSent(s dueReport, crashes, parts, streams uint64) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	if l := n.links[s.addr]; l != nil && l.conn == s.conn {
-		l.crashSeq, l.streamSeq = crashes, streams
+		l.crashSeq, l.partSeq, l.streamSeq = crashes, parts, streams
 	}
 }
 
@@ -49,3 +70,18 @@
 	}
 	n.Crashes.Merge(now, updates)
 }
+
+// mergePartUpdates merges the updates about parts of another entry.
+func (n *Node) mergePartUpdates(now time.Time, crashes []wire.PartCrash, begun []wire.PartBegun) {
+	if len(crashes)+len(begun) == 0 {
+		return
+	}
+	var updates poison.PartUpdates
+	for _, c := range crashes {
+		updates.Crashes = append(updates.Crashes, poison.PartCrash(c))
+	}
+	for _, b := range begun {
+		updates.Begun = append(updates.Begun, poison.PartBegun(b))
+	}
+	n.CrashingParts.Merge(now, updates)
+}
--- a/gossip/gossip_test.go
+++ b/gossip/gossip_test.go
@@ -232,6 +232,29 @@
 	}
 }
 
+// TestCrashingPartsAreReported guards against a part of prompts that crashes engines at each
+// entry anew: all of them, and one that starts later, must hear of the crashes and the answers.
+func TestCrashingPartsAreReported(t *testing.T) {
+	const first, bad, sound = 0xf1, 0xbad, 0x50
+	blocked := func(n *gossip.Node, parts ...uint64) bool { return n.CrashingParts.Blocked(time.Now(), parts) }
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	seed, addr := startNode(t, ctx, false)
+	other, _ := startNode(t, ctx, false, addr)
+	nodes := []*gossip.Node{seed.node, other.node}
+	for i := range 6 {
+		endpoint := fmt.Sprint("e-", i)
+		nodes[i%2].CrashingParts.RecordCrash(time.Now(), poison.PartCrash{Endpoint: endpoint, Content: uint64(i), Parts: []uint64{first, bad}})
+		nodes[0].CrashingParts.RecordCrash(time.Now(), poison.PartCrash{Endpoint: endpoint, Content: uint64(10 + i), Parts: []uint64{first, sound}})
+	}
+	nodes[1].CrashingParts.RecordBegun(time.Now().Add(time.Millisecond), []uint64{first, sound})
+	started, _ := startNode(t, ctx, false, addr)
+	for i, n := range append(nodes, started.node) {
+		assert.Eventually(t, func() bool { return blocked(n, first, bad) && !blocked(n, first, sound) }, 5*time.Second, 10*time.Millisecond, i)
+		assert.False(t, blocked(n, first), i)
+	}
+}
+
 // TestUseIsReported guards against a workspace that uses up its limit at one entry and
 // continues at the next.
 func TestUseIsReported(t *testing.T) {
--- a/gossip/link.go
+++ b/gossip/link.go
@@ -46,6 +46,8 @@
 	useSent time.Time
 	// crashSeq is the sequence number up to which crash updates were sent on conn.
 	crashSeq uint64
+	// partSeq is the sequence number up to which updates about parts were sent on conn.
+	partSeq uint64
 	// streamSeq is the sequence number up to which versions of streams were sent on conn.
 	streamSeq uint64
 }
@@ -162,5 +164,5 @@
 	defer n.mu.Unlock()
 	l.conn = c
 	l.sent, l.workSent, l.membersSent, l.useSent = time.Time{}, time.Time{}, time.Time{}, time.Time{}
-	l.crashSeq, l.streamSeq = 0, 0
+	l.crashSeq, l.partSeq, l.streamSeq = 0, 0, 0
 }
--- a/gossip/node.go
+++ b/gossip/node.go
@@ -56,6 +56,8 @@
 	Metrics *metrics.Set
 	// Crashes holds the requests that crash endpoints, which entries share.
 	Crashes *poison.Detector
+	// CrashingParts holds the parts of prompts that crash endpoints, which entries share.
+	CrashingParts *poison.PartDetector
 	// Quotas holds the use of workspaces, which entries share.
 	Quotas *quota.Ledger
 	// Paces, Shares and Returns hold the load that endpoints say they have, the demand for
@@ -89,7 +91,7 @@
 		self: self, incarnation: wire.NewID(), loads: loads, catalog: cat, log: log, dial: dial.OrTCP(),
 		Behind: func() bool { return false }, StoreFailed: func() bool { return false }, OnFleetSize: func(int) {},
 		CatalogAge: func() time.Duration { return 0 }, OnReceive: func(time.Duration) {},
-		Metrics: metrics.NewSet(), Crashes: poison.NewDetector(), Quotas: quota.NewLedger(quota.Settings{}),
+		Metrics: metrics.NewSet(), Crashes: poison.NewDetector(), CrashingParts: poison.NewPartDetector(), Quotas: quota.NewLedger(quota.Settings{}),
 		Paces: pace.NewTracker(), Shares: share.NewTable(), Returns: returns.NewCalendar(), Releases: release.NewTracker(),
 		members: NewMembers(self.Addr, self.DataCentre, seeds), links: make(map[string]*link),
 		revisions: make(map[string]revision.Revision), eraAnswers: make(map[string]eraAnswer), index: parts.NewIndex(),
@@ -155,6 +157,7 @@
 	n.mergeUse(now, r)
 	n.mergePressure(now, r)
 	n.mergeCrashes(now, r.Crashes, r.CrashRates)
+	n.mergePartUpdates(now, r.PartCrashes, r.PartsBegun)
 	n.mergeStreams(now, r.Begun)
 	n.learnMaxEntries(now, r.Most, r.MostAge, r.Counted)
 	own := n.catalog.Revision()
--- a/gossip/report.go
+++ b/gossip/report.go
@@ -51,6 +51,7 @@
 	asked := n.sourceToAsk(now)
 	frames := make(map[reportVariant][]byte)
 	updates := make(map[uint64]crashUpdates)
+	parts := make(map[uint64]partUpdates)
 	streams := make(map[uint64]streamUpdates)
 	for i, s := range n.dueReports(now, changed, asked) {
 		crashes, ok := updates[s.crashSeq]
@@ -58,22 +59,27 @@
 			crashes = n.crashUpdates(now, s.crashSeq)
 			updates[s.crashSeq] = crashes
 		}
+		suspects, ok := parts[s.partSeq]
+		if !ok {
+			suspects = n.partUpdates(now, s.partSeq)
+			parts[s.partSeq] = suspects
+		}
 		begun, ok := streams[s.streamSeq]
 		if !ok {
 			begun = n.streamUpdates(now, s.streamSeq)
 			streams[s.streamSeq] = begun
 		}
-		v := reportVariant{asksPublished: s.addr == asked, members: s.members, use: s.use && (len(use) > 0 || len(limits) > 0), crashSeq: s.crashSeq, streamSeq: s.streamSeq}
+		v := reportVariant{asksPublished: s.addr == asked, members: s.members, use: s.use && (len(use) > 0 || len(limits) > 0), crashSeq: s.crashSeq, partSeq: s.partSeq, streamSeq: s.streamSeq}
 		// Only the first report of a round asks for corrections. It goes to the entry that has
 		// waited longest for a report, so that each is asked in turn.
 		v.unsure = i == 0 && n.corrections.due(now, n.catalog.Revision())
 		if frames[v] == nil {
-			frames[v] = n.encodeReport(now, work, use, limits, v, crashes, begun)
+			frames[v] = n.encodeReport(now, work, use, limits, v, crashes, suspects, begun)
 		}
 		// If the connection has ended, its link replaces it.
 		_ = s.conn.SendFrame(frames[v])
 		n.countSent(reportsSent, frames[v])
-		n.recordUpdatesSent(s, crashes.upTo, begun.upTo)
+		n.recordUpdatesSent(s, crashes.upTo, suspects.upTo, begun.upTo)
 	}
 }
 
@@ -86,9 +92,9 @@
 	unsure bool
 	// members is the number of members listed.
 	members int
-	// crashSeq and streamSeq are the sequence numbers up to which the receiver knows crash
-	// updates and versions of streams.
-	crashSeq, streamSeq uint64
+	// crashSeq, partSeq and streamSeq are the sequence numbers up to which the receiver knows
+	// updates about crashes and parts, and versions of streams.
+	crashSeq, partSeq, streamSeq uint64
 }
 
 // dueReport is one report to send.
@@ -98,7 +104,7 @@
 	members int
 	use     bool
 
-	crashSeq, streamSeq uint64
+	crashSeq, partSeq, streamSeq uint64
 }
 
 // dueReports returns the reports to send now, and records them as sent. Each round serves a
@@ -106,7 +112,8 @@
 // requests for long. The entry that is asked for published entries is always included.
 func (n *Node) dueReports(now, changed time.Time, asked string) []dueReport {
 	interval, idle := n.reportInterval(now), n.idleReportInterval(now)
-	newestCrash, newestStream, usePause := n.Crashes.LatestSeq(), n.Releases.LatestSeq(), n.useReportInterval(now)
+	newestCrash, newestPart, newestStream := n.Crashes.LatestSeq(), n.CrashingParts.LatestSeq(), n.Releases.LatestSeq()
+	usePause := n.useReportInterval(now)
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	newest := n.members.LastJoin()
@@ -119,7 +126,7 @@
 			l.conn.Close()
 			continue
 		}
-		updatesDue := (newestCrash > l.crashSeq || newestStream > l.streamSeq) && now.Sub(l.sent) >= interval
+		updatesDue := (newestCrash > l.crashSeq || newestPart > l.partSeq || newestStream > l.streamSeq) && now.Sub(l.sent) >= interval
 		if updatesDue || l.due(now, changed, interval, idle, l.addr == asked) {
 			list = append(list, l)
 		}
@@ -140,7 +147,7 @@
 		if use {
 			l.useSent = now
 		}
-		reports = append(reports, dueReport{addr: l.addr, conn: l.conn, members: members, use: use, crashSeq: l.crashSeq, streamSeq: l.streamSeq})
+		reports = append(reports, dueReport{addr: l.addr, conn: l.conn, members: members, use: use, crashSeq: l.crashSeq, partSeq: l.partSeq, streamSeq: l.streamSeq})
 	}
 	return reports
 }
@@ -167,13 +174,13 @@
 }
 
 // encodeReport returns an encoded report.
-func (n *Node) encodeReport(now time.Time, work []wire.EndpointWork, use []wire.WorkspaceUse, limits []wire.EndpointLimit, v reportVariant, crashes crashUpdates, begun streamUpdates) []byte {
+func (n *Node) encodeReport(now time.Time, work []wire.EndpointWork, use []wire.WorkspaceUse, limits []wire.EndpointLimit, v reportVariant, crashes crashUpdates, parts partUpdates, begun streamUpdates) []byte {
 	own := n.catalog.Revision()
 	r := &wire.Report{
 		From: n.self.Addr, DataCentre: n.self.DataCentre, Incarnation: n.incarnation, Work: work, Avoided: n.ownAvoided(now), Demand: n.ownDemand(now),
 		Revision: own.Count, Era: own.Era, Behind: v.asksPublished,
 		Link: n.self.LinkMbps, NoStore: n.StoreFailed(), Crashes: crashes.list, CrashRates: crashes.rates,
-		Unsure: v.unsure, Begun: begun.list,
+		Unsure: v.unsure, Begun: begun.list, PartCrashes: parts.crashes, PartsBegun: parts.begun,
 	}
 	if v.use {
 		r.Use, r.Limits = use, limits
--- a/wire/grow_test.go
+++ b/wire/grow_test.go
@@ -63,6 +63,10 @@
 	work := []wire.EndpointWork{{Endpoint: "e", Decodes: 2, KV: 11}}
 	for _, crashes := range [][]wire.Crash{nil, {{Content: 5, Endpoint: "e"}}} {
 		sent := &wire.Report{From: "a:1", Work: work, Revision: 7, Link: 20, Crashes: crashes}
+		if crashes != nil {
+			sent.PartCrashes = []wire.PartCrash{{Endpoint: "e", Content: 5, Parts: []uint64{1, 1 << 63}, Age: time.Second}}
+			sent.PartsBegun = []wire.PartBegun{{Part: 1, Age: time.Second}}
+		}
 		frame, err := wire.AppendFrame(nil, sent)
 		require.NoError(t, err)
 		const head = 5
--- a/wire/report.go
+++ b/wire/report.go
@@ -25,7 +25,7 @@
 }
 
 // Report is the state that an entry sends to another one. Each report replaces the one
-// before, except for Crashes, so that any report may be lost.
+// before, except for updates, so that any report may be lost.
 type Report struct {
 	// From is the address where the sender listens for other entries.
 	From        string
@@ -86,6 +86,25 @@
 	// Begun are streams whose software version others can't work out. Each is sent once on a
 	// connection and adds to the earlier ones.
 	Begun []StreamVersion
+	// PartCrashes and PartsBegun are updates about parts of prompts that crash endpoints. Each
+	// is sent once on a connection and adds to the earlier ones.
+	PartCrashes []PartCrash
+	PartsBegun  []PartBegun
+}
+
+// PartCrash is a crash of an endpoint under a request with some parts, as in
+// poison.PartCrash.
+type PartCrash struct {
+	Endpoint string
+	Content  uint64
+	Parts    []uint64
+	Age      time.Duration
+}
+
+// PartBegun is an answer to a request with a part, as in poison.PartBegun.
+type PartBegun struct {
+	Part uint64
+	Age  time.Duration
 }
 
 // StreamVersion is the software version of a stream, as in release.Update.
