--- a/emulator/site.go
+++ b/emulator/site.go
@@ -91,7 +91,7 @@
 	e.node = gossip.NewNode(gossip.Self{Addr: addr, DataCentre: dataCentre, LinkMbps: link}, []string{"entry-000:1"}, e.Router.Loads(), catalog.New(), event.Nop(), s.Net.Dialer(e.Name))
 	e.node.OnFleetSize, e.node.Crashes, e.node.Quotas = e.Router.SetFleetSize, e.Router.PoisonDetector(), e.Router.Quotas()
 	e.node.Paces, e.node.Shares, e.node.Returns = e.Router.Paces(), e.Router.Shares(), e.Router.Returns()
-	e.node.Releases = e.Router.Releases()
+	e.node.Releases, e.node.CrashingParts = e.Router.Releases(), e.Router.PartDetector()
 	s.publishDirectoryTo(e)
 	go s.serve(ctx, e, ln)
 	go func() { _ = e.Router.BalanceStages(ctx, func() (uint64, bool) { return 1, e.node.IsLeader() }) }()
