--- a/emulator/parts_test.go
+++ b/emulator/parts_test.go
@@ -18,6 +18,7 @@
 	partEntries = 4
 	partSeed    = 1
 	soundRate   = 40 // requests per second
+	fewSound    = 8
 	// Each bad part comes in badRate requests per second.
 	badRate = 4
 
@@ -63,17 +64,20 @@
 	calls map[string]*promptCall
 	// outOfTouch holds the spans in which an entry is cut off or has just started.
 	outOfTouch map[string][2]time.Time
+	soundRate  float64
 	badStart   time.Time
 	end        time.Time
 }
 
 // runParts runs fn against engines that have room for about four times the sound requests.
-func runParts(t *testing.T, fn func(d *partsTest)) {
+func runParts(t *testing.T, fn func(d *partsTest)) { runSeededParts(t, partSeed, fn) }
+
+func runSeededParts(t *testing.T, seed uint64, fn func(d *partsTest)) {
 	t.Parallel()
 	spec := smallBatchSpec()
 	newFleet := func() *emulator.Fleet { return emulator.NewFleet(&spec, partEngines, 4, nil) }
-	runSeededCluster(t, partEntries, partSeed, newFleet, emulator.Workload{MeanPrompt: 600, MeanAnswer: 200}, partSeed, func(c *clusterTest) {
-		fn(&partsTest{clusterTest: c, calls: make(map[string]*promptCall), outOfTouch: make(map[string][2]time.Time)})
+	runSeededCluster(t, partEntries, seed, newFleet, emulator.Workload{MeanPrompt: 600, MeanAnswer: 200}, seed, func(c *clusterTest) {
+		fn(&partsTest{clusterTest: c, calls: make(map[string]*promptCall), outOfTouch: make(map[string][2]time.Time), soundRate: soundRate})
 	})
 }
 
@@ -125,7 +129,7 @@
 		})
 	}
 	next := make([]time.Time, 1+len(bad))
-	rates := []float64{soundRate}
+	rates := []float64{d.soundRate}
 	next[0] = time.Now()
 	for i := range bad {
 		next[i+1], rates = d.badStart, append(rates, badRate)
@@ -254,6 +258,21 @@
 	return func() []uint64 { return []uint64{firstPart, d.sharedPart(), part, d.uniquePart()} }
 }
 
+// TestPartAmongFewSoundRequests guards against a bad part that stays unknown because few answers
+// clear the parts beside it.
+func TestPartAmongFewSoundRequests(t *testing.T) {
+	for _, seed := range []uint64{11, 13, 15, 16} {
+		t.Run(strconv.FormatUint(seed, 10), func(t *testing.T) {
+			runSeededParts(t, seed, func(d *partsTest) {
+				d.soundRate = fewSound
+				d.fleet.AddPoisonPart(badPart)
+				d.run(nil, func() []uint64 { return []uint64{firstPart, d.sharedPart(), badPart, d.sharedPart()} })
+				d.check(badPart)
+			})
+		})
+	}
+}
+
 // TestTwoPartsThatCrashEngines guards against the crashes of one part hiding those of another.
 func TestTwoPartsThatCrashEngines(t *testing.T) {
 	runParts(t, func(d *partsTest) {
