router: suspects of a bad prompt part wait for the verdict

Cause: a part that comes in a burst crashes all engines before the first crashes are known everywhere; no verdict falls within half a second of the first crash. Ruled out (trials, docs/design/suspects.md): one suspect at a time per entry; second attempts wait; all at one engine. Change: once two engines crashed under different requests with a part that nobody has answered since, requests with it wait up to 0.6 s before they are placed, as long as they can still be on time, until the part is cleared or blocked.

--- a/emulator/parts_test.go
+++ b/emulator/parts_test.go
@@ -20,7 +20,8 @@
 	soundRate   = 40 // requests per second
 	fewSound    = 8
 	// Each bad part comes in badRate requests per second.
-	badRate = 4
+	badRate   = 4
+	burstRate = 20
 
 	calmTime = 4 * time.Second
 	badTime  = 16 * time.Second
@@ -64,9 +65,10 @@
 	calls map[string]*promptCall
 	// outOfTouch holds the spans in which an entry is cut off or has just started.
 	outOfTouch map[string][2]time.Time
-	soundRate  float64
-	badStart   time.Time
-	end        time.Time
+	// soundRate is the rate of sound requests, badRate that of each bad part.
+	soundRate, badRate float64
+	badStart           time.Time
+	end                time.Time
 }
 
 // runParts runs fn against engines that have room for about four times the sound requests.
@@ -77,7 +79,7 @@
 	spec := smallBatchSpec()
 	newFleet := func() *emulator.Fleet { return emulator.NewFleet(&spec, partEngines, 4, nil) }
 	runSeededCluster(t, partEntries, seed, newFleet, emulator.Workload{MeanPrompt: 600, MeanAnswer: 200}, seed, func(c *clusterTest) {
-		fn(&partsTest{clusterTest: c, calls: make(map[string]*promptCall), outOfTouch: make(map[string][2]time.Time), soundRate: soundRate})
+		fn(&partsTest{clusterTest: c, calls: make(map[string]*promptCall), outOfTouch: make(map[string][2]time.Time), soundRate: soundRate, badRate: badRate})
 	})
 }
 
@@ -132,7 +134,7 @@
 	rates := []float64{d.soundRate}
 	next[0] = time.Now()
 	for i := range bad {
-		next[i+1], rates = d.badStart, append(rates, badRate)
+		next[i+1], rates = d.badStart, append(rates, d.badRate)
 	}
 	for {
 		first := 0
@@ -198,8 +200,9 @@
 	return n
 }
 
-// check checks what a play with bad parts must have shown.
-func (d *partsTest) check(parts ...uint64) {
+// check checks what a play with bad parts must have shown. It returns how often sound requests
+// began until 2 x propagationTime after the threshold.
+func (d *partsTest) check(parts ...uint64) (during float64) {
 	before, _ := d.begunFraction(d.badStart.Add(-calmTime), d.badStart)
 	var known time.Time
 	for _, part := range parts {
@@ -217,12 +220,13 @@
 		d.t.Logf("part %x: %d crashes, the fifth or last %v after the first request; %d arrivals too late", part, crashes, threshold.Sub(d.badStart), late)
 		assert.LessOrEqual(d.t, late, maxPartArrivals)
 	}
-	during, _ := d.begunFraction(d.badStart, known.Add(2*propagationTime))
+	during, _ = d.begunFraction(d.badStart, known.Add(2*propagationTime))
 	after, n := d.begunFraction(known.Add(2*propagationTime), d.end)
 	d.t.Logf("sound requests begin at the first attempt: %.3f before, %.3f until 6 s after the fifth crash, %.3f of %d then; %d refused for their parts", before, during, after, n, d.soundRefusedForParts())
 	assert.GreaterOrEqual(d.t, n, 20)
 	assert.GreaterOrEqual(d.t, after, minSound*before)
 	assert.Zero(d.t, d.soundRefusedForParts(), "sound requests refused for their parts")
+	return during
 }
 
 // TestPartThatCrashesEngines guards against a part of prompts that crashes each engine which
@@ -273,6 +277,22 @@
 	}
 }
 
+// TestBurstOfPart guards against a bad part that comes so often that all engines crash before the
+// first crashes are known.
+func TestBurstOfPart(t *testing.T) {
+	const minDuring = 0.65
+	for _, seed := range []uint64{1, 2, 3} {
+		t.Run(strconv.FormatUint(seed, 10), func(t *testing.T) {
+			runSeededParts(t, seed, func(d *partsTest) {
+				d.badRate = burstRate
+				d.fleet.AddPoisonPart(badPart)
+				d.run(nil, d.badPrompt(badPart))
+				assert.GreaterOrEqual(t, d.check(badPart), minDuring)
+			})
+		})
+	}
+}
+
 // TestTwoPartsThatCrashEngines guards against the crashes of one part hiding those of another.
 func TestTwoPartsThatCrashEngines(t *testing.T) {
 	runParts(t, func(d *partsTest) {
--- a/router/generate.go
+++ b/router/generate.go
@@ -304,6 +304,11 @@
 	if err := g.r.refusePoison(g.c); err != nil {
 		return err // refuse it before it waits for room
 	}
+	if len(g.c.PromptParts) > 0 && g.lastEvent == NoEvent && g.kept == nil {
+		if err := g.awaitVerdict(ctx); err != nil {
+			return err
+		}
+	}
 	a, err := g.admit(ctx)
 	if err != nil {
 		return err
--- a/router/parts_test.go
+++ b/router/parts_test.go
@@ -327,3 +327,78 @@
 
 // roomPoll is the time between two tries of a generation that polls for room.
 const roomPoll = 20 * time.Millisecond
+
+// suspect makes badPart suspected by crashes that another entry saw.
+func suspect(r *router.Router) {
+	var u poison.PartUpdates
+	for i := range 2 {
+		u.Crashes = append(u.Crashes, poison.PartCrash{Endpoint: fmt.Sprint("gone-", i), Content: uint64(1 + i), Parts: []uint64{badPart, 0x10 + uint64(i)}})
+	}
+	r.PartDetector().Merge(time.Now(), u)
+}
+
+// TestSuspectsWait guards against sending a burst of prompts with a bad part to engines before the
+// first crashes are known, and against keeping sound ones longer than they have time.
+func TestSuspectsWait(t *testing.T) {
+	patient := singleAttempt
+	patient.LatencyTarget = 10 * time.Second
+	hurried := singleAttempt
+	hurried.LatencyTarget = 300 * time.Millisecond
+	for _, tt := range []struct {
+		name  string
+		route router.Route
+		parts []uint64
+		// news comes after 100 ms.
+		news     func(r *router.Router)
+		least    time.Duration
+		most     time.Duration
+		refused  bool
+		resuming bool
+	}{
+		{name: "no news", route: patient, parts: []uint64{firstPart, badPart}, least: 600 * time.Millisecond, most: 650 * time.Millisecond},
+		{name: "sound", route: patient, parts: []uint64{firstPart}, most: 0},
+		{name: "cleared", route: patient, parts: []uint64{firstPart, badPart}, least: 100 * time.Millisecond, most: 150 * time.Millisecond,
+			news: func(r *router.Router) { r.PartDetector().RecordBegun(time.Now(), []uint64{badPart}) }},
+		{name: "blocked", route: patient, parts: []uint64{firstPart, badPart}, refused: true, news: block},
+		{name: "no time", route: hurried, parts: []uint64{firstPart, badPart}, most: 300 * time.Millisecond},
+		{name: "answer has begun", route: patient, parts: []uint64{firstPart, badPart}, resuming: true, most: 0},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f, r := newPartRouter(3)
+				f.mended = true
+				suspect(r)
+				if tt.news != nil {
+					time.AfterFunc(100*time.Millisecond, func() { tt.news(r) })
+				}
+				began := time.Now()
+				var waited time.Duration
+				var reached sync.Once
+				f.prefillCall = func(context.Context, *router.Call) error {
+					reached.Do(func() { waited = time.Since(began) })
+					return nil
+				}
+				f.generate = func(*router.Endpoint, router.Start) error {
+					reached.Do(func() { waited = time.Since(began) })
+					return nil
+				}
+				c := f.promptCall(tt.route, tt.parts...)
+				if tt.resuming {
+					c.ResumeAfter = 2
+				}
+				_, fail := r.Generate(t.Context(), c, new(fakeSink))
+				if tt.refused {
+					require.NotNil(t, fail)
+					assert.Equal(t, router.NotRun, fail.Reason)
+					assert.Equal(t, time.Minute, fail.RetryAfter)
+					assert.Less(t, time.Since(began), 150*time.Millisecond)
+					assert.Zero(t, f.arrivals)
+					return
+				}
+				assert.Nil(t, fail)
+				assert.GreaterOrEqual(t, waited, tt.least)
+				assert.LessOrEqual(t, waited, tt.most)
+			})
+		})
+	}
+}
