poison: verdicts on prompt parts lapse, and few attempts prove nothing

Ruled out: the share over the last 10 s whatever the part's first crash (calm seconds before an outage dilute it). Change: the share counts from the part's first crash, is rounded up, and is asked for from five crashes on only; a verdict lapses, after a minute with four crashes and twice as long with each more.

--- a/poison/attempts.go
+++ b/poison/attempts.go
@@ -1,6 +1,7 @@
 package poison
 
 import (
+	"math"
 	"slices"
 	"time"
 )
@@ -8,10 +9,6 @@
 const (
 	// maxOwnCrashes bounds the own attempts at crashed endpoints that are kept.
 	maxOwnCrashes = 256
-	// priorAttempts is the weight, in attempts, of the assumption that the share
-	// priorCrashShare of attempts crashes.
-	priorAttempts   = 1.0
-	priorCrashShare = 0.1
 	// begunSlots is the number of slots of begun answers in rateWindow.
 	begunSlots = 10
 )
@@ -81,19 +78,21 @@
 	return n
 }
 
-// crashShare returns the share of own attempts that had no answer begun when their endpoint
-// crashed, without the given endpoints.
-func (a *recentAttempts) crashShare(now time.Time, without map[string]bool) float64 {
+// crashShare returns the share of own attempts since a time that had no answer begun when
+// their endpoint crashed, without the given endpoints.
+func (a *recentAttempts) crashShare(now, since time.Time, without map[string]bool) float64 {
 	crashes, begun := 0, 0
 	for _, c := range a.own {
-		if now.Sub(c.at) <= rateWindow && !without[c.endpoint] {
+		if now.Sub(c.at) <= rateWindow && !c.at.Before(since) && !without[c.endpoint] {
 			crashes++
 		}
 	}
 	for _, b := range a.begun {
-		if begunSlot(now)-b.slot < begunSlots {
+		if begunSlot(now)-b.slot < begunSlots && b.slot >= begunSlot(since) {
 			begun += b.count
 		}
 	}
-	return (float64(crashes) + priorAttempts*priorCrashShare) / (float64(crashes+begun) + priorAttempts)
+	// More crashes than observed are counted, so that few attempts prove nothing.
+	estimate := float64(crashes+1) + math.Sqrt(float64(crashes+1))
+	return min(estimate/float64(crashes+begun+1), 1)
 }
--- a/poison/parts.go
+++ b/poison/parts.go
@@ -71,6 +71,8 @@
 type partRecord struct {
 	// suspects are those that have the part uncleared.
 	suspects []*suspect
+	// convicted is set if there was a verdict since. One more crash renews it.
+	convicted bool
 	// begun is the time of the last answer. sequencedBegun is the one that other entries are
 	// notified of, and begunSeq the sequence number of that update.
 	begun, sequencedBegun time.Time
@@ -211,7 +213,7 @@
 	if !at.After(r.begun) {
 		return false
 	}
-	r.begun = at
+	r.begun, r.convicted = at, false
 	before := len(r.suspects)
 	r.suspects = slices.DeleteFunc(r.suspects, func(s *suspect) bool {
 		if s.at.After(at) {
--- a/poison/partverdict.go
+++ b/poison/partverdict.go
@@ -15,16 +15,18 @@
 	// minPartTime the time since the first of them, in which answers become known.
 	minPartCrashes = 4
 	minPartTime    = 500 * time.Millisecond
-	// keptPartCrashes is the number of crashes that other parts must leave unexplained for a
-	// part to become or remain convicted.
-	keptPartCrashes = 2
+	// minUnexplained is the number of crashes that other parts must leave unexplained for a
+	// part to be convicted, keptPartCrashes the number for it to remain so.
+	minUnexplained  = 2
+	keptPartCrashes = 1
 	// maxPartCoincidence is the probability that a part was at all its crashed endpoints by
 	// coincidence, at or below which it is convicted.
-	maxPartCoincidence = 1.1e-4
+	maxPartCoincidence = 1e-5
 	// A part that was at halfPartCrashes endpoints, half of those that crashed meanwhile, or at
 	// manyPartCrashes endpoints, an eighth of them, is convicted however probable coincidence is.
 	// Crashes that another part explains have explainedWeight.
-	halfPartCrashes, halfPartShare = 4.5, 0.5
+	halfPartCrashes, halfPartShare = 5, 0.5
+	minPartShare                   = 0.8
 	manyPartCrashes, manyPartShare = 8, 0.125
 	explainedWeight                = 0.5
 	// A part that has the suspects of narrower ones, which may crash endpoints in its stead,
@@ -35,9 +37,11 @@
 	// answeredPartTime of the first crash.
 	answeredPartCrashes = 12
 	answeredPartTime    = 10 * time.Second
-	// doubtfulTTL is how long a verdict against such parts lasts after the last crash: nobody
-	// can clear a part that everybody blocks.
-	doubtfulTTL = 10 * time.Second
+	// A verdict lapses some time after the last crash, because nobody can clear a part that
+	// everybody blocks: after doubtfulTTL for such parts, else after minVerdictTTL with
+	// minPartCrashes, and twice as long with each crash more.
+	doubtfulTTL   = 10 * time.Second
+	minVerdictTTL = time.Minute
 )
 
 // partVerdict blocks requests with all parts of a class.
@@ -215,14 +219,24 @@
 		if !d.improbable(now, c, c.unexplained(explained)) {
 			return nil
 		}
-		v.until = c.last.Add(evidenceTTL)
+		v.until = c.last.Add(verdictTTL(len(c.endpoints)))
 	}
+	d.parts[c.part].convicted = true
 	if now.After(v.until) {
 		return nil
 	}
 	return v
 }
 
+// verdictTTL returns how long a verdict lasts after the last of a number of crashes.
+func verdictTTL(crashes int) time.Duration {
+	ttl := minVerdictTTL
+	for i := minPartCrashes; i < crashes && ttl < evidenceTTL; i++ {
+		ttl *= 2
+	}
+	return min(ttl, evidenceTTL)
+}
+
 // reached reports whether a time has come, and else makes the verdicts due then. The caller
 // holds d.mu.
 func (d *PartDetector) reached(now, at time.Time) bool {
@@ -247,22 +261,20 @@
 // endpoints without an answer, of which other parts leave some unexplained. The caller holds
 // d.mu.
 func (d *PartDetector) improbable(now time.Time, c *partCandidate, unexplained int) bool {
-	if unexplained < keptPartCrashes {
-		return false
-	}
-	if d.verdicts[c.part] != nil {
-		return true // only an answer, or another part that explains the crashes, acquits
+	if r := d.parts[c.part]; r.convicted {
+		r.convicted = unexplained >= keptPartCrashes
+		return r.convicted
 	}
-	if !d.reached(now, c.first.Add(minPartTime)) {
+	if unexplained < minUnexplained || !d.reached(now, c.first.Add(minPartTime)) {
 		return false
 	}
 	all := len(c.endpoints)
 	weight := float64(unexplained) + explainedWeight*float64(all-unexplained)
 	share := float64(all) / float64(max(d.attempts.crashedBetween(c.first, c.last), 1))
-	if weight >= halfPartCrashes && share >= halfPartShare || weight >= manyPartCrashes && share >= manyPartShare {
+	if weight >= minPartCrashes && share >= minPartShare || weight >= halfPartCrashes && share >= halfPartShare || weight >= manyPartCrashes && share >= manyPartShare {
 		return true
 	}
-	return unexplained >= minPartCrashes && math.Pow(d.attempts.crashShare(now, c.endpoints), float64(unexplained)) <= maxPartCoincidence
+	return unexplained >= halfPartCrashes && math.Pow(d.attempts.crashShare(now, c.first, c.endpoints), float64(unexplained)) <= maxPartCoincidence
 }
 
 // notifyBlocked calls the callback for new verdicts. The caller must not hold d.mu.
