--- a/intake/listener.go
+++ b/intake/listener.go
@@ -58,8 +58,11 @@
 	*net.TCPConn
 	listener *Listener
 	evicted  atomic.Bool
-	start    Start
 	started  atomic.Bool
+
+	// The rest is guarded by the listener's mutex.
+
+	start Start
 	// inHeader is set while the server reads the header of a request. headerRead is what it
 	// has read of it, and headerTaken the memory that was taken for that, in bytes.
 	inHeader    bool
