upstream: a truncated body never ends with io.ErrUnexpectedEOF

Cause: Response.Read passed on io.ErrUnexpectedEOF for a body that ended before its announced length or its last chunk. answerBuffer.fill reads with io.ReadFull, which returns the same error at the end of a complete body, and takes it for that. An answer of 8 KB to 8 MB that a worker cut short reached the client as a complete 200 with the length of what had arrived.

Ruled out: answers up to 8 KB (io.ReadAll reports the error) and those too large to be buffered (they are forwarded, and their clients see the break).

Change: Response.Read returns ErrLost for every end but the complete one.

--- a/upstream/exchange.go
+++ b/upstream/exchange.go
@@ -176,11 +176,18 @@
 }
 
 // Read reads the body. It returns io.EOF only at the end of the complete body;
-// if the connection is reset or ends early, the error is another one.
+// if the connection is reset or ends early, the error is ErrLost.
+//
+// It never returns io.ErrUnexpectedEOF, which io.ReadFull also returns at the end of
+// a complete body: callers would take a truncated body for a complete one.
 func (r *Response) Read(b []byte) (int, error) {
 	n, err := r.body.Read(b)
-	if err == io.EOF {
+	switch err {
+	case nil:
+	case io.EOF:
 		r.complete = true
+	default:
+		err = ErrLost.Wrap(err, "body from %s", r.target.Addr)
 	}
 	return n, err
 }
