--- a/upstream/exchange.go
+++ b/upstream/exchange.go
@@ -43,8 +43,12 @@
 
 // Response is an answer. The caller reads its body with Read and must call Close.
 type Response struct {
-	Status  int
-	Header  http.Header
+	Status int
+	Header http.Header
+	// UntilClose says that the body has neither a length nor chunks and ends with the
+	// connection.
+	UntilClose bool
+
 	body    io.Reader
 	pool    *Pool
 	target  Target
@@ -167,6 +171,7 @@
 		r.Status = resp.StatusCode
 		r.Header = resp.Header
 		r.body = resp.Body
+		r.UntilClose = resp.ContentLength < 0 && len(resp.TransferEncoding) == 0
 		r.reusable = !resp.Close && stale == 0
 		if d := keepAliveTimeout(resp.Header); d > 0 {
 			r.conn.idleTimeout = d
