upstream: a stale answer that is too long is not read past its limit

Cause: of an answer to an earlier request 64 KB were skipped; the rest of a longer one was then parsed as the next answer, and could be taken for the answer to this request.

Change: a longer stale answer ends the exchange as lost.

Before: TestLongStaleAnswerIsNotParsed gets the forged answer, after: an error.

--- a/upstream/exchange.go
+++ b/upstream/exchange.go
@@ -163,7 +163,7 @@
 				return ErrLost.New("%d answers to other requests on the connection", stale)
 			}
 			first = false
-			if _, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxStaleBody)); err != nil {
+			if err := discardBody(resp.Body); err != nil {
 				return err
 			}
 			continue
@@ -180,6 +180,16 @@
 	}
 }
 
+// discardBody reads the body of a stale answer. It fails if the body is too long: what
+// follows on the connection would be the rest of it.
+func discardBody(body io.Reader) error {
+	n, err := io.Copy(io.Discard, io.LimitReader(body, maxStaleBody+1))
+	if err == nil && n > maxStaleBody {
+		return ErrLost.New("an answer to another request exceeds %d bytes", maxStaleBody)
+	}
+	return err
+}
+
 // Read reads the body. It returns io.EOF only at the end of the complete body;
 // if the connection is reset or ends early, the error is ErrLost.
 //
--- a/upstream/upstream_test.go
+++ b/upstream/upstream_test.go
@@ -7,6 +7,8 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -399,3 +401,18 @@
 	_, err := call(p, target, getRequest("a"))
 	assert.True(t, errorx.IsOfType(err, upstream.ErrLost), "%v", err)
 }
+
+// TestLongStaleAnswerIsNotParsed: a late answer to an earlier request is longer than what is
+// skipped, and its body looks like an answer. A request must not get that as its own.
+func TestLongStaleAnswerIsNotParsed(t *testing.T) {
+	forged := rawAnswer("2", "forged")
+	body := strings.Repeat("x", 64<<10) + forged
+	target, _ := serveConns(t, func(_ int, c net.Conn) {
+		readRequest(t, bufio.NewReader(c))
+		_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: "+strconv.Itoa(len(body))+"\r\n\r\n"+body)
+	})
+	p := upstream.NewPool(nil)
+	defer p.Close()
+	got, err := call(p, target, getRequest("2"))
+	assert.Error(t, err, "got %q", got)
+}
