--- a/emulator/engine.go
+++ b/emulator/engine.go
@@ -33,6 +33,8 @@
 	reservations map[int]int // reserved tokens by handle
 	nextID       int
 	stepping     bool
+	// frozenUntil is when a frozen engine goes on.
+	frozenUntil time.Time
 }
 
 // job is a prefill or a stream.
@@ -125,6 +127,7 @@
 			return
 		}
 		time.Sleep(time.Duration(float64(d) * e.slowdown * e.pace(time.Now())))
+		e.awaitThaw()
 		if j := e.poisonStream(); j != nil {
 			e.onCrash(j.contentHash)
 			return
--- a/emulator/fleet.go
+++ b/emulator/fleet.go
@@ -33,6 +33,8 @@
 	// endpoint until its next incarnation runs.
 	engineEndpoints []*router.Endpoint
 	slowMoments     SlowMoments
+	// frozenUntil is when frozen endpoints go on, by endpoint ID.
+	frozenUntil map[string]time.Time
 	// poison holds the content hashes of calls that crash engines.
 	poison map[uint64]bool
 	// PlainService is nil if there is no plain service; plainEndpoints are its endpoints.
