--- a/emulator/fleet.go
+++ b/emulator/fleet.go
@@ -212,6 +212,13 @@
 	return &stream{job: j, down: engine.down}, nil
 }
 
+// PrefillTokensSoFar returns PrefillTokens while the fleet runs.
+func (f *Fleet) PrefillTokensSoFar() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.PrefillTokens
+}
+
 func (f *Fleet) countRefusedResult(withResult bool) {
 	if !withResult {
 		return
--- a/emulator/freeze_test.go
+++ b/emulator/freeze_test.go
@@ -202,14 +202,14 @@
 		ctx, cancel := context.WithCancel(t.Context())
 		d := newFreezeTest(ctx, z, seed)
 		d.sendLoad(d.rate, 30*time.Second) // estimates converge, stages are balanced
-		tokens, charged := d.fleet.PrefillTokens, d.metrics.Count("retries_charged.llm")
+		tokens, charged := d.fleet.PrefillTokensSoFar(), d.metrics.Count("retries_charged.llm")
 		const span = (freezeCount + 1) * freezeInterval
 		d.wg.Go(d.freezeRepeatedly)
 		d.wg.Go(func() { d.sendCalls(span) })
 		d.sendGenerations(span)
 		d.wg.Wait()
 		d.result.crashes = d.log.FilterMessage(event.EndpointCrashed.Text).Len()
-		d.result.prompts = float64(d.fleet.PrefillTokens-tokens) / float64(d.work.MeanPrompt)
+		d.result.prompts = float64(d.fleet.PrefillTokensSoFar()-tokens) / float64(d.work.MeanPrompt)
 		d.result.charged = d.metrics.Count("retries_charged.llm") - charged
 		cancel()
 		time.Sleep(time.Minute)
