--- a/memory/memory.go
+++ b/memory/memory.go
@@ -6,7 +6,10 @@
 // does no I/O.
 package memory
 
-import "sync"
+import (
+	"runtime/debug"
+	"sync"
+)
 
 // Share is a part of the process that takes memory.
 type Share uint8
@@ -32,6 +35,21 @@
 // process itself, the published configuration and the garbage that is not collected yet.
 var fractions = [shares]float64{Connections: 0.25, Bodies: 0.12, Answers: 0.08, Peers: 0.08}
 
+// runtimeFraction is the part of the memory limit from which on the garbage collector works
+// harder rather than let the process grow. The rest is for the memory that the Go runtime
+// does not account for: the binary, and what the kernel holds for sockets.
+const runtimeFraction = 0.85
+
+// LimitRuntime makes the garbage collector keep a process within its memory limit in bytes;
+// zero changes nothing. It returns the previous setting.
+func LimitRuntime(limit int64) int64 {
+	soft := int64(-1) // only reads the setting
+	if limit > 0 {
+		soft = int64(runtimeFraction * float64(limit))
+	}
+	return debug.SetMemoryLimit(soft)
+}
+
 // Budget holds what the shares use. It is safe for concurrent use; a nil Budget has no limits.
 type Budget struct {
 	// OnFull, if set, is called when a share refuses memory after it had room.
@@ -53,13 +71,16 @@
 }
 
 // Take takes n bytes for a share. It returns false, and takes nothing, if they don't fit.
-func (b *Budget) Take(s Share, n int64) bool {
+func (b *Budget) Take(s Share, n int64) bool { return b.TakeLeaving(s, n, 0) }
+
+// TakeLeaving takes n bytes for a share if at least reserve bytes of it are left then.
+func (b *Budget) TakeLeaving(s Share, n, reserve int64) bool {
 	if b == nil {
 		return true
 	}
 	b.mu.Lock()
 	limit := b.limits[s]
-	ok := limit <= 0 || b.used[s]+n <= limit
+	ok := limit <= 0 || b.used[s]+n+reserve <= limit
 	if ok {
 		b.used[s] += n
 	}
@@ -99,3 +120,18 @@
 	}
 	return b.limits[s]
 }
+
+// Use is what a share uses, in bytes; a Limit of zero means none.
+type Use struct {
+	Used  int64 `json:"used"`
+	Limit int64 `json:"limit"`
+}
+
+// Uses returns what each share uses, by name.
+func (b *Budget) Uses() map[string]Use {
+	uses := make(map[string]Use, shares)
+	for s := range shares {
+		uses[s.String()] = Use{Used: b.Used(s), Limit: b.Limit(s)}
+	}
+	return uses
+}
