soak: workers that freeze, that answer until their connection ends and that break events

Change: new faults of the soak of processes: a worker sends and reads nothing for 0.8 to 1.5 s and goes on; a worker ends its streams in the middle of an event, with and without a proper end of the answer. A fourth of all answers have neither a length nor chunks.

Freezing counts as a fault that may cut answers.

--- a/soak/processes/faults.go
+++ b/soak/processes/faults.go
@@ -63,6 +63,18 @@
 		time.Sleep(r.randomMilliseconds(500, 3000))
 		k.hanging.Store(false)
 	}},
+	{"worker freezes", func(r *run) {
+		p := r.randomWorker().proxy
+		p.frozen.Store(true)
+		time.Sleep(r.randomMilliseconds(800, 1500))
+		p.frozen.Store(false)
+	}},
+	{"worker breaks events", func(r *run) {
+		k := r.randomWorker()
+		k.breaksEvents.Store(true)
+		time.Sleep(r.randomMilliseconds(300, 2000))
+		k.breaksEvents.Store(false)
+	}},
 	{"worker crashes", func(r *run) {
 		k := r.randomWorker()
 		k.proxy.refuse.Store(true)
--- a/soak/processes/proxy.go
+++ b/soak/processes/proxy.go
@@ -22,6 +22,8 @@
 	// that loses every packet in one direction. The data arrives once the block is
 	// lifted.
 	blockedSide atomic.Int32
+	// frozen holds back the data of both sides, as for a process that is paused.
+	frozen atomic.Bool
 
 	mu    sync.Mutex
 	links map[*link]bool
@@ -95,7 +97,7 @@
 	for {
 		n, err := from.Read(buf)
 		time.Sleep(time.Duration(p.delay.Load()))
-		for p.blockedSide.Load() == side && !l.silent.Load() {
+		for (p.frozen.Load() || p.blockedSide.Load() == side) && !l.silent.Load() {
 			time.Sleep(blockedPoll)
 		}
 		if n > 0 && !l.silent.Load() {
--- a/soak/processes/worker.go
+++ b/soak/processes/worker.go
@@ -1,6 +1,7 @@
 package processes
 
 import (
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -10,6 +11,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"ebonypulley/standin"
 )
 
@@ -79,6 +82,8 @@
 	server         *http.Server
 	executions     *executionLog
 	hanging        atomic.Bool
+	// breaksEvents makes the worker end its streams in the middle of an event.
+	breaksEvents atomic.Bool
 	// onViolation reports a request that must not reach a worker.
 	onViolation func(format string, args ...any)
 
@@ -168,22 +173,59 @@
 	version := k.softwareVersion()
 	k.mu.Unlock()
 	standin.SetAnswerHeaders(w.Header(), id)
+	answer, end := openAnswer(w, id, k.stage != "")
+	defer end()
 	if k.stage == "" {
 		time.Sleep(callTime)
-		_, _ = io.WriteString(w, "answer to "+id)
+		_, _ = io.WriteString(answer, "answer to "+id)
 		return
 	}
-	w.Header().Set("Content-Type", "text/event-stream")
-	ctl := http.NewResponseController(w)
-	for i := c.LastEvent + 1; i <= streamEvents; i++ {
+	k.stream(r, answer, id, c.LastEvent, version)
+}
+
+// stream writes the events after one, until the caller disconnects.
+func (k *worker) stream(r *http.Request, answer io.Writer, id string, after int, version string) {
+	for i := after + 1; i <= streamEvents; i++ {
 		select {
 		case <-r.Context().Done():
 			return
 		case <-time.After(eventGap):
 		}
-		_, _ = fmt.Fprintf(w, "id: %d\ndata: %s %d %s\n\n", i, id, i, version)
-		_ = ctl.Flush()
+		text := fmt.Sprintf("id: %d\ndata: %s %d %s\n\n", i, id, i, version)
+		if k.breaksEvents.Load() {
+			_, _ = io.WriteString(answer, text[:len(text)/2])
+			return
+		}
+		if _, err := io.WriteString(answer, text); err != nil {
+			return
+		}
+	}
+}
+
+// untilCloseFraction is one in how many answers has neither a length nor chunks.
+const untilCloseFraction = 4
+
+// openAnswer begins an answer in one of two forms: in chunks or with a length, or until its
+// connection ends. The caller must call end.
+func openAnswer(w http.ResponseWriter, id string, stream bool) (answer io.Writer, end func()) {
+	if xxhash.Sum64String(id)%untilCloseFraction == 0 {
+		if u, err := standin.NewUntilClose(w); err == nil {
+			return u, u.Close
+		}
+	}
+	if !stream {
+		return w, func() {}
 	}
+	w.Header().Set("Content-Type", "text/event-stream")
+	return flushWriter{w}, func() {}
+}
+
+// flushWriter sends each write at once.
+type flushWriter struct{ w http.ResponseWriter }
+
+func (f flushWriter) Write(b []byte) (int, error) {
+	n, err := f.w.Write(b)
+	return n, errors.Join(err, http.NewResponseController(f.w).Flush())
 }
 
 // startedWhileDraining reports whether a request began more than grace after the
