soak: a flood of connections to one entry, and a check of the memory of all entries

Change: each run of the soak of processes ends with a flood of 1,200 connections to one entry: whole requests, requests that lack the last byte of a body of 256 KB, and silence. Entries are told the limits of the smallest VM (88 MB, 4,100 descriptors); their resident memory is read each 50 ms, the peak is reported, and more than the limit is a violation.

--- a/cmd/ebonypulley/soak.go
+++ b/cmd/ebonypulley/soak.go
@@ -72,8 +72,8 @@
 		if err != nil {
 			return err
 		}
-		fmt.Printf("soak: processes seed=%d requests=%d answered=%d refused=%d other=%d cut=%d faults=%d violations=%d\n",
-			seed, r.Requests, r.Answered, r.Refused, r.Other, r.Cut, r.Faults, len(r.Violations))
+		fmt.Printf("soak: processes seed=%d requests=%d answered=%d refused=%d other=%d cut=%d faults=%d memory=%dMB violations=%d\n",
+			seed, r.Requests, r.Answered, r.Refused, r.Other, r.Cut, r.Faults, r.PeakMemoryMB, len(r.Violations))
 		if len(r.Violations) == 0 {
 			continue
 		}
--- a/soak/processes/faults.go
+++ b/soak/processes/faults.go
@@ -106,6 +106,11 @@
 	{"key replaced", func(r *run) { r.rotateKey() }},
 }
 
+// lastFaults are injected once in each run, one after the other, after the random ones.
+var lastFaults = []fault{
+	{"flood", func(r *run) { r.flood(r.randomEntry()) }},
+}
+
 const (
 	// drainNoticeTime is how long a worker may still get new requests after it was
 	// published as draining.
@@ -134,24 +139,31 @@
 	}
 }
 
-// injectFaults injects faults, some of them concurrently, until ctx ends.
+// injectFaults injects random faults, some of them concurrently, until ctx ends, and then the
+// last ones.
 func (r *run) injectFaults(ctx context.Context) {
 	for ctx.Err() == nil {
 		f := r.pickFault()
-		r.faults.Add(1)
-		r.wg.Go(func() {
-			if !harmless[f.name] {
-				r.activeFaults.Add(1)
-				defer func() {
-					r.lastFaultEnd.Store(time.Now().UnixNano())
-					r.activeFaults.Add(-1)
-				}()
-			}
-			r.note("%s", f.name)
-			f.do(r)
-		})
+		r.wg.Go(func() { r.inject(f) })
 		time.Sleep(r.randomMilliseconds(100, 900))
 	}
+	for _, f := range lastFaults {
+		r.inject(f)
+	}
+}
+
+// inject injects a fault and returns when it is over.
+func (r *run) inject(f fault) {
+	r.faults.Add(1)
+	if !harmless[f.name] {
+		r.activeFaults.Add(1)
+		defer func() {
+			r.lastFaultEnd.Store(time.Now().UnixNano())
+			r.activeFaults.Add(-1)
+		}()
+	}
+	r.note("%s", f.name)
+	f.do(r)
 }
 
 // replace restarts the process unless a restart is in progress.
--- a/soak/processes/run.go
+++ b/soak/processes/run.go
@@ -37,6 +37,8 @@
 type Report struct {
 	Requests, Answered, Refused, Other, Cut int64
 	Faults                                  int64
+	// PeakMemoryMB is the most memory that an entry used.
+	PeakMemoryMB int
 	// Violations are the invariants violated. Dir holds the logs of the processes;
 	// it is removed if there are no violations.
 	Violations []string
@@ -100,6 +102,7 @@
 	callerCtx, stopCallers := context.WithCancel(ctx)
 	defer stopCallers()
 	r.startCallers(callerCtx)
+	r.wg.Go(func() { r.watchMemory(callerCtx) })
 	r.faultsBegan = time.Now()
 	r.injectFaults(faultCtx)
 	for r.disturbed() && ctx.Err() == nil {
