soak: nothing listens at the address of a crashed worker

Cause: the proxy of a crashed worker accepted each connection and reset it, as a live host does. To the entries no worker ever crashed: probes that are reset say nothing, so that no crash was recorded in any run of the soak.

Change: the proxy closes its listener for as long as the worker is down.

--- a/soak/processes/faults.go
+++ b/soak/processes/faults.go
@@ -77,12 +77,14 @@
 	}},
 	{"worker crashes", func(r *run) {
 		k := r.randomWorker()
-		k.proxy.refuse.Store(true)
+		k.proxy.stop()
 		k.proxy.reset()
 		key, _ := k.storeEntry("ready")
 		time.Sleep(r.randomMilliseconds(300, 1500))
 		k.newIncarnation() // the address serves the next incarnation before the store lists it
-		k.proxy.refuse.Store(false)
+		if err := k.proxy.restart(); err != nil {
+			r.violation("the simulated worker at %s can't restart: %v", k.proxy.addr(), err)
+		}
 		time.Sleep(r.randomMilliseconds(100, 800))
 		r.store.Delete(key)
 		r.store.Put(k.storeEntry("ready"))
--- a/soak/processes/proxy.go
+++ b/soak/processes/proxy.go
@@ -12,10 +12,7 @@
 // proxy forwards TCP connections to a target on loopback and injects network
 // faults into them.
 type proxy struct {
-	ln     net.Listener
-	target string
-	// refuse closes each new connection at once.
-	refuse atomic.Bool
+	address, target string
 	// delay is added to each chunk of data, in nanoseconds.
 	delay atomic.Int64
 	// blockedSide is the side whose data is held back, 0 for none, as in a network
@@ -26,6 +23,7 @@
 	frozen atomic.Bool
 
 	mu    sync.Mutex
+	ln    net.Listener
 	links map[*link]bool
 }
 
@@ -46,22 +44,39 @@
 	if err != nil {
 		return nil, err
 	}
-	p := &proxy{ln: ln, target: target, links: make(map[*link]bool)}
-	go p.serve()
+	p := &proxy{address: ln.Addr().String(), target: target, ln: ln, links: make(map[*link]bool)}
+	go p.serve(ln)
 	return p, nil
 }
 
-func (p *proxy) addr() string { return p.ln.Addr().String() }
+func (p *proxy) addr() string { return p.address }
 
-func (p *proxy) serve() {
+// stop closes the listener, so that new connections are refused.
+func (p *proxy) stop() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	_ = p.ln.Close()
+}
+
+// restart listens again at the same address.
+func (p *proxy) restart() error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	_ = p.ln.Close() // two crashes may overlap
+	ln, err := net.Listen("tcp", p.address)
+	if err != nil {
+		return err
+	}
+	p.ln = ln
+	go p.serve(ln)
+	return nil
+}
+
+func (p *proxy) serve(ln net.Listener) {
 	for {
-		c, err := p.ln.Accept()
+		c, err := ln.Accept()
 		if err != nil {
-			return // closed at the end of the run
-		}
-		if p.refuse.Load() {
-			reset(c)
-			continue
+			return // closed by stop
 		}
 		go p.link(c)
 	}
--- a/soak/processes/run.go
+++ b/soak/processes/run.go
@@ -198,11 +198,11 @@
 		e.signal(syscall.SIGKILL)
 		<-e.exited
 		_ = e.log.Close()
-		_ = e.store.ln.Close()
+		e.store.stop()
 	}
 	for _, k := range r.workers {
 		_ = k.server.Close()
-		_ = k.proxy.ln.Close()
+		k.proxy.stop()
 	}
 }
 
