soak: requests with a prompt part that crashes engines

Each engine that is to write an answer on the part crashes for 2 s with all that runs there. Sound requests, 20 a second, share the route and the first part. Violations: more than three arrivals later than 3 s after the fifth crash; from 6 s on less than half of the usual part of the sound requests begins.

--- a/cmd/ebonypulley/soak.go
+++ b/cmd/ebonypulley/soak.go
@@ -26,6 +26,7 @@
 			&cli.BoolFlag{Name: "processes", Usage: "run entries as separate processes on loopback, with faults from outside"},
 			&cli.IntFlag{Name: "entries", Value: 3, Usage: "with --processes: number of entries"},
 			&cli.DurationFlag{Name: "for", Value: 10 * time.Second, Usage: "with --processes: how long each seed brings faults about"},
+			&cli.BoolFlag{Name: "bad-part", Usage: "with --processes: add requests with a prompt part that crashes engines"},
 		},
 		Action: runSoak,
 	}
@@ -68,7 +69,7 @@
 	}
 	for i := range cmd.Int("seeds") {
 		seed := cmd.Uint64("seed") + uint64(i)
-		r, err := processes.Run(ctx, processes.Settings{Program: program, Seed: seed, Entries: cmd.Int("entries"), For: cmd.Duration("for")})
+		r, err := processes.Run(ctx, processes.Settings{Program: program, Seed: seed, Entries: cmd.Int("entries"), For: cmd.Duration("for"), BadPart: cmd.Bool("bad-part")})
 		if err != nil {
 			return err
 		}
--- a/soak/processes/caller.go
+++ b/soak/processes/caller.go
@@ -19,6 +19,8 @@
 	stream bool
 	// atMostOnce requests must not run more than once.
 	atMostOnce bool
+	// part is the second part of the prompt, empty for none.
+	part string
 }
 
 var requestKinds = []requestKind{
@@ -88,6 +90,9 @@
 	if k.stream {
 		standin.SetPromptHeaders(req.Header, promptTokens, outputTokens, r.randomInt(1<<20))
 	}
+	if k.part != "" {
+		standin.InsertPromptPart(req.Header, k.part)
+	}
 	if s.next > 1 {
 		standin.SetResumeHeaders(req.Header, s.next-1, s.firstAttempt)
 	}
--- a/soak/processes/faults.go
+++ b/soak/processes/faults.go
@@ -76,18 +76,7 @@
 		k.breaksEvents.Store(false)
 	}},
 	{"worker crashes", func(r *run) {
-		k := r.randomWorker()
-		k.proxy.stop()
-		k.proxy.reset()
-		key, _ := k.storeEntry("ready")
-		time.Sleep(r.randomMilliseconds(300, 1500))
-		k.newIncarnation() // the address serves the next incarnation before the store lists it
-		if err := k.proxy.restart(); err != nil {
-			r.violation("the simulated worker at %s can't restart: %v", k.proxy.addr(), err)
-		}
-		time.Sleep(r.randomMilliseconds(100, 800))
-		r.store.Delete(key)
-		r.store.Put(k.storeEntry("ready"))
+		r.crashWorker(r.randomWorker(), r.randomMilliseconds(300, 1500))
 	}},
 	{"worker leaves", func(r *run) {
 		k := r.randomWorker()
@@ -168,6 +157,21 @@
 	f.do(r)
 }
 
+// crashWorker crashes a worker, whose next incarnation runs after a time.
+func (r *run) crashWorker(k *worker, down time.Duration) {
+	k.proxy.stop()
+	k.proxy.reset()
+	key, _ := k.storeEntry("ready")
+	time.Sleep(down)
+	k.newIncarnation() // the address serves the next incarnation before the store lists it
+	if err := k.proxy.restart(); err != nil {
+		r.violation("the simulated worker at %s can't restart: %v", k.proxy.addr(), err)
+	}
+	time.Sleep(r.randomMilliseconds(100, 800))
+	r.store.Delete(key)
+	r.store.Put(k.storeEntry("ready"))
+}
+
 // replace restarts the process unless a restart is in progress.
 func (e *entry) replace(s syscall.Signal, pause time.Duration) {
 	if !e.replacing.CompareAndSwap(false, true) {
--- a/soak/processes/run.go
+++ b/soak/processes/run.go
@@ -31,6 +31,8 @@
 	Entries int
 	// For is how long faults are injected.
 	For time.Duration
+	// BadPart adds requests with a prompt part that crashes engines, after the other faults.
+	BadPart bool
 }
 
 // Report is the result of a run.
@@ -53,6 +55,7 @@
 	entries    []*entry
 	workers    []*worker
 	executions *executionLog
+	badPart    badPartLog
 	wg         sync.WaitGroup
 	faults     atomic.Int64
 	// activeFaults is the number of faults in progress, without the harmless ones;
@@ -110,6 +113,9 @@
 	}
 	time.Sleep(recoveryTime)
 	r.checkRecovered(callerCtx)
+	if set.BadPart {
+		r.playBadPart(callerCtx)
+	}
 	stopCallers()
 	r.wg.Wait()
 	r.checkExecutions()
@@ -139,6 +145,12 @@
 		if err != nil {
 			return err
 		}
+		k.badPart, k.crash = &r.badPart, func() {
+			r.wg.Go(func() {
+				defer k.crashing.Store(false)
+				r.crashWorker(k, badPartDown)
+			})
+		}
 		r.workers = append(r.workers, k)
 		r.store.Put(k.storeEntry("ready"))
 	}
--- a/soak/processes/worker.go
+++ b/soak/processes/worker.go
@@ -84,6 +84,11 @@
 	hanging        atomic.Bool
 	// breaksEvents makes the worker end its streams in the middle of an event.
 	breaksEvents atomic.Bool
+	// badPart records requests with the bad part. crash crashes the worker and returns at once;
+	// crashing says that it has not restarted yet.
+	badPart  *badPartLog
+	crash    func()
+	crashing atomic.Bool
 	// onViolation reports a request that must not reach a worker.
 	onViolation func(format string, args ...any)
 
@@ -150,6 +155,8 @@
 	case standin.ServeEngineAPI(w, r):
 	case c.Key != "" || c.Workspace != workspaceOf(c.AttemptID):
 		k.onViolation("request %s reached %s as one of %q, with key %q", c.AttemptID, k.instanceID(), c.Workspace, c.Key)
+	case k.serveBadPart(c):
+		panic(http.ErrAbortHandler)
 	case k.hanging.Load():
 		<-r.Context().Done()
 	case c.Prefill:
@@ -160,6 +167,23 @@
 	}
 }
 
+// serveBadPart records a request with the bad part, and crashes the worker if it is to write
+// an answer. It reports whether the worker has crashed.
+func (k *worker) serveBadPart(c standin.WorkerHeaders) bool {
+	if !slices.Contains(c.PromptParts, badPart) {
+		return false
+	}
+	k.badPart.recordArrival()
+	if c.Prefill {
+		return false
+	}
+	if k.crashing.CompareAndSwap(false, true) {
+		k.badPart.recordCrash()
+		k.crash()
+	}
+	return true
+}
+
 func (k *worker) serveRequest(w http.ResponseWriter, r *http.Request, c standin.WorkerHeaders) {
 	id := c.AttemptID
 	tokens := plainTokens
--- a/standin/wire.go
+++ b/standin/wire.go
@@ -32,6 +32,13 @@
 	h.Set("Prompt-Prefix", fmt.Sprintf("c0:100,%x:%d", session, prompt-100))
 }
 
+// InsertPromptPart makes a part of 50 tokens the second one of a prompt set with
+// SetPromptHeaders.
+func InsertPromptPart(h http.Header, part string) {
+	first, rest, _ := strings.Cut(h.Get("Prompt-Prefix"), ",")
+	h.Set("Prompt-Prefix", first+","+part+":50,"+rest)
+}
+
 // SetWorkspaceKey sets the workspace key that a client presents.
 func SetWorkspaceKey(h http.Header, key string) { h.Set("Authorization", "Token "+key) }
 
@@ -66,6 +73,8 @@
 	Prefill bool
 	// LastEvent is the number of the last event that the client has received, 0 if none.
 	LastEvent int
+	// PromptParts are the IDs of the parts of the prompt.
+	PromptParts []string
 }
 
 // ReadWorkerHeaders reads the headers of a request.
@@ -81,6 +90,10 @@
 	if n, err := strconv.Atoi(r.Header.Get("Last-Event-Id")); err == nil {
 		c.LastEvent = n
 	}
+	for part := range strings.SplitSeq(r.Header.Get("Prompt-Prefix"), ",") {
+		id, _, _ := strings.Cut(part, ":")
+		c.PromptParts = append(c.PromptParts, strings.TrimSpace(id))
+	}
 	return c
 }
 
