--- a/emulator/fleet.go
+++ b/emulator/fleet.go
@@ -33,6 +33,8 @@
 	// endpoint until its next incarnation runs.
 	engineEndpoints []*router.Endpoint
 	slowMoments     SlowMoments
+	// frozenUntil is when frozen endpoints go on, by endpoint ID.
+	frozenUntil map[string]time.Time
 	// poison holds the content hashes of calls that crash engines.
 	poison map[uint64]bool
 	// poisonParts holds the parts of prompts that crash engines.
@@ -214,6 +216,13 @@
 	return &stream{job: j, down: engine.down}, nil
 }
 
+// PrefillTokensSoFar returns PrefillTokens while the fleet runs.
+func (f *Fleet) PrefillTokensSoFar() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.PrefillTokens
+}
+
 func (f *Fleet) countRefusedResult(withResult bool) {
 	if !withResult {
 		return
--- a/soak/processes/faults.go
+++ b/soak/processes/faults.go
@@ -63,17 +63,20 @@
 		time.Sleep(r.randomMilliseconds(500, 3000))
 		k.hanging.Store(false)
 	}},
-	{"worker crashes", func(r *run) {
+	{"worker freezes", func(r *run) {
+		p := r.randomWorker().proxy
+		p.frozen.Store(true)
+		time.Sleep(r.randomMilliseconds(800, 1500))
+		p.frozen.Store(false)
+	}},
+	{"worker breaks events", func(r *run) {
 		k := r.randomWorker()
-		k.proxy.refuse.Store(true)
-		k.proxy.reset()
-		key, _ := k.storeEntry("ready")
-		time.Sleep(r.randomMilliseconds(300, 1500))
-		k.newIncarnation() // the address serves the next incarnation before the store lists it
-		k.proxy.refuse.Store(false)
-		time.Sleep(r.randomMilliseconds(100, 800))
-		r.store.Delete(key)
-		r.store.Put(k.storeEntry("ready"))
+		k.breaksEvents.Store(true)
+		time.Sleep(r.randomMilliseconds(300, 2000))
+		k.breaksEvents.Store(false)
+	}},
+	{"worker crashes", func(r *run) {
+		r.crashWorker(r.randomWorker(), r.randomMilliseconds(300, 1500))
 	}},
 	{"worker leaves", func(r *run) {
 		k := r.randomWorker()
@@ -94,6 +97,11 @@
 	{"key replaced", func(r *run) { r.rotateKey() }},
 }
 
+// lastFaults are injected once in each run, one after the other, after the random ones.
+var lastFaults = []fault{
+	{"flood", func(r *run) { r.flood(r.randomEntry()) }},
+}
+
 const (
 	// drainNoticeTime is how long a worker may still get new requests after it was
 	// published as draining.
@@ -122,24 +130,46 @@
 	}
 }
 
-// injectFaults injects faults, some of them concurrently, until ctx ends.
+// injectFaults injects random faults, some of them concurrently, until ctx ends, and then the
+// last ones.
 func (r *run) injectFaults(ctx context.Context) {
 	for ctx.Err() == nil {
 		f := r.pickFault()
-		r.faults.Add(1)
-		r.wg.Go(func() {
-			if !harmless[f.name] {
-				r.activeFaults.Add(1)
-				defer func() {
-					r.lastFaultEnd.Store(time.Now().UnixNano())
-					r.activeFaults.Add(-1)
-				}()
-			}
-			r.note("%s", f.name)
-			f.do(r)
-		})
+		r.wg.Go(func() { r.inject(f) })
 		time.Sleep(r.randomMilliseconds(100, 900))
 	}
+	for _, f := range lastFaults {
+		r.inject(f)
+	}
+}
+
+// inject injects a fault and returns when it is over.
+func (r *run) inject(f fault) {
+	r.faults.Add(1)
+	if !harmless[f.name] {
+		r.activeFaults.Add(1)
+		defer func() {
+			r.lastFaultEnd.Store(time.Now().UnixNano())
+			r.activeFaults.Add(-1)
+		}()
+	}
+	r.note("%s", f.name)
+	f.do(r)
+}
+
+// crashWorker crashes a worker, whose next incarnation runs after a time.
+func (r *run) crashWorker(k *worker, down time.Duration) {
+	k.proxy.stop()
+	k.proxy.reset()
+	key, _ := k.storeEntry("ready")
+	time.Sleep(down)
+	k.newIncarnation() // the address serves the next incarnation before the store lists it
+	if err := k.proxy.restart(); err != nil {
+		r.violation("the simulated worker at %s can't restart: %v", k.proxy.addr(), err)
+	}
+	time.Sleep(r.randomMilliseconds(100, 800))
+	r.store.Delete(key)
+	r.store.Put(k.storeEntry("ready"))
 }
 
 // replace restarts the process unless a restart is in progress.
--- a/soak/processes/run.go
+++ b/soak/processes/run.go
@@ -31,12 +31,16 @@
 	Entries int
 	// For is how long faults are injected.
 	For time.Duration
+	// BadPart adds requests with a prompt part that crashes engines, after the other faults.
+	BadPart bool
 }
 
 // Report is the result of a run.
 type Report struct {
 	Requests, Answered, Refused, Other, Cut int64
 	Faults                                  int64
+	// PeakMemoryMB is the most memory that an entry used.
+	PeakMemoryMB int
 	// Violations are the invariants violated. Dir holds the logs of the processes;
 	// it is removed if there are no violations.
 	Violations []string
@@ -51,6 +55,7 @@
 	entries    []*entry
 	workers    []*worker
 	executions *executionLog
+	badPart    badPartLog
 	wg         sync.WaitGroup
 	faults     atomic.Int64
 	// activeFaults is the number of faults in progress, without the harmless ones;
@@ -100,6 +105,7 @@
 	callerCtx, stopCallers := context.WithCancel(ctx)
 	defer stopCallers()
 	r.startCallers(callerCtx)
+	r.wg.Go(func() { r.watchMemory(callerCtx) })
 	r.faultsBegan = time.Now()
 	r.injectFaults(faultCtx)
 	for r.disturbed() && ctx.Err() == nil {
@@ -107,6 +113,9 @@
 	}
 	time.Sleep(recoveryTime)
 	r.checkRecovered(callerCtx)
+	if set.BadPart {
+		r.playBadPart(callerCtx)
+	}
 	stopCallers()
 	r.wg.Wait()
 	r.checkExecutions()
@@ -136,6 +145,12 @@
 		if err != nil {
 			return err
 		}
+		k.badPart, k.crash = &r.badPart, func() {
+			r.wg.Go(func() {
+				defer k.crashing.Store(false)
+				r.crashWorker(k, badPartDown)
+			})
+		}
 		r.workers = append(r.workers, k)
 		r.store.Put(k.storeEntry("ready"))
 	}
@@ -195,11 +210,11 @@
 		e.signal(syscall.SIGKILL)
 		<-e.exited
 		_ = e.log.Close()
-		_ = e.store.ln.Close()
+		e.store.stop()
 	}
 	for _, k := range r.workers {
 		_ = k.server.Close()
-		_ = k.proxy.ln.Close()
+		k.proxy.stop()
 	}
 }
 
--- a/upstream/exchange.go
+++ b/upstream/exchange.go
@@ -69,8 +69,12 @@
 
 // Response is an answer. The caller reads its body with Read and must call Close.
 type Response struct {
-	Status  int
-	Header  http.Header
+	Status int
+	Header http.Header
+	// UntilClose says that the body has neither a length nor chunks and ends with the
+	// connection.
+	UntilClose bool
+
 	body    io.Reader
 	pool    *Pool
 	target  Target
@@ -187,7 +191,7 @@
 				return ErrLost.New("%d answers to other requests on the connection", stale)
 			}
 			first = false
-			if _, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxStaleBody)); err != nil {
+			if err := discardBody(resp.Body); err != nil {
 				return err
 			}
 			continue
@@ -195,6 +199,7 @@
 		r.Status = resp.StatusCode
 		r.Header = resp.Header
 		r.body = resp.Body
+		r.UntilClose = resp.ContentLength < 0 && len(resp.TransferEncoding) == 0
 		r.reusable = !resp.Close && stale == 0
 		if d := keepAliveTimeout(resp.Header); d > 0 {
 			r.conn.idleTimeout = d
@@ -203,12 +208,29 @@
 	}
 }
 
+// discardBody reads the body of a stale answer. It fails if the body is too long: what
+// follows on the connection would be the rest of it.
+func discardBody(body io.Reader) error {
+	n, err := io.Copy(io.Discard, io.LimitReader(body, maxStaleBody+1))
+	if err == nil && n > maxStaleBody {
+		return ErrLost.New("an answer to another request exceeds %d bytes", maxStaleBody)
+	}
+	return err
+}
+
 // Read reads the body. It returns io.EOF only at the end of the complete body;
-// if the connection is reset or ends early, the error is another one.
+// if the connection is reset or ends early, the error is ErrLost.
+//
+// It never returns io.ErrUnexpectedEOF, which io.ReadFull also returns at the end of
+// a complete body: callers would take a truncated body for a complete one.
 func (r *Response) Read(b []byte) (int, error) {
 	n, err := r.body.Read(b)
-	if err == io.EOF {
+	switch err {
+	case nil:
+	case io.EOF:
 		r.complete = true
+	default:
+		err = ErrLost.Wrap(err, "body from %s", r.target.Addr)
 	}
 	return n, err
 }
