router: an endpoint is abandoned as gone only if another one answers

Cause: one unanswered check of two probes counts as the end of an endpoint. If all are silent, or this entry's own network is, the attempt moves to an engine that is as silent, and its work is lost. Ruled out: longer probes; a single engine that is gone is left as late as they last. Change: before an attempt moves, two other endpoints of the service and role are probed. If none answers, the silence is waited out within the same limit as for a slow endpoint. A service with one endpoint is as before.

--- a/router/watch.go
+++ b/router/watch.go
@@ -1,6 +1,7 @@
 package router
 
 import (
+	"slices"
 	"sync"
 	"time"
 
@@ -23,6 +24,9 @@
 	// hangFactor is how long a live endpoint is waited for, as a multiple of the longest
 	// expected duration.
 	hangFactor = 3
+	// otherProbes is the number of other endpoints that are probed before an attempt is moved to
+	// one of them.
+	otherProbes = 2
 	// minProbeAfter is the shortest gap between two events after which an endpoint is
 	// probed.
 	minProbeAfter = 300 * time.Millisecond
@@ -155,7 +159,7 @@
 		return
 	}
 	w.r.metrics.Add("endpoints_asked_alive", 1)
-	if !w.r.probes.alive(w.e) {
+	if !w.r.probes.alive(w.e) && w.r.anotherAnswers(w.e) {
 		w.conclude(epoch, gone)
 		return
 	}
@@ -197,3 +201,26 @@
 	w.mu.Unlock()
 	w.cancel()
 }
+
+// anotherAnswers reports whether another endpoint like e answers probes, so that an attempt at
+// e can move there. If none does, the silence is this entry's, or all endpoints share it: they
+// will most likely go on, and what is abandoned begins anew behind the same silence.
+func (r *Router) anotherAnswers(e *Endpoint) bool {
+	others := slices.DeleteFunc(r.Directory().Endpoints(e.Service, e.Role), func(o *Endpoint) bool { return o.ID == e.ID })
+	if len(others) == 0 {
+		return true // nothing tells whose silence it is
+	}
+	answers := make(chan bool, otherProbes)
+	probed := min(otherProbes, len(others))
+	for i := range probed {
+		j := i + r.random(len(others)-i)
+		others[i], others[j] = others[j], others[i]
+		go func() { answers <- r.probes.alive(others[i]) }()
+	}
+	for range probed {
+		if <-answers {
+			return true
+		}
+	}
+	return false
+}
