poison: a convicted prompt part stays so when narrower ones turn up

Ruled out: passing the conviction on to all parts of the class; the first part then inherits it and explains the crashes of the bad one (TestBlockedPartStaysBlocked failed that way). Change: a conviction stands as long as the suspects share its class, and candidates are ordered by crashes alone but for those that were answered before. Seen failing: TestBlockedPartStaysBlocked.

--- a/poison/parts.go
+++ b/poison/parts.go
@@ -71,8 +71,10 @@
 type partRecord struct {
 	// suspects are those that have the part uncleared.
 	suspects []*suspect
-	// convicted is set if there was a verdict since. One more crash renews it.
-	convicted bool
+	// conviction is the last decision, and convictedClass the class that it was about. A verdict
+	// that has lapsed is renewed by one crash more.
+	conviction     conviction
+	convictedClass []uint64
 	// begun is the time of the last answer. sequencedBegun is the one that other entries are
 	// notified of, and begunSeq the sequence number of that update.
 	begun, sequencedBegun time.Time
@@ -213,7 +215,7 @@
 	if !at.After(r.begun) {
 		return false
 	}
-	r.begun, r.convicted = at, false
+	r.begun, r.conviction = at, acquitted
 	before := len(r.suspects)
 	r.suspects = slices.DeleteFunc(r.suspects, func(s *suspect) bool {
 		if s.at.After(at) {
--- a/poison/parts_fleet_test.go
+++ b/poison/parts_fleet_test.go
@@ -309,6 +309,8 @@
 		{"one part, from the start", partDay{bad: prompt(badPart), badPerSecond: 4, calm: time.Millisecond}},
 		{"one part, little load", partDay{bad: prompt(badPart), badPerSecond: 0.4, sound: 4}},
 		{"one part, busy engines", partDay{bad: prompt(badPart), badPerSecond: 4, begins: time.Second, sound: 200}},
+		{"one part, slow engines", partDay{bad: prompt(badPart), badPerSecond: 4, begins: 2 * time.Second}},
+		{"two parts, slow engines", partDay{bad: prompt(badPart, badTwo), badPerSecond: 4, begins: 2 * time.Second}},
 		{"two parts", partDay{bad: prompt(badPart, badTwo), badPerSecond: 4}},
 		{"four parts", partDay{bad: prompt(badPart, badTwo, 0xbad3, 0xbad4), badPerSecond: 2}},
 		{"lost connections", partDay{bad: prompt(badPart), badPerSecond: 4, resets: 0.02}},
--- a/poison/parts_test.go
+++ b/poison/parts_test.go
@@ -130,6 +130,21 @@
 	}
 }
 
+// TestBlockedPartStaysBlocked guards against a part that is let through again because two of
+// its requests turn out to share a further part.
+func TestBlockedPartStaysBlocked(t *testing.T) {
+	d, f := poison.NewPartDetector(), &partFleet{}
+	for i := range 5 {
+		recordCrash(d, at(time.Duration(i)*200*time.Millisecond), f.crash(prompt(first, badPart, uint64(0x100+i))))
+	}
+	now := at(time.Second)
+	assert.True(t, d.Blocked(now, prompt(first, badPart)))
+	list := append(f.crash(prompt(first, badPart, 0x104)), f.crash(prompt(first, rare))...)
+	d.Merge(now, poison.PartUpdates{Crashes: list})
+	d.RecordBegun(now.Add(time.Second), prompt(first, rare))
+	assert.True(t, d.Blocked(now.Add(time.Second), prompt(first, badPart)))
+}
+
 // TestWrongVerdictHeals guards against a sound part that stays refused although its
 // answers, still under way when it was blocked, begin.
 func TestWrongVerdictHeals(t *testing.T) {
--- a/poison/partverdict.go
+++ b/poison/partverdict.go
@@ -44,6 +44,16 @@
 	minVerdictTTL = time.Minute
 )
 
+// conviction is what was decided about a part.
+type conviction int
+
+const (
+	acquitted conviction = iota
+	// doubtful is a conviction of a part that was answered before or is wide.
+	doubtful
+	convicted
+)
+
 // partVerdict blocks requests with all parts of a class.
 type partVerdict struct {
 	class   []uint64
@@ -115,7 +125,7 @@
 }
 
 // candidates returns the parts with enough crashes for a verdict. Those that explain most go
-// first, and narrow ones before wide ones. The caller holds d.mu.
+// first, and those that were answered before last. The caller holds d.mu.
 func (d *PartDetector) candidates() []*partCandidate {
 	var list []*partCandidate
 	for part := range d.frequent {
@@ -124,23 +134,18 @@
 		}
 	}
 	slices.SortFunc(list, func(a, b *partCandidate) int {
-		return cmp.Or(cmp.Compare(a.doubt(), b.doubt()), cmp.Compare(len(b.endpoints), len(a.endpoints)),
+		switch {
+		case a.answered != b.answered && b.answered:
+			return -1
+		case a.answered != b.answered:
+			return 1
+		}
+		return cmp.Or(cmp.Compare(len(b.endpoints), len(a.endpoints)),
 			cmp.Compare(a.suspects, b.suspects), cmp.Compare(a.part, b.part))
 	})
 	return list
 }
 
-// doubt orders candidates by how much speaks for them, whatever their crashes.
-func (c *partCandidate) doubt() int {
-	switch {
-	case c.answered:
-		return 2
-	case c.wide:
-		return 1
-	}
-	return 0
-}
-
 // candidate returns a part as a candidate; nil if it has too few crashes, or if another part
 // has the same suspects and stands for both. The caller holds d.mu.
 func (d *PartDetector) candidate(part uint64, r *partRecord) *partCandidate {
@@ -205,29 +210,54 @@
 // judge returns a verdict against a candidate, or nil. The endpoints in explained crashed under
 // parts that are already convicted. The caller holds d.mu.
 func (d *PartDetector) judge(now time.Time, c *partCandidate, explained map[string]bool) *partVerdict {
-	v := &partVerdict{class: c.class, crashes: len(c.endpoints), until: c.last.Add(doubtfulTTL)}
-	switch c.doubt() {
-	case 2:
-		if c.unexplained(explained) < answeredPartCrashes || !d.reached(now, c.first.Add(answeredPartTime)) {
-			return nil
-		}
-	case 1:
-		if len(c.endpoints) < widePartCrashes || !d.reached(now, c.first.Add(widePartTime)) {
-			return nil
-		}
-	default:
-		if !d.improbable(now, c, c.unexplained(explained)) {
-			return nil
+	found := d.convict(now, c, c.unexplained(explained))
+	for _, p := range c.class {
+		if r := d.parts[p]; len(r.suspects) == c.suspects {
+			r.conviction, r.convictedClass = found, c.class
 		}
-		v.until = c.last.Add(verdictTTL(len(c.endpoints)))
 	}
-	d.parts[c.part].convicted = true
-	if now.After(v.until) {
+	v := &partVerdict{class: c.class, crashes: len(c.endpoints), until: c.last.Add(doubtfulTTL)}
+	if found == convicted {
+		v.until = c.last.Add(verdictTTL(v.crashes))
+	}
+	if found == acquitted || now.After(v.until) {
 		return nil
 	}
 	return v
 }
 
+// convict decides about a candidate of which other parts leave some crashes unexplained. The
+// caller holds d.mu.
+func (d *PartDetector) convict(now time.Time, c *partCandidate, unexplained int) conviction {
+	switch {
+	case d.remainsConvicted(c):
+		if unexplained >= keptPartCrashes {
+			return convicted // its answers clear it
+		}
+	case c.answered:
+		if unexplained >= answeredPartCrashes && d.reached(now, c.first.Add(answeredPartTime)) {
+			return doubtful
+		}
+	case c.wide:
+		if len(c.endpoints) >= widePartCrashes && d.reached(now, c.first.Add(widePartTime)) {
+			return doubtful
+		}
+	case d.improbable(now, c, unexplained):
+		return convicted
+	}
+	return acquitted
+}
+
+// remainsConvicted reports whether a candidate was convicted, and its suspects since then share
+// the whole class but for parts that were cleared. Otherwise another part of the class may be
+// the bad one. The caller holds d.mu.
+func (d *PartDetector) remainsConvicted(c *partCandidate) bool {
+	r := d.parts[c.part]
+	return r.conviction == convicted && !slices.ContainsFunc(r.convictedClass, func(p uint64) bool {
+		return slices.Contains(r.suspects[0].parts, p) && !slices.Contains(c.class, p)
+	})
+}
+
 // verdictTTL returns how long a verdict lasts after the last of a number of crashes.
 func verdictTTL(crashes int) time.Duration {
 	ttl := minVerdictTTL
@@ -261,10 +291,6 @@
 // endpoints without an answer, of which other parts leave some unexplained. The caller holds
 // d.mu.
 func (d *PartDetector) improbable(now time.Time, c *partCandidate, unexplained int) bool {
-	if r := d.parts[c.part]; r.convicted {
-		r.convicted = unexplained >= keptPartCrashes
-		return r.convicted
-	}
 	if unexplained < minUnexplained || !d.reached(now, c.first.Add(minPartTime)) {
 		return false
 	}
