poison: less work for crashes when nothing is answered

Cause: in an outage in which no part is ever answered, each suspect more cost 5.7 ms (512 suspects of 32 parts, BenchmarkPartCrash), because each part of a class was worked out before all but one were dropped. Change: the others are dropped first; evidence is searched for its age once a second, and records of answers go with it after a minute. After: 0.9 ms in that outage; 0.3 us for a request of 32 parts (BenchmarkPartsOfRequest).

--- a/poison/parts.go
+++ b/poison/parts.go
@@ -23,6 +23,8 @@
 	// which are kept for clearTTL to tell other entries of their answers.
 	maxPartRecords = maxSuspects*maxParts + 1024
 	clearTTL       = time.Minute
+	// expireInterval is the pause between two searches for evidence that no longer counts.
+	expireInterval = time.Second
 )
 
 // PartDetector finds the parts of prompts that crash each endpoint which begins to answer a
@@ -50,6 +52,8 @@
 	reviewAt time.Time
 	// seq is the sequence number of the newest update for other entries.
 	seq uint64
+	// expired is when the last evidence was removed because of its age.
+	expired time.Time
 }
 
 // suspect is a request that had no answer begun at an endpoint that crashed.
@@ -198,7 +202,7 @@
 	r := d.parts[part]
 	if r == nil {
 		if len(d.parts) >= maxPartRecords {
-			d.evictRecords(now)
+			d.removeIdle(now, 0)
 		}
 		r = &partRecord{begun: d.begun.last(part)}
 		d.parts[part] = r
@@ -247,13 +251,28 @@
 	}
 }
 
-// expire removes the suspects that no longer count. The caller holds d.mu.
+// expire removes what no longer counts, from time to time. The caller holds d.mu.
 func (d *PartDetector) expire(now time.Time) {
+	if now.Sub(d.expired) < expireInterval {
+		return
+	}
+	d.expired = now
 	for _, s := range d.suspects {
 		if now.Sub(s.at) > evidenceTTL {
 			d.remove(s)
 		}
 	}
+	d.removeIdle(now, clearTTL)
+}
+
+// removeIdle removes the records without suspects whose last answer is at least as old as
+// given. The caller holds d.mu.
+func (d *PartDetector) removeIdle(now time.Time, age time.Duration) {
+	for part, r := range d.parts {
+		if len(r.suspects) == 0 && now.Sub(r.begun) >= age {
+			delete(d.parts, part)
+		}
+	}
 }
 
 // evict keeps the number of suspects within maxSuspects, without removing the one that is
@@ -321,21 +340,6 @@
 	return slices.ContainsFunc(r.suspects, func(s *suspect) bool { return s.endpoint != endpoint })
 }
 
-// evictRecords removes the records without suspects that need not be reported, or else all
-// without suspects. The caller holds d.mu.
-func (d *PartDetector) evictRecords(now time.Time) {
-	for _, ttl := range []time.Duration{clearTTL, 0} {
-		for part, r := range d.parts {
-			if len(r.suspects) == 0 && now.Sub(r.begun) >= ttl {
-				delete(d.parts, part)
-			}
-		}
-		if len(d.parts) < maxPartRecords {
-			return
-		}
-	}
-}
-
 func oldest(list []*suspect) *suspect {
 	return slices.MinFunc(list, func(a, b *suspect) int { return a.at.Compare(b.at) })
 }
--- a/poison/partverdict.go
+++ b/poison/partverdict.go
@@ -149,6 +149,11 @@
 // candidate returns a part as a candidate; nil if it has too few crashes, or if another part
 // has the same suspects and stands for both. The caller holds d.mu.
 func (d *PartDetector) candidate(part uint64, r *partRecord) *partCandidate {
+	for _, p := range r.suspects[0].parts {
+		if p < part && slices.Equal(d.parts[p].suspects, r.suspects) {
+			return nil
+		}
+	}
 	c := &partCandidate{part: part, endpoints: make(map[string]bool), suspects: len(r.suspects), first: r.suspects[0].at, last: r.suspects[0].at}
 	contents := make(map[uint64]bool)
 	c.class = slices.Clone(r.suspects[0].parts)
@@ -160,11 +165,6 @@
 	if len(c.endpoints) < minPartCrashes || len(contents) < minPartContents {
 		return nil
 	}
-	for _, p := range c.class {
-		if p < part && len(d.parts[p].suspects) == c.suspects {
-			return nil
-		}
-	}
 	c.wide = d.hasNarrower(r)
 	for _, p := range c.class {
 		// A class is as good as its most doubtful part only if all of it was answered.
