--- a/poison/parts_test.go
+++ b/poison/parts_test.go
@@ -145,6 +145,24 @@
 	assert.True(t, d.Blocked(now.Add(time.Second), prompt(first, badPart)))
 }
 
+// TestPartAtSameCrashesIsNotBlocked guards against refusing sound requests with a rare part
+// because they waited at the engines that another part crashed.
+func TestPartAtSameCrashesIsNotBlocked(t *testing.T) {
+	d, f := poison.NewPartDetector(), &partFleet{}
+	now := at(0)
+	for i := range 6 {
+		now = at(time.Duration(i) * 200 * time.Millisecond)
+		requests := [][]uint64{prompt(first, badPart)}
+		if i > 0 {
+			requests = append(requests, prompt(first, rare))
+		}
+		recordCrash(d, now, f.crash(requests...))
+		d.RecordBegun(now.Add(50*time.Millisecond), prompt(first))
+	}
+	assert.True(t, d.Blocked(now, prompt(first, badPart)))
+	assert.False(t, d.Blocked(now, prompt(first, rare)))
+}
+
 // TestWrongVerdictHeals guards against a sound part that stays refused although its
 // answers, still under way when it was blocked, begin.
 func TestWrongVerdictHeals(t *testing.T) {
