poison: a shared sound part does not protect a bad one

Change: a part is wide if narrower ones were at half of its crashed endpoints. Seen failing: TestSharedSoundPartDoesNotProtect.

--- a/poison/parts_test.go
+++ b/poison/parts_test.go
@@ -130,6 +130,18 @@
 	}
 }
 
+// TestSharedSoundPartDoesNotProtect guards against a bad part that needs more crashes because
+// two of its requests share a sound part that nobody has answered yet.
+func TestSharedSoundPartDoesNotProtect(t *testing.T) {
+	d, f := poison.NewPartDetector(), &partFleet{}
+	d.RecordBegun(at(-time.Second), prompt(first))
+	for i := range 5 {
+		parts := prompt(first, badPart, uint64(0x100+max(i, 1)))
+		recordCrash(d, at(time.Duration(i)*200*time.Millisecond), f.crash(parts))
+	}
+	assert.True(t, d.Blocked(at(time.Second), prompt(first, badPart)))
+}
+
 // TestBlockedPartStaysBlocked guards against a part that is let through again because two of
 // its requests turn out to share a further part.
 func TestBlockedPartStaysBlocked(t *testing.T) {
--- a/poison/partverdict.go
+++ b/poison/partverdict.go
@@ -183,22 +183,27 @@
 	return b
 }
 
-// hasNarrower reports whether some of a part's suspects share another part that no other
-// suspect has, and that was at several crashed endpoints. The caller holds d.mu.
+// hasNarrower reports whether half of a part's crashed endpoints had suspects that share another
+// part, which no other suspect has and which was at several of them. The caller holds d.mu.
 func (d *PartDetector) hasNarrower(r *partRecord) bool {
 	count := make(map[uint64]int)
+	endpoints := make(map[string]bool)
 	for _, s := range r.suspects {
+		endpoints[s.endpoint] = true
 		for _, p := range s.parts {
 			count[p]++
 		}
 	}
+	narrow := make(map[string]bool)
 	for p, n := range count {
 		other := d.parts[p]
 		if n < len(r.suspects) && n == len(other.suspects) && other.suspectedTwice() {
-			return true
+			for _, s := range other.suspects {
+				narrow[s.endpoint] = true
+			}
 		}
 	}
-	return false
+	return len(narrow) > 0 && 2*len(narrow) >= len(endpoints)
 }
 
 // suspectedTwice reports whether two requests with the part were at two crashed endpoints.
