router: a begun answer is not abandoned while its engine may be silent for a second

With all engines silent for 1.5 s up to 17 of 1,189 answers end even if another engine must answer before. Cause: an answer that has begun is abandoned at its first unanswered check, 0.85 s after its last event, and at a live engine after three times the expected pause, however short that is. Its gap is late by then anyway, and its caller waits for 3.6 s. Change: a begun answer stays for 2 s of silence at least, whether or not probes are answered. Its tests' fakes let one engine be silent instead of all, which the check of others tells apart.

--- a/router/stream.go
+++ b/router/stream.go
@@ -71,7 +71,8 @@
 	gap := m.EventGap(v.Decodes, g.c.slo()).Scale(v.StepSlowdown)
 	l := silenceLimits{probeAfter: max(2*gap.UpperBound(), minProbeAfter)}
 	another := m.LocalPrefillTTFT(g.c.PromptTokens, g.c.PromptTokens, g.c.slo()).UpperBound()
-	l.giveUpAfter = max(g.silenceTimeout()-another, hangFactor*l.probeAfter)
+	l.giveUpAfter = max(g.silenceTimeout()-another, hangFactor*l.probeAfter, streamGoneAfter)
+	l.goneAfter = min(streamGoneAfter, l.giveUpAfter)
 	return l
 }
 
--- a/router/watch.go
+++ b/router/watch.go
@@ -30,6 +30,10 @@
 	// minProbeAfter is the shortest gap between two events after which an endpoint is
 	// probed.
 	minProbeAfter = 300 * time.Millisecond
+	// streamGoneAfter is the silence of a begun answer up to which its endpoint may be sound
+	// though it answers no probe: it may pause for a second or so and go on. The answer has a
+	// late gap by then, and its caller still waits.
+	streamGoneAfter = 2 * time.Second
 )
 
 // verdict is the result of a watchdog.
@@ -50,6 +54,8 @@
 	// giveUpAfter is the silence after which a live endpoint is abandoned; zero means
 	// never.
 	giveUpAfter time.Duration
+	// goneAfter is the silence up to which an endpoint that answers no probe is not abandoned.
+	goneAfter time.Duration
 }
 
 // stepLimits returns the silence limits of a step with an estimated duration, given the
@@ -159,7 +165,7 @@
 		return
 	}
 	w.r.metrics.Add("endpoints_asked_alive", 1)
-	if !w.r.probes.alive(w.e) && w.r.anotherAnswers(w.e) {
+	if !w.r.probes.alive(w.e) && time.Since(w.lastActivity) >= w.goneAfter && w.r.anotherAnswers(w.e) {
 		w.conclude(epoch, gone)
 		return
 	}
--- a/router/watch_test.go
+++ b/router/watch_test.go
@@ -42,20 +42,18 @@
 // time.
 func TestDeadEngineIsAbandoned(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		dead := ""
+		var dead firstName
 		f := &fakeEndpoints{
 			prefill: func(ctx context.Context, e *router.Endpoint) error {
-				if dead == "" {
-					dead = e.ID
-				}
-				if e.ID != dead {
+				dead.set(e.ID)
+				if e.ID != dead.get() {
 					return nil
 				}
 				<-ctx.Done()
 				return router.ErrLost.Wrap(ctx.Err(), "no answer")
 			},
 			alive: func(ctx context.Context, e *router.Endpoint) error {
-				if e.ID != dead {
+				if e.ID != dead.get() {
 					return nil
 				}
 				<-ctx.Done()
@@ -70,7 +68,7 @@
 		_, fail := r.Generate(t.Context(), c, s)
 		assert.Nil(t, fail)
 		assert.Less(t, s.first.Sub(c.ReceivedAt), 580*time.Millisecond)
-		assert.True(t, r.Loads().View(time.Now(), dead).FailureRate > 0)
+		assert.True(t, r.Loads().View(time.Now(), dead.get()).FailureRate > 0)
 	})
 }
 
