emulator: restarts of entries are safe beside requests and news of engines

Cause: TestRestartedEntryKnowsParts changed the list of entries while requests and the publishing of the directory read it; the race detector reported it (whole package, once), also in tests that ran beside it.

--- a/emulator/parts_test.go
+++ b/emulator/parts_test.go
@@ -102,7 +102,7 @@
 
 // send sends one request to any entry.
 func (d *partsTest) send(bad bool, parts []uint64) {
-	e := d.cluster.Entries[d.rnd.IntN(len(d.cluster.Entries))]
+	e := d.cluster.Entry(d.rnd.IntN(partEntries))
 	id := strconv.Itoa(len(d.calls))
 	now := time.Now()
 	out := &promptCall{sentAt: now, entry: e.Name, bad: bad}
--- a/emulator/site.go
+++ b/emulator/site.go
@@ -4,6 +4,8 @@
 	"context"
 	"fmt"
 	"net"
+	"slices"
+	"sync"
 	"time"
 
 	"ebonypulley"
@@ -18,10 +20,13 @@
 // Cluster is a fleet of engines behind any number of entries, which exchange their loads over a
 // simulated network. It runs in the virtual time of a test.
 type Cluster struct {
-	Net      *simnet.Net
-	Fleet    *Fleet
+	Net   *simnet.Net
+	Fleet *Fleet
+	// Entries may change while entries are started or restarted; see Entry.
 	Entries  []*Entry
 	settings router.Settings
+	// mu guards changes of Entries.
+	mu sync.Mutex
 }
 
 // Entry is the router of an entry with its gossip node; it has no HTTP frontend and no agents.
@@ -54,19 +59,30 @@
 func (s *Cluster) StartEntry(ctx context.Context, dataCentre string, link float64) (*Entry, error) {
 	e, err := s.newEntry(ctx, fmt.Sprintf("entry-%03d", len(s.Entries)), dataCentre, link)
 	if err == nil {
+		s.mu.Lock()
+		defer s.mu.Unlock()
 		s.Entries = append(s.Entries, e)
 	}
 	return e, err
 }
 
+// Entry returns the entry that now has this index.
+func (s *Cluster) Entry(index int) *Entry {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.Entries[index]
+}
+
 // RestartEntry replaces the entry with this index by one that knows nothing and has the same
 // name. The requests of the old one go on, and its connections to other entries are closed.
 func (s *Cluster) RestartEntry(ctx context.Context, index int) error {
-	old := s.Entries[index]
+	old := s.Entry(index)
 	old.cancel()
 	s.Net.Crash(old.Name)
 	e, err := s.newEntry(ctx, old.Name, old.DataCentre, old.link)
 	if err == nil {
+		s.mu.Lock()
+		defer s.mu.Unlock()
 		s.Entries[index] = e
 	}
 	return err
@@ -115,7 +131,10 @@
 
 // publishDirectory gives all entries a directory with the current stages of the engines.
 func (s *Cluster) publishDirectory() {
-	for _, e := range s.Entries {
+	s.mu.Lock()
+	entries := slices.Clone(s.Entries)
+	s.mu.Unlock()
+	for _, e := range entries {
 		s.publishDirectoryTo(e)
 	}
 }
