--- a/router/delivery_test.go
+++ b/router/delivery_test.go
@@ -109,3 +109,28 @@
 		assert.Zero(t, budget.Used(memory.Answers))
 	})
 }
+
+// TestLargeEventsOfStalledReadersTakeMemory guards against callers that read nothing, whose events
+// of some hundred kilobytes, two for each caller, are in no share of the memory.
+func TestLargeEventsOfStalledReadersTakeMemory(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const callers, events, eventBytes = 60, 6, 128 << 10
+		budget := memory.NewBudget(10e6) // a share of 0.8 MB for answers
+		f := &fakeEndpoints{events: events, pause: 50 * time.Millisecond, eventBytes: eventBytes}
+		r := router.New(router.Settings{RetryRatio: 0.2, RetryWindow: 10 * time.Second, RetrySlack: 50, SingleEntry: true, Seed: 1, Budget: budget}, f, event.Nop(), metrics.NewSet())
+		r.SetDirectory(router.NewDirectory(1, 0, nil, []*router.Service{llm}, []*router.Endpoint{engine("p", router.Prefill), engine("d", router.Decode)}))
+		released := make(chan struct{})
+		var wg sync.WaitGroup
+		for range callers {
+			wg.Go(func() {
+				c := newCall(nonResumableRoute, llm)
+				c.PromptTokens, c.MaxOutputTokens = 100, 60
+				r.Generate(t.Context(), c, &stalledSink{released: released})
+			})
+		}
+		time.Sleep(5 * time.Second)
+		assert.LessOrEqual(t, f.eventsSent()*eventBytes, int(budget.Limit(memory.Answers))+callers*eventBytes, "one event of each caller is being written")
+		close(released)
+		wg.Wait()
+	})
+}
