--- a/router/delivery_test.go
+++ b/router/delivery_test.go
@@ -134,3 +134,54 @@
 		wg.Wait()
 	})
 }
+
+// failingSink is a caller that is gone by its first event, after the others have been queued.
+type failingSink struct {
+	fakeSink
+	delay time.Duration
+}
+
+func (s *failingSink) Event(router.Event) error {
+	time.Sleep(s.delay)
+	return router.ErrCallerGone.New("gone")
+}
+
+// TestGoneReadersReturnMemory guards against callers that go away beside queued events, whose
+// memory is never returned.
+func TestGoneReadersReturnMemory(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		budget := memory.NewBudget(10e6)
+		f := &fakeEndpoints{events: 60, pause: 50 * time.Millisecond, eventBytes: 1 << 10}
+		r := router.New(router.Settings{RetryRatio: 0.2, RetryWindow: 10 * time.Second, RetrySlack: 50, SingleEntry: true, Seed: 1, Budget: budget}, f, event.Nop(), metrics.NewSet())
+		r.SetDirectory(router.NewDirectory(1, 0, nil, []*router.Service{llm}, []*router.Endpoint{engine("p", router.Prefill), engine("d", router.Decode)}))
+		var wg sync.WaitGroup
+		wg.Go(func() {
+			c := newCall(nonResumableRoute, llm)
+			c.PromptTokens, c.MaxOutputTokens = 100, 60
+			r.Generate(t.Context(), c, &failingSink{delay: 2 * time.Second})
+		})
+		time.Sleep(1500 * time.Millisecond)
+		assert.Positive(t, budget.Used(memory.Answers))
+		wg.Wait()
+		assert.Zero(t, budget.Used(memory.Answers))
+	})
+}
+
+// TestLargeEventsPassFullShare guards against a caller that reads and whose events, larger than
+// what each buffer may hold without asking, never pass while others have taken the whole share.
+func TestLargeEventsPassFullShare(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const events = 6
+		budget := memory.NewBudget(10e6)
+		assert.True(t, budget.Take(memory.Answers, budget.Limit(memory.Answers)))
+		f := &fakeEndpoints{events: events, pause: 50 * time.Millisecond, eventBytes: 32 << 10}
+		r := router.New(router.Settings{RetryRatio: 0.2, RetryWindow: 10 * time.Second, RetrySlack: 50, SingleEntry: true, Seed: 1, Budget: budget}, f, event.Nop(), metrics.NewSet())
+		r.SetDirectory(router.NewDirectory(1, 0, nil, []*router.Service{llm}, []*router.Endpoint{engine("p", router.Prefill), engine("d", router.Decode)}))
+		s := &fakeSink{}
+		c := newCall(nonResumableRoute, llm)
+		c.PromptTokens, c.MaxOutputTokens = 100, 60
+		_, fail := r.Generate(t.Context(), c, s)
+		assert.Nil(t, fail)
+		assert.Len(t, s.got, events)
+	})
+}
