router: an event that is being written to a caller counts as buffered

Cause: an empty buffer took any event without asking, and an event left the buffer before it was written; so each caller held two more events than the share knows. Ruled out: refusing the event. It has arrived, and a caller that reads must get it (TestLargeEventsPassFullShare). Change: an event takes its memory when it has arrived, until it is written; the endpoint is not read further while the share is exceeded.

--- a/memory/memory.go
+++ b/memory/memory.go
@@ -88,6 +88,28 @@
 // TakeLarge takes n bytes for a share if some of it is left for small requests then.
 func (b *Budget) TakeLarge(s Share, n int64) bool { return b.take(s, n, largeFraction) }
 
+// TakeAlways takes n bytes for a share, whether or not they fit: for what has arrived already.
+func (b *Budget) TakeAlways(s Share, n int64) {
+	if b == nil {
+		return
+	}
+	b.mu.Lock()
+	b.used[s] += n
+	first := b.note(s, b.limits[s] <= 0 || b.used[s] <= b.limits[s])
+	b.mu.Unlock()
+	b.report(s, first)
+}
+
+// Exceeded reports whether a share uses more than its limit.
+func (b *Budget) Exceeded(s Share) bool {
+	if b == nil {
+		return false
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.limits[s] > 0 && b.used[s] > b.limits[s]
+}
+
 // take takes n bytes for a share if it uses no more than a fraction of its limit then.
 func (b *Budget) take(s Share, n int64, fraction float64) bool {
 	if b == nil {
@@ -99,13 +121,24 @@
 	if ok {
 		b.used[s] += n
 	}
-	first := !ok && !b.full[s]
-	b.full[s] = !ok
+	first := b.note(s, ok)
 	b.mu.Unlock()
+	b.report(s, first)
+	return ok
+}
+
+// note notes whether a share had room, and reports whether it has none for the first time. The
+// caller holds b.mu.
+func (b *Budget) note(s Share, room bool) bool {
+	first := !room && !b.full[s]
+	b.full[s] = !room
+	return first
+}
+
+func (b *Budget) report(s Share, first bool) {
 	if first && b.OnFull != nil {
 		b.OnFull(s)
 	}
-	return ok
 }
 
 // Release returns n bytes that were taken for a share.
--- a/router/delivery.go
+++ b/router/delivery.go
@@ -27,7 +27,8 @@
 
 	mu    sync.Mutex
 	queue []Event
-	// buffered is the size of queue in bytes, taken what is taken from the budget for it.
+	// buffered is the size in bytes of queue and of the event that the sink writes, taken what
+	// is taken from the budget for them.
 	buffered int
 	taken    int64
 	// closed says that no more events follow. err is the error of the sink.
@@ -47,14 +48,19 @@
 	return d
 }
 
-// put queues an event, and blocks while the buffer is full. It returns the sink's error,
-// if any.
+// put queues an event, and blocks until there is room for the next one. It returns the sink's
+// error, if any.
 func (d *delivery) put(ctx context.Context, ev Event) error {
 	stop := context.AfterFunc(ctx, d.wake)
 	defer stop()
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	for d.err == nil && ctx.Err() == nil && !d.takeRoom(len(ev.Bytes)) {
+	if d.err == nil && ctx.Err() == nil {
+		d.queue = append(d.queue, ev)
+		d.resize(len(ev.Bytes))
+		d.changed.Broadcast()
+	}
+	for d.err == nil && ctx.Err() == nil && d.full() {
 		d.changed.Wait()
 	}
 	if d.err != nil {
@@ -63,40 +69,24 @@
 	if ctx.Err() != nil {
 		return ErrCallerGone.Wrap(ctx.Err(), "deliver")
 	}
-	d.queue = append(d.queue, ev)
-	d.buffered += len(ev.Bytes)
-	d.changed.Broadcast()
 	return nil
 }
 
-// takeRoom takes room for an event, and reports whether there was any. An empty buffer has
-// room for any event, so that a caller that reads always gets on. The caller holds d.mu.
-func (d *delivery) takeRoom(size int) bool {
-	if d.buffered == 0 {
-		return true
-	}
-	if d.buffered >= maxBuffered {
-		return false
-	}
-	beyond := int64(d.buffered+size-freeBuffered) - d.taken
-	if beyond <= 0 {
-		return true
-	}
-	if !d.budget.Take(memory.Answers, beyond) {
-		return false
-	}
-	d.taken += beyond
-	return true
+// full reports whether the endpoint must not be read further. The caller holds d.mu.
+func (d *delivery) full() bool {
+	return d.buffered >= maxBuffered || d.taken > 0 && d.budget.Exceeded(memory.Answers)
 }
 
-// shrink returns what the buffer no longer needs to the budget. The caller holds d.mu.
-func (d *delivery) shrink() {
-	unused := d.taken - max(0, int64(d.buffered-freeBuffered))
-	if unused <= 0 {
-		return
+// resize changes the size of the buffer, and what is taken for it. The caller holds d.mu.
+func (d *delivery) resize(by int) {
+	d.buffered += by
+	need := max(0, int64(d.buffered-freeBuffered))
+	if need > d.taken {
+		d.budget.TakeAlways(memory.Answers, need-d.taken)
+	} else {
+		d.budget.Release(memory.Answers, d.taken-need)
 	}
-	d.budget.Release(memory.Answers, unused)
-	d.taken -= unused
+	d.taken = need
 }
 
 // finish waits until the caller has received all events, and returns the sink's error.
@@ -128,6 +118,7 @@
 			d.fail(err)
 			return
 		}
+		d.written(ev)
 	}
 }
 
@@ -144,17 +135,22 @@
 	ev := d.queue[0]
 	d.queue[0] = Event{} // its bytes are not kept as long as the array
 	d.queue = d.queue[1:]
-	d.buffered -= len(ev.Bytes)
-	d.shrink()
-	d.changed.Broadcast()
 	return ev, true
 }
 
+// written removes an event that the caller has received from the buffer.
+func (d *delivery) written(ev Event) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.resize(-len(ev.Bytes))
+	d.changed.Broadcast()
+}
+
 // fail records the sink's error and drops the queue.
 func (d *delivery) fail(err error) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.err, d.queue, d.buffered = err, nil, 0
-	d.shrink()
+	d.err, d.queue = err, nil
+	d.resize(-d.buffered)
 	d.changed.Broadcast()
 }
