memory: the garbage collector works harder from three quarters of the limit on

Cause: 49 MB of it are live; the rest is garbage, which the runtime may keep up to 0.85 of the limit, and what it does not account for comes on top. Ruled out: smaller shares; they are not what grows. Change: the runtime's limit is 0.75 of the VM's.

--- a/memory/memory.go
+++ b/memory/memory.go
@@ -42,7 +42,7 @@
 // runtimeFraction is the part of the memory limit from which on the garbage collector works
 // harder rather than let the process grow. The rest is for the memory that the Go runtime
 // does not account for: the binary, and what the kernel holds for sockets.
-const runtimeFraction = 0.85
+const runtimeFraction = 0.75
 
 // LimitRuntime makes the garbage collector keep a process within its memory limit in bytes;
 // zero changes nothing. It returns the previous setting.
