intake: the kernel holds little of each caller's connection

Cause: bytes that have arrived and aren't read count towards the VM's memory; nothing bounded them. Change: where the VM's memory is known, both buffers of a caller's connection in the kernel are 8 KB. Left: a large body on a path of 6 ms is read at some MB a second.

--- a/intake/listener.go
+++ b/intake/listener.go
@@ -25,6 +25,9 @@
 	headerGrowth = 25
 )
 
+// socketBuffer is the size of each of the two buffers of a connection in the kernel, in bytes.
+const socketBuffer = 8 << 10
+
 // Counters of a Listener.
 const (
 	counterEvicted = "caller_connections_evicted"
@@ -80,6 +83,7 @@
 		if err != nil {
 			return nil, err
 		}
+		l.boundSocket(nc)
 		c := &conn{TCPConn: nc, listener: l}
 		if l.add(c) {
 			return c, nil
@@ -89,6 +93,17 @@
 	}
 }
 
+// boundSocket bounds what the kernel holds of a connection, which counts towards the memory of
+// the VM, if that is limited.
+func (l *Listener) boundSocket(nc *net.TCPConn) {
+	if l.budget.Limit(memory.Connections) == 0 {
+		return
+	}
+	// Without the bounds the connection works as well; its end, the likely error, shows later.
+	_ = nc.SetReadBuffer(socketBuffer)
+	_ = nc.SetWriteBuffer(socketBuffer)
+}
+
 // add takes in a connection if there is room, or an idle one that can be closed for it.
 func (l *Listener) add(c *conn) bool {
 	old, ok := l.admit(c)
