--- a/poison/review_fleet_test.go
+++ b/poison/review_fleet_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/assert"
 )
@@ -51,3 +52,15 @@
 		})
 	}
 }
+
+// TestPartThatWasAnsweredOnce guards against a bad part that goes on crashing engines for long
+// because an answer to it began once, before it became bad or before its engine crashed.
+func TestPartThatWasAnsweredOnce(t *testing.T) {
+	for seed := range uint64(4) {
+		s := newPartSim(seed, partDay{bad: prompt(badPart), badPerSecond: 4})
+		s.after(time.Second, func() { s.entries[0].detector.RecordBegun(s.now, prompt(first, badPart)) })
+		s.run()
+		assert.LessOrEqual(t, s.tooMany(badPart), simAllowed, "seed %d: arrivals, %d crashes", seed, len(s.crashes[badPart]))
+		assert.Zero(t, s.refused, "seed %d", seed)
+	}
+}
