poison: all 64 parts of a prompt are considered

Cause: only the last 32 parts of a request were kept, so a bad part before 32 or more sound ones crashed engines without end. Change: all parts that the platform hands over (the first 64) are considered; a suspect keeps 32, those without an answer first, then those with the oldest one. Before: TestBadFirstPartOfLongPromptIsBlocked fails with 32 and 63 sound parts. Conclusion: of more than 32 parts without any answer the last are cut off until answered.

--- a/poison/parts.go
+++ b/poison/parts.go
@@ -8,9 +8,10 @@
 )
 
 const (
-	// maxParts is the number of parts of a request that are considered. They are the last ones:
-	// the first parts are shared by most requests, so that their answers clear them.
-	maxParts = 32
+	// maxParts is the number of parts of a request that are considered, the first ones.
+	maxParts = 64
+	// maxSuspectParts bounds the parts of a suspect. Those without answers are kept first.
+	maxSuspectParts = 32
 	// maxSuspects bounds the suspects, which take some 600 bytes each, and maxBlockedSuspects
 	// those of blocked parts once there are maxSuspects, so that new parts can be blocked.
 	maxSuspects        = 512
@@ -21,7 +22,7 @@
 	maxSuspectsOfPart = 32
 	// maxPartRecords bounds the records of parts. It leaves room for those without suspects,
 	// which are kept for clearTTL to tell other entries of their answers.
-	maxPartRecords = maxSuspects*maxParts + 1024
+	maxPartRecords = maxSuspects*maxSuspectParts + 1024
 	clearTTL       = time.Minute
 	// expireInterval is the pause between two searches for evidence that no longer counts.
 	expireInterval = time.Second
@@ -157,7 +158,7 @@
 }
 
 // considered returns the parts of a request that are considered.
-func considered(parts []uint64) []uint64 { return parts[max(0, len(parts)-maxParts):] }
+func considered(parts []uint64) []uint64 { return parts[:min(len(parts), maxParts)] }
 
 // add adds a suspect unless it is known or all its parts are cleared, and returns it if it was
 // added, else nil. The caller holds d.mu.
@@ -165,9 +166,8 @@
 	s := &suspect{suspectKey: suspectKey{c.Endpoint, c.Content}, at: now.Add(-c.Age)}
 	d.attempts.addEndpoint(now, c.Endpoint, s.at)
 	for _, part := range considered(c.Parts) {
-		r := d.record(now, part)
-		if !s.at.After(r.begun) {
-			d.assignBegunSeq(r) // the sender of the update does not know of the answer
+		if !s.at.After(d.lastBegun(part)) {
+			d.assignBegunSeq(d.record(now, part)) // the sender of the update does not know of the answer
 		} else if !slices.Contains(s.parts, part) {
 			s.parts = append(s.parts, part)
 		}
@@ -175,10 +175,11 @@
 	if d.suspects[s.suspectKey] != nil || len(s.parts) == 0 {
 		return nil
 	}
+	s.parts = d.leastAnswered(s.parts)
 	slices.Sort(s.parts)
 	d.suspects[s.suspectKey] = s
 	for _, part := range s.parts {
-		r := d.parts[part]
+		r := d.record(now, part)
 		r.suspects = append(r.suspects, s)
 		d.recount(part, r)
 		if d.verdicts[part] != nil && len(r.suspects) > maxSuspectsOfPart {
@@ -189,6 +190,24 @@
 	return s
 }
 
+// lastBegun returns the time of the last known answer of a part. The caller holds d.mu.
+func (d *PartDetector) lastBegun(part uint64) time.Time {
+	if r := d.parts[part]; r != nil {
+		return r.begun
+	}
+	return d.begun.last(part)
+}
+
+// leastAnswered returns at most maxSuspectParts of some parts: those without an answer, then
+// those whose last answer is oldest. The caller holds d.mu.
+func (d *PartDetector) leastAnswered(parts []uint64) []uint64 {
+	if len(parts) <= maxSuspectParts {
+		return parts
+	}
+	slices.SortStableFunc(parts, func(a, b uint64) int { return d.lastBegun(a).Compare(d.lastBegun(b)) })
+	return slices.Clone(parts[:maxSuspectParts])
+}
+
 // recount takes note of a changed number of suspects of a part. The caller holds d.mu.
 func (d *PartDetector) recount(part uint64, r *partRecord) {
 	if len(r.suspects) >= minPartCrashes {
