poison: a bad part whose companions cover its crashes stays convicted

Cause: a bad part with children of its own counts as wide, since its children have some of its suspects each; its verdict lapsed 10 s after each crash, and each lapse cost engines. Ruled out: not counting it as wide at all; TestTwoBadPartsUnderOneFirstPart then fails, because two bad parts cover the first part above them as well. After: all cases pass in 3 runs; emulator's Part, Poison and Crash tests pass.

--- a/poison/partverdict.go
+++ b/poison/partverdict.go
@@ -49,7 +49,7 @@
 
 const (
 	acquitted conviction = iota
-	// doubtful is a conviction of a part that was answered before or is wide.
+	// doubtful is a conviction of a part that was answered before, or is wide and not covered.
 	doubtful
 	convicted
 )
@@ -70,8 +70,9 @@
 	endpoints   map[string]bool
 	suspects    int
 	first, last time.Time
-	// wide is set if there are narrower parts; answered is set if an answer has begun before.
-	wide, answered bool
+	// wide is set if there are narrower parts, and covered if each suspect has one of them;
+	// answered is set if an answer has begun before.
+	wide, covered, answered bool
 }
 
 // blocks reports whether a request with these parts is blocked. The caller holds d.mu.
@@ -165,7 +166,7 @@
 	if len(c.endpoints) < minPartCrashes || len(contents) < minPartContents {
 		return nil
 	}
-	c.wide = d.hasNarrower(r)
+	c.wide, c.covered = d.hasNarrower(r)
 	for _, p := range c.class {
 		// A class is as good as its most doubtful part only if all of it was answered.
 		c.answered = !d.parts[p].begun.IsZero()
@@ -184,8 +185,9 @@
 }
 
 // hasNarrower reports whether half of a part's crashed endpoints had suspects that share another
-// part, which no other suspect has and which was at several of them. The caller holds d.mu.
-func (d *PartDetector) hasNarrower(r *partRecord) bool {
+// part, which no other suspect has and which was at several of them; and whether these narrower
+// parts cover all suspects, as companions of a bad part do. The caller holds d.mu.
+func (d *PartDetector) hasNarrower(r *partRecord) (wide, covered bool) {
 	count := make(map[uint64]int)
 	endpoints := make(map[string]bool)
 	for _, s := range r.suspects {
@@ -194,16 +196,17 @@
 			count[p]++
 		}
 	}
-	narrow := make(map[string]bool)
+	narrow, narrowed := make(map[string]bool), make(map[*suspect]bool)
 	for p, n := range count {
 		other := d.parts[p]
 		if n < len(r.suspects) && n == len(other.suspects) && other.suspectedTwice() {
 			for _, s := range other.suspects {
+				narrowed[s] = true
 				narrow[s.endpoint] = true
 			}
 		}
 	}
-	return len(narrow) > 0 && 2*len(narrow) >= len(endpoints)
+	return len(narrow) > 0 && 2*len(narrow) >= len(endpoints), len(narrowed) == len(r.suspects)
 }
 
 // suspectedTwice reports whether two requests with the part were at two crashed endpoints.
@@ -245,6 +248,9 @@
 		}
 	case c.wide:
 		if len(c.endpoints) >= widePartCrashes && d.reached(now, c.first.Add(widePartTime)) {
+			if c.covered && unexplained >= minUnexplained {
+				return convicted
+			}
 			return doubtful
 		}
 	case d.improbable(now, c, unexplained):
