poison: a part answered before is convicted if coincidence is improbable

Cause: one answer before the first crash asked for 12 crashes and 10 s, however many sound requests were answered meanwhile. Ruled out: shares of all crashes, which a popular part reaches in a total outage; answers counted from the start of the slot of the first crash, which hold answers before it: TestPopularPartInTotalOutageIsServed (new) then fails. Change: five unexplained crashes, 1 s and improbable coincidence convict it; answers are counted in slots of 0.2 s, from the slot after the first crash. Conclusion: in a total outage nothing is answered, so nothing is improbable.

--- a/poison/attempts.go
+++ b/poison/attempts.go
@@ -10,14 +10,14 @@
 	// maxOwnCrashes bounds the own attempts at crashed endpoints that are kept.
 	maxOwnCrashes = 256
 	// begunSlots is the number of slots of begun answers in rateWindow.
-	begunSlots = 10
+	begunSlots = 50
 )
 
 // recentAttempts counts attempts of the last rateWindow.
 type recentAttempts struct {
 	// own are the attempts of this entry that had no answer begun when their endpoint crashed.
 	own []ownCrash
-	// begun counts those that had, by slots of a tenth of rateWindow.
+	// begun counts those that had, by slots of rateWindow.
 	begun [begunSlots]struct {
 		slot  int64
 		count int
@@ -88,7 +88,8 @@
 		}
 	}
 	for _, b := range a.begun {
-		if begunSlot(now)-b.slot < begunSlots && b.slot >= begunSlot(since) {
+		// The slot of since also holds answers before it.
+		if begunSlot(now)-b.slot < begunSlots && b.slot > begunSlot(since) {
 			begun += b.count
 		}
 	}
--- a/poison/partverdict.go
+++ b/poison/partverdict.go
@@ -37,6 +37,8 @@
 	// answeredPartTime of the first crash.
 	answeredPartCrashes = 12
 	answeredPartTime    = 10 * time.Second
+	// answeredProofTime is the time in which its answers become known if coincidence is improbable.
+	answeredProofTime = time.Second
 	// A verdict lapses some time after the last crash, because nobody can clear a part that
 	// everybody blocks: after doubtfulTTL for such parts, else after minVerdictTTL with
 	// minPartCrashes, and twice as long with each crash more.
@@ -243,6 +245,9 @@
 			return convicted // its answers clear it
 		}
 	case c.answered:
+		if unexplained >= halfPartCrashes && d.reached(now, c.first.Add(answeredProofTime)) && d.coincidence(now, c, unexplained) <= maxPartCoincidence {
+			return convicted
+		}
 		if unexplained >= answeredPartCrashes && d.reached(now, c.first.Add(answeredPartTime)) {
 			return doubtful
 		}
@@ -311,7 +316,13 @@
 	if weight >= minPartCrashes && share >= minPartShare || weight >= halfPartCrashes && share >= halfPartShare || weight >= manyPartCrashes && share >= manyPartShare {
 		return true
 	}
-	return unexplained >= halfPartCrashes && math.Pow(d.attempts.crashShare(now, c.first, c.endpoints), float64(unexplained)) <= maxPartCoincidence
+	return unexplained >= halfPartCrashes && d.coincidence(now, c, unexplained) <= maxPartCoincidence
+}
+
+// coincidence returns the probability that a sound part was at a number of its crashed endpoints.
+// The caller holds d.mu.
+func (d *PartDetector) coincidence(now time.Time, c *partCandidate, unexplained int) float64 {
+	return math.Pow(d.attempts.crashShare(now, c.first, c.endpoints), float64(unexplained))
 }
 
 // notifyBlocked calls the callback for new verdicts. The caller must not hold d.mu.
--- a/poison/review_test.go
+++ b/poison/review_test.go
@@ -93,3 +93,20 @@
 	assert.False(t, d.Blocked(at(time.Minute), prompt(first, caller, fresh)), "a minute later")
 	assert.False(t, d.Blocked(at(30*time.Minute), prompt(first, caller, fresh)), "half an hour later")
 }
+
+// TestPopularPartInTotalOutageIsServed guards against taking the answers just before all engines
+// crash together for answers meanwhile, and so their common part for the cause.
+func TestPopularPartInTotalOutageIsServed(t *testing.T) {
+	for offset := time.Duration(0); offset < 2*time.Second; offset += 50 * time.Millisecond {
+		d, f := poison.NewPartDetector(), &partFleet{}
+		for i := range 400 {
+			d.RecordBegun(at(offset-time.Duration(400-i)*10*time.Millisecond), prompt(first, uint64(0x500+i)))
+		}
+		for i := range 11 {
+			recordCrash(d, at(offset+time.Duration(i)*5*time.Millisecond), f.crash(prompt(first, uint64(0x900+i))))
+		}
+		for after := time.Duration(0); after < 8*time.Second; after += 100 * time.Millisecond {
+			assert.False(t, d.Blocked(at(offset+after), prompt(first, caller)), "%v after a crash at %v", after, offset)
+		}
+	}
+}
