--- a/poison/parts.go
+++ b/poison/parts.go
@@ -84,8 +84,6 @@
 	// notified of, and begunSeq the sequence number of that update.
 	begun, sequencedBegun time.Time
 	begunSeq              uint64
-	// probed is the first crash of those after which a suspect went to an endpoint.
-	probed time.Time
 }
 
 // PartCrash is a crash of an endpoint before a request there had an answer.
