soak: a connection that went silent never ends properly

Traced: its answer had neither length nor chunks. At 8.421 s the proxy made the engine's connections silent; the engine wrote its 40 events until 9.4 s and closed; the proxy, which had dropped all but three events, passed the close on a second later. The entry took it for the end (6002 after 2.076 s), as it must. Ruled out: the entry's watchdog, which waits 2 s from the last event and had not fired. Change: the proxy ends a silent connection with a reset. TCP loses no bytes before a proper end. Answers in chunks showed the same loss as an error before.

--- a/soak/processes/proxy.go
+++ b/soak/processes/proxy.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"io"
 	"net"
 	"sync"
 	"sync/atomic"
@@ -121,8 +120,9 @@
 			}
 		}
 		if err != nil {
-			if err == io.EOF && l.silent.Load() {
+			if l.silent.Load() {
 				time.Sleep(time.Second) // a silent link delays the end of the connection, too
+				reset(to)               // bytes were lost: it must not look like a proper end
 			}
 			return
 		}
