--- a/intake/starts.go
+++ b/intake/starts.go
@@ -7,7 +7,7 @@
 	// read. A request waits for the processor several more times until its answer, which
 	// callers expect within some hundred milliseconds.
 	maxStartDelay = 25 * time.Millisecond
-	// minPending connections may always wait for their start, so that the delay is measured
+	// minPending connections may always wait for their start, so that the delay is observed
 	// again after a time in which all others were closed.
 	minPending = 4
 	// startSmoothing is the weight of a start in the moving average.
--- a/router/hold.go
+++ b/router/hold.go
@@ -410,7 +410,7 @@
 }
 
 // updateLateFraction updates the fraction of the slots that is left to late calls. While
-// nothing waited it was not measured, and there was room. The caller holds h.mu.
+// nothing waited it was not observed, and there was room. The caller holds h.mu.
 func (h *hold) updateLateFraction(now time.Time, d serviceDemand) {
 	average := func(value float64, over time.Duration) {
 		h.lateFraction += (value - h.lateFraction) * min(float64(over)/float64(lateTimeConstant), 1)
