--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -15,6 +15,7 @@
 	flag.Parse()
 	cases := map[string]func(program string, rec *record, trouble bool) int{
 		"overload": overload,
+		"slashes":  slashes,
 	}
 	play := cases[flag.Arg(0)]
 	if play == nil {
