--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -16,6 +16,7 @@
 	cases := map[string]func(program string, rec *record, trouble bool) int{
 		"overload": overload,
 		"slashes":  slashes,
+		"badparts": badParts,
 	}
 	play := cases[flag.Arg(0)]
 	if play == nil {
