--- a/review/standin/badpart.go
+++ b/review/standin/badpart.go
@@ -19,6 +19,8 @@
 	// calmTime is the time before an entry is killed and after its restart: longer than
 	// contact_ms.
 	calmTime = 4500 * time.Millisecond
+	// endTime is how long the requests in progress at the end are waited for.
+	endTime = 5 * time.Second
 	// killsInRound is the number of entries that are killed in a round, one after the other.
 	killsInRound = 2
 )
@@ -80,7 +82,7 @@
 	}
 	time.Sleep(calmTime)
 	close(stop)
-	c.wg.Wait()
+	c.awaitEnds(endTime)
 	ends, machines := 0, 0
 	for _, e := range f.entries {
 		n := e.endsOfItsOwn()
--- a/review/standin/client.go
+++ b/review/standin/client.go
@@ -258,3 +258,16 @@
 		}()
 	}
 }
+
+// awaitEnds waits, for a bounded time, until the requests in progress have ended.
+func (c *clients) awaitEnds(limit time.Duration) {
+	ended := make(chan struct{})
+	go func() {
+		c.wg.Wait()
+		close(ended)
+	}()
+	select {
+	case <-ended:
+	case <-time.After(limit):
+	}
+}
