--- a/review/standin/overload.go
+++ b/review/standin/overload.go
@@ -29,15 +29,15 @@
 )
 
 // The disruption of overload, in rounds: a burst of burstFactor times the usual traffic, in
-// which some clients repeat at once and one worker is down.
+// which some clients repeat at once, while one worker is down, which comes back after it.
 const (
 	rounds         = 8
 	burstFactor    = 2.2
 	burstTime      = 4 * time.Second
 	abusivePercent = 30
 	abusiveRetries = 3
-	downTime       = 2 * time.Second
-	roundPause     = 3500 * time.Millisecond
+	downTime       = 4500 * time.Millisecond
+	roundPause     = 3 * time.Second
 )
 
 // servedShare returns the share of requests that are served while it waits.
@@ -76,16 +76,16 @@
 			c.abusive.Store(abusivePercent)
 			percent.Store(100 * burstFactor)
 		}
-		time.Sleep(downTime)
+		time.Sleep(burstTime)
+		c.abusive.Store(0)
+		percent.Store(100)
+		time.Sleep(downTime - burstTime)
 		if trouble {
 			if err := f.startPlain(n%overloadWorkers, n+2); err != nil {
 				rec.say("the case can't run: %v", err)
 				return 2
 			}
 		}
-		time.Sleep(burstTime - downTime)
-		c.abusive.Store(0)
-		percent.Store(100)
 		time.Sleep(roundPause)
 	}
 	time.Sleep(recovery)
