Retry budget: counters that tell uncharged, late and oversized repeats apart

Cause: retries_charged alone can't tell the hypotheses of the incident apart: a returned charge is subtracted from it without a trace, attempts given up without an answer aren't counted, and the share of the slack in force is nowhere to be seen. No decision changes. Conclusion: the hypotheses can be told apart by sums over entries beside the endpoints' counts.

--- a/router/budget.go
+++ b/router/budget.go
@@ -1,8 +1,11 @@
 package router
 
 import (
+	"context"
 	"time"
 
+	"github.com/joomcode/errorx"
+
 	"ebonypulley/limit"
 )
 
@@ -29,9 +32,18 @@
 	}
 	share := r.quotas.FixedShare(time.Now(), r.set.RetrySlack, r.set.RetryWindow)
 	b.SetShare(share.Amount, share.Sole)
+	r.showSlack(service, share.Amount)
 	return b
 }
 
+// showSlack sets the gauge of this entry's share of the slack, in thousandths of a retry. The
+// caller holds r.mu.
+func (r *Router) showSlack(service string, share float64) {
+	value := int64(1000 * share)
+	r.metrics.Add("retry_slack_share."+service, value-r.shownSlack[service])
+	r.shownSlack[service] = value
+}
+
 // chargeRetry charges a service's retry budget for one arrival beyond the first. It returns
 // nil if the budget doesn't allow it.
 func (r *Router) chargeRetry(service string) *limit.Charge {
@@ -59,4 +71,13 @@
 	}
 	c.Return()
 	r.metrics.Add("retries_charged."+service, -1)
+	r.metrics.Add("retries_returned."+service, 1)
+}
+
+// countUnanswered counts an attempt that was sent and given up without an answer: ctx is its
+// context and err how it ended. It may still arrive at its endpoint.
+func (r *Router) countUnanswered(ctx context.Context, service string, err error) {
+	if err != nil && ctx.Err() != nil && !errorx.IsOfType(err, ErrNotRun) {
+		r.metrics.Add("attempts_unanswered."+service, 1)
+	}
 }
--- a/router/plain.go
+++ b/router/plain.go
@@ -174,6 +174,7 @@
 	defer cancel()
 	end := p.begin(e)
 	a, err := r.endpoints.Call(ctx, e, c)
+	r.countUnanswered(ctx, c.Service.Name, err)
 	p.permit.markSent(err)
 	p.settleArrival(err)
 	end()
--- a/router/router.go
+++ b/router/router.go
@@ -72,7 +72,9 @@
 
 	mu      sync.Mutex
 	budgets map[string]*limit.RetryBudget
-	rnd     *rand.Rand
+	// shownSlack holds the values of the gauges of showSlack, by service.
+	shownSlack map[string]int64
+	rnd        *rand.Rand
 	// draining maps the ID of each endpoint that reported that it is draining to the time
 	// it was last published.
 	draining map[string]time.Time
@@ -109,6 +111,7 @@
 		log:             log,
 		metrics:         m,
 		budgets:         make(map[string]*limit.RetryBudget),
+		shownSlack:      make(map[string]int64),
 		draining:        make(map[string]time.Time),
 		crashChecks:     make(map[string]*crashCheck),
 		longestTimeouts: make(map[string]time.Duration),
--- a/router/stream.go
+++ b/router/stream.go
@@ -26,7 +26,7 @@
 	w := g.r.startWatchdog(p.decode, stepLimits(g.timeToFirstEvent(p, start), g.callerTimeLeft(time.Now())), cancel)
 	defer w.stop()
 	start.Connected = func() { g.onConnected(w) }
-	err := asUnreachable(w.verdict, g.exchange(attemptCtx, p, start, w, a.work))
+	err := g.asUnreachable(w.verdict, g.exchange(attemptCtx, p, start, w, a.work))
 	g.settleArrival(err)
 	a.permits.decode.markSent(err)
 	if !errorx.IsOfType(err, ErrNotRun) {
@@ -108,6 +108,7 @@
 	}
 	defer run.prefillWork.End()
 	s, err := g.r.endpoints.Generate(ctx, p.decode, g.c, start)
+	g.r.countUnanswered(ctx, g.c.Service.Name, err)
 	at := run.sentAt
 	if err == nil {
 		g.recordArrival()
