Soak of processes: check the retry budget, and let workers fail a part of all requests

Cause: no run of real processes counted arrivals beyond the first, so that the bound on repeats was proved with simulated connections only. Change: workers record arrivals as the rule counts them, and each run checks every window. The report tells the worst window of each service.

--- a/soak/processes/caller.go
+++ b/soak/processes/caller.go
@@ -96,6 +96,11 @@
 	if s.next > 1 {
 		standin.SetResumeHeaders(req.Header, s.next-1, s.firstAttempt)
 	}
+	service := "app"
+	if k.stream {
+		service = "llm"
+	}
+	r.arrivals.recordRequest(service)
 	resp, err := client.Do(req)
 	if err == nil {
 		err = r.checkAnswer(resp, k, id, s)
--- a/soak/processes/run.go
+++ b/soak/processes/run.go
@@ -33,6 +33,9 @@
 	For time.Duration
 	// BadPart adds requests with a prompt part that crashes engines, after the other faults.
 	BadPart bool
+	// Failing makes all workers fail a part of their requests while faults are injected, so that
+	// the retry budget is used up.
+	Failing bool
 }
 
 // Report is the result of a run.
@@ -41,6 +44,8 @@
 	Faults                                  int64
 	// PeakMemoryMB is the most memory that an entry used.
 	PeakMemoryMB int
+	// WorstWindows tells for each service how near to the retry budget its worst window came.
+	WorstWindows string
 	// Violations are the invariants violated. Dir holds the logs of the processes;
 	// it is removed if there are no violations.
 	Violations []string
@@ -56,6 +61,7 @@
 	workers    []*worker
 	executions *executionLog
 	badPart    badPartLog
+	arrivals   *arrivalLog
 	wg         sync.WaitGroup
 	faults     atomic.Int64
 	// activeFaults is the number of faults in progress, without the harmless ones;
@@ -86,7 +92,7 @@
 
 // Run runs one seed.
 func Run(ctx context.Context, set Settings) (Report, error) {
-	r := &run{set: set, store: standin.NewStore(), executions: newExecutionLog(), began: time.Now(), rnd: rand.New(rand.NewPCG(set.Seed, 0))}
+	r := &run{set: set, store: standin.NewStore(), executions: newExecutionLog(), arrivals: newArrivalLog(), began: time.Now(), rnd: rand.New(rand.NewPCG(set.Seed, 0))}
 	var err error
 	if r.dir, err = os.MkdirTemp("", "soak-processes-"); err != nil {
 		return Report{}, err
@@ -100,6 +106,9 @@
 	}
 	defer r.tearDown()
 	time.Sleep(recoveryTime / 2)
+	if set.Failing {
+		time.Sleep(slackAfter)
+	}
 	faultCtx, stop := context.WithTimeout(ctx, set.For)
 	defer stop()
 	callerCtx, stopCallers := context.WithCancel(ctx)
@@ -107,6 +116,9 @@
 	r.startCallers(callerCtx)
 	r.wg.Go(func() { r.watchMemory(callerCtx) })
 	r.faultsBegan = time.Now()
+	if set.Failing {
+		r.failWorkers(faultCtx)
+	}
 	r.injectFaults(faultCtx)
 	for r.disturbed() && ctx.Err() == nil {
 		time.Sleep(100 * time.Millisecond)
@@ -120,6 +132,7 @@
 	r.wg.Wait()
 	r.checkExecutions()
 	r.checkQuota()
+	r.checkBudget()
 	if n := r.joined.Load(); n > maxJoinedStreams {
 		r.violation("%d streams hold events of two software versions", n)
 	}
@@ -145,6 +158,7 @@
 		if err != nil {
 			return err
 		}
+		k.arrivals = r.arrivals
 		k.badPart, k.crash = &r.badPart, func() {
 			r.wg.Go(func() {
 				defer k.crashing.Store(false)
--- a/soak/processes/worker.go
+++ b/soak/processes/worker.go
@@ -82,6 +82,9 @@
 	server         *http.Server
 	executions     *executionLog
 	hanging        atomic.Bool
+	// failing makes the worker fail a part of its requests.
+	failing  atomic.Bool
+	arrivals *arrivalLog
 	// breaksEvents makes the worker end its streams in the middle of an event.
 	breaksEvents atomic.Bool
 	// badPart records requests with the bad part. crash crashes the worker and returns at once;
@@ -150,6 +153,9 @@
 	case err != nil:
 		panic(http.ErrAbortHandler)
 	case c.ExpectedIncarnation != k.instanceID():
+		if c.AttemptID != "" {
+			k.arrivals.recordArrival(k.service, c.AttemptID)
+		}
 		standin.SetAnswerHeaders(w.Header(), c.AttemptID)
 		w.WriteHeader(http.StatusMisdirectedRequest)
 	case standin.ServeEngineAPI(w, r):
@@ -158,11 +164,15 @@
 	case k.serveBadPart(c):
 		panic(http.ErrAbortHandler)
 	case k.hanging.Load():
+		k.arrivals.recordArrival(k.service, c.AttemptID)
 		<-r.Context().Done()
+	case k.serveFailing(w, c):
 	case c.Prefill:
+		k.arrivals.recordPrefill(k.service, c.AttemptID)
 		standin.SetAnswerHeaders(w.Header(), c.AttemptID)
 		standin.WritePrefillAnswer(w)
 	default:
+		k.arrivals.recordArrival(k.service, c.AttemptID)
 		k.serveRequest(w, r, c)
 	}
 }
@@ -216,7 +226,7 @@
 		case <-time.After(eventGap):
 		}
 		text := fmt.Sprintf("id: %d\ndata: %s %d %s\n\n", i, id, i, version)
-		if k.breaksEvents.Load() {
+		if k.breaksEvents.Load() || i > streamEvents/2 && k.failureOf(id) == breakOffMidway {
 			_, _ = io.WriteString(answer, text[:len(text)/2])
 			return
 		}
--- a/standin/wire.go
+++ b/standin/wire.go
@@ -104,6 +104,12 @@
 	h.Set("Response-Signature", "signed")
 }
 
+// SetRefusalHeaders sets the headers of a refusal of an attempt that was not executed.
+func SetRefusalHeaders(h http.Header, id string) {
+	h.Set("Attempt-Id", id)
+	h.Set("Not-Executed", "1")
+}
+
 // WritePrefillAnswer writes the answer to a prefill.
 func WritePrefillAnswer(w http.ResponseWriter) { _, _ = io.WriteString(w, `{"kv_handle":"kv"}`) }
 
