--- a/router/fake_test.go
+++ b/router/fake_test.go
@@ -30,6 +30,8 @@
 	// prefillCall and generateCall are like prefill and generate, but receive the call.
 	prefillCall  func(ctx context.Context, c *router.Call) error
 	generateCall func(c *router.Call) error
+	// generateAt is like generateCall, but receives the context and the endpoint, too.
+	generateAt func(ctx context.Context, e *router.Endpoint, c *router.Call) error
 	// connect runs before a generation is sent.
 	connect func(ctx context.Context, e *router.Endpoint) error
 	// reserve refuses the reservation if it returns an error.
@@ -145,7 +147,11 @@
 	if s.Connected != nil {
 		s.Connected()
 	}
-	if f.generateCall != nil {
+	if f.generateAt != nil {
+		if err := f.generateAt(ctx, e, c); err != nil {
+			return nil, err
+		}
+	} else if f.generateCall != nil {
 		if err := f.generateCall(c); err != nil {
 			return nil, err
 		}
