Retry budget: only an attempt of which nothing was sent is refunded

What callers saw: nothing; endpoints got repeats that the budget had not allowed. Cause: asUnreachable took every "not run" for "accepted no connection" once the watchdog had a verdict. A refusal of the endpoint's own that is read as the watchdog fires did arrive; its charge was returned and the attempt counted as none. A process that runs a tenth of the time has due timers and readable answers at the same moment. Class: two facts in one error, "has not run" and "was not sent". Ruled out: the types below "unreachable"; upstream returns those only before the first byte. A reservation or plain call that ends while it connects no longer marks the endpoint as full. Two older fakes said "not run" for a connection that was never made and now say "not sent".

--- a/router/admit.go
+++ b/router/admit.go
@@ -123,7 +123,7 @@
 	g.r.metrics.Add("reservations_refused", 1)
 	g.r.log.Emit(event.ReservationRefused, zap.String("request", g.c.ID), zap.String("endpoint", p.decode.ID),
 		zap.Float64("fill", p.fill), event.Err(err))
-	if errorx.IsOfType(err, ErrNotRun) && !errorx.IsOfType(err, ErrUnreachable) {
+	if errorx.IsOfType(err, ErrNotRun) && !errorx.IsOfType(err, ErrNotSent) {
 		g.r.loads.RecordFull(time.Now(), p.decode.ID, g.expectedFull(p.decode))
 		return false
 	}
--- a/router/answer.go
+++ b/router/answer.go
@@ -12,9 +12,11 @@
 	// ErrNotRun means that the request provably did not run at the endpoint and never
 	// will.
 	ErrNotRun = routerErrors.NewType("not-run")
-	// ErrUnreachable is an ErrNotRun from an endpoint that accepted no connection, so that
-	// nothing was sent.
-	ErrUnreachable = ErrNotRun.NewSubtype("unreachable")
+	// ErrNotSent is an ErrNotRun of an attempt that ended before any byte was sent, so that it
+	// can't arrive at the endpoint.
+	ErrNotSent = ErrNotRun.NewSubtype("not-sent")
+	// ErrUnreachable is an ErrNotSent from an endpoint that accepted no connection.
+	ErrUnreachable = ErrNotSent.NewSubtype("unreachable")
 	// ErrNotListening is an ErrUnreachable from an address where nothing listens.
 	ErrNotListening = ErrUnreachable.NewSubtype("absent")
 	// ErrReplaced is an ErrNotRun from another endpoint that now has this address.
--- a/router/budget_load_test.go
+++ b/router/budget_load_test.go
@@ -78,7 +78,7 @@
 	case <-time.After(took):
 		return nil
 	case <-ctx.Done():
-		return router.ErrNotRun.Wrap(ctx.Err(), "connect")
+		return router.ErrNotSent.Wrap(ctx.Err(), "connect")
 	}
 }
 
--- a/router/generate.go
+++ b/router/generate.go
@@ -262,14 +262,14 @@
 	g.prepaid = nil
 }
 
-// settleArrival settles the charge for an attempt that ended with err. An endpoint that
-// accepted no connection received nothing.
+// settleArrival settles the charge for an attempt that ended with err. One that was not sent
+// did not arrive.
 //
 // When a third of the engines crash in the same second they stay published for seconds,
 // and each entry tries each of them. Counted as arrivals, these attempts would exhaust
 // the retry budget at once, and generations already prefilled would be refused.
 func (g *generationRun) settleArrival(err error) {
-	if errorx.IsOfType(err, ErrUnreachable) {
+	if errorx.IsOfType(err, ErrNotSent) {
 		g.refundArrival()
 		return
 	}
--- a/router/hold.go
+++ b/router/hold.go
@@ -465,7 +465,7 @@
 
 // isFull reports whether an attempt ended with err because the endpoint turned it away.
 func isFull(err error) bool {
-	return errorx.IsOfType(err, ErrNotRun) && !unanswered(err)
+	return errorx.IsOfType(err, ErrNotRun) && !errorx.IsOfType(err, ErrNotSent) && !unanswered(err)
 }
 
 // recordFull records that an endpoint turned a call away: it gets none until one of its slots
--- a/router/permit.go
+++ b/router/permit.go
@@ -56,7 +56,7 @@
 // markSent uses the permit, unless an attempt that ended with err did not reach the
 // endpoint.
 func (p *permit) markSent(err error) {
-	if p != nil && !errorx.IsOfType(err, ErrUnreachable) {
+	if p != nil && !errorx.IsOfType(err, ErrNotSent) {
 		p.unsettled = false
 	}
 }
--- a/router/plain.go
+++ b/router/plain.go
@@ -121,10 +121,10 @@
 	return true
 }
 
-// settleArrival settles the charge for an attempt that ended with err. An endpoint that
-// accepted no connection received nothing, and the charge pays for the next attempt.
+// settleArrival settles the charge for an attempt that ended with err. If it was not sent, the
+// charge pays for the next attempt.
 func (p *plainRun) settleArrival(err error) {
-	if errorx.IsOfType(err, ErrUnreachable) {
+	if errorx.IsOfType(err, ErrNotSent) {
 		return
 	}
 	p.charge.Arrived(time.Now())
--- a/router/run.go
+++ b/router/run.go
@@ -128,13 +128,10 @@
 }
 
 // asUnreachable turns the error of an attempt that the watchdog ended while it was still
-// connecting into ErrUnreachable.
-//
-// When an engine accepts no connection, the watchdog fires before the dial times out.
-// Nothing was sent, so the attempt must not count as an arrival, nor as a run that may
-// not be repeated. Otherwise requests are refused because the retry budget is exhausted.
+// connecting into ErrUnreachable: when an engine accepts no connection, the watchdog fires
+// before the dial times out.
 func (g *generationRun) asUnreachable(found func() verdict, err error) error {
-	if found() != undecided && errorx.IsOfType(err, ErrNotRun) && !errorx.IsOfType(err, ErrUnreachable) {
+	if found() != undecided && errorx.IsOfType(err, ErrNotSent) && !errorx.IsOfType(err, ErrUnreachable) {
 		g.r.metrics.Add("attempts_withdrawn."+g.c.Service.Name, 1)
 		return ErrUnreachable.Wrap(err, "abandoned while connecting")
 	}
--- a/router/stream.go
+++ b/router/stream.go
@@ -132,7 +132,7 @@
 	case v != undecided:
 		g.r.loads.RecordUnresponsive(time.Now(), e.ID)
 		if errorx.IsOfType(err, ErrNotRun) {
-			return err // it accepted no connection, see asUnreachable
+			return err // it was refused or not sent
 		}
 		return ErrLost.Wrap(err, "endpoint %s stopped responding", e.ID)
 	case ctx.Err() != nil || errorx.IsOfType(err, ErrCallerGone):
--- a/router/watch_test.go
+++ b/router/watch_test.go
@@ -111,7 +111,7 @@
 				return nil
 			}
 			<-ctx.Done()
-			return router.ErrNotRun.Wrap(ctx.Err(), "connect")
+			return router.ErrNotSent.Wrap(ctx.Err(), "connect")
 		}
 		r := newRouter(f, engine("p1", router.Prefill), engine("d1", router.Decode), engine("d2", router.Decode))
 		r.SetRetryBudget(0, 10*time.Second, 0)
