Retry budget: repeats count until the attempts before them can arrive no more

What callers saw: nothing; endpoints that had been stopped got the requests of many seconds at once when they continued, beyond the budget of that window. Cause: a charge was settled when the repeat had an answer, and the attempt before it, given up without one, was taken for arrived. The kernel of a stopped process accepts connections and buffers requests; the process reads them when it continues, also from connections closed or reset since (shown with a stopped server: both kinds are served). The arrival beyond the first then comes at that moment. Class: the end of our own wait taken for the end of what was sent. Ruled out: closing with a reset, which does not discard what is buffered. Change: an attempt that was sent and given up may arrive until its endpoint answers something sent later, for a minute at most; meanwhile as many charges of its request count in every window. Only what a budget was charged for is held back: without repeats nothing changes. Open: an entry that is killed forgets such attempts, and a process stopped for over a minute.

--- /dev/null
+++ b/router/arrivals.go
@@ -0,0 +1,114 @@
+package router
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/joomcode/errorx"
+
+	"ebonypulley/limit"
+)
+
+// maxArrivalDelay is how long an attempt that was given up without an answer may still arrive
+// at its endpoint.
+const maxArrivalDelay = time.Minute
+
+// arrivalTracker knows which attempts may still arrive at their endpoints.
+//
+// The kernel of an endpoint whose process is stopped accepts connections and buffers requests,
+// which the process reads when it continues, even if their connections were closed. If their
+// repeats were counted at the time of the repeat only, those of several windows would arrive in
+// one.
+type arrivalTracker struct {
+	mu sync.Mutex
+	// unanswered holds the attempts that were given up, by endpoint ID.
+	unanswered map[string][]*unansweredAttempt
+}
+
+// unansweredAttempt is an attempt that was sent and given up without an answer.
+type unansweredAttempt struct {
+	givenUpAt time.Time
+	request   *requestArrivals
+}
+
+// requestArrivals are the arrivals of one request.
+type requestArrivals struct {
+	// open counts the attempts that may still arrive.
+	open int
+	// held are charges that are not settled before as many of these attempts are.
+	held []*limit.Charge
+}
+
+func newArrivalTracker() *arrivalTracker {
+	return &arrivalTracker{unanswered: make(map[string][]*unansweredAttempt)}
+}
+
+// recordSent records how an attempt of a request ended, with its context and error, before its
+// charge is settled.
+func (r *Router) recordSent(ctx context.Context, e *Endpoint, sentAt time.Time, c *Call, a *requestArrivals, err error) {
+	switch {
+	case r.usesAgents() || errorx.IsOfType(err, ErrNotSent):
+	case err == nil || errorx.IsOfType(err, ErrNotRun):
+		r.arrivals.recordAnswer(time.Now(), e.ID, sentAt)
+	case ctx.Err() != nil:
+		r.metrics.Add("attempts_unanswered."+c.Service.Name, 1)
+		r.arrivals.recordGivenUp(time.Now(), e.ID, a)
+	}
+}
+
+// recordGivenUp records an attempt of a request that was sent and given up without an answer.
+func (t *arrivalTracker) recordGivenUp(now time.Time, endpoint string, a *requestArrivals) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	a.open++
+	t.unanswered[endpoint] = append(t.unanswered[endpoint], &unansweredAttempt{givenUpAt: now, request: a})
+	time.AfterFunc(maxArrivalDelay, func() { t.recordAnswer(time.Now(), endpoint, now) })
+}
+
+// settle settles a charge for an attempt that has arrived or may still arrive; c may be nil.
+func (t *arrivalTracker) settle(now time.Time, a *requestArrivals, c *limit.Charge) {
+	if c == nil {
+		return
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if len(a.held) < a.open {
+		a.held = append(a.held, c)
+		return
+	}
+	c.Arrived(now)
+}
+
+// recordAnswer records that an endpoint has answered something that was sent at a time: its
+// process has read what was sent before.
+func (t *arrivalTracker) recordAnswer(now time.Time, endpoint string, sentAt time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	list := t.unanswered[endpoint]
+	if len(list) == 0 {
+		return
+	}
+	kept := list[:0]
+	for _, u := range list {
+		if u.givenUpAt.After(sentAt) {
+			kept = append(kept, u)
+			continue
+		}
+		u.request.close(now)
+	}
+	clear(list[len(kept):])
+	t.unanswered[endpoint] = kept
+	if len(kept) == 0 {
+		delete(t.unanswered, endpoint)
+	}
+}
+
+// close records that one of the attempts can't arrive later any more.
+func (a *requestArrivals) close(now time.Time) {
+	a.open--
+	if last := len(a.held) - 1; last >= a.open {
+		a.held[last].Arrived(now)
+		a.held = a.held[:last]
+	}
+}
--- a/router/budget.go
+++ b/router/budget.go
@@ -1,11 +1,8 @@
 package router
 
 import (
-	"context"
 	"time"
 
-	"github.com/joomcode/errorx"
-
 	"ebonypulley/limit"
 )
 
@@ -73,11 +70,3 @@
 	r.metrics.Add("retries_charged."+service, -1)
 	r.metrics.Add("retries_returned."+service, 1)
 }
-
-// countUnanswered counts an attempt that was sent and given up without an answer: ctx is its
-// context and err how it ended. It may still arrive at its endpoint.
-func (r *Router) countUnanswered(ctx context.Context, service string, err error) {
-	if err != nil && ctx.Err() != nil && !errorx.IsOfType(err, ErrNotRun) {
-		r.metrics.Add("attempts_unanswered."+service, 1)
-	}
-}
--- a/router/generate.go
+++ b/router/generate.go
@@ -48,6 +48,7 @@
 	// charge is what the budget was charged for the arrival in progress, prepaid for the next
 	// one; both may be nil.
 	charge, prepaid *limit.Charge
+	arrivals        requestArrivals
 	// kept is a prefill result that a decode endpoint refused.
 	kept *PrefillResult
 	// warm is the engine that probably still caches the prompt: its stream broke off
@@ -289,7 +290,7 @@
 
 // recordArrival settles the charge for an attempt that arrived.
 func (g *generationRun) recordArrival() {
-	g.charge.Arrived(time.Now())
+	g.r.arrivals.settle(time.Now(), &g.arrivals, g.charge)
 	g.charge = nil
 }
 
--- a/router/plain.go
+++ b/router/plain.go
@@ -41,7 +41,8 @@
 	permit  *permit
 	limited limitedUntil
 	// charge is what the retry budget was charged for the next arrival, or nil.
-	charge *limit.Charge
+	charge   *limit.Charge
+	arrivals requestArrivals
 	// ended ends the accounting of an attempt that has waited for room.
 	ended func()
 }
@@ -127,7 +128,7 @@
 	if errorx.IsOfType(err, ErrNotSent) {
 		return
 	}
-	p.charge.Arrived(time.Now())
+	p.r.arrivals.settle(time.Now(), &p.arrivals, p.charge)
 	p.charge = nil
 }
 
@@ -174,7 +175,7 @@
 	defer cancel()
 	end := p.begin(e)
 	a, err := r.endpoints.Call(ctx, e, c)
-	r.countUnanswered(ctx, c.Service.Name, err)
+	r.recordSent(ctx, e, began, c, &p.arrivals, err)
 	p.permit.markSent(err)
 	p.settleArrival(err)
 	end()
--- a/router/prefill.go
+++ b/router/prefill.go
@@ -36,7 +36,7 @@
 	defer w.stop()
 	res, err := r.endpoints.Prefill(prefillCtx, p.prefill, c)
 	err = g.asUnreachable(w.verdict, err)
-	r.countUnanswered(prefillCtx, c.Service.Name, err)
+	r.recordSent(prefillCtx, p.prefill, began, c, &g.arrivals, err)
 	took := time.Since(began)
 	g.settlePrefill(err)
 	a.permits.prefill.markSent(err)
--- a/router/router.go
+++ b/router/router.go
@@ -69,6 +69,7 @@
 	cacheIndex cacheIndex
 	rooms      *roomQueues
 	probes     *probes
+	arrivals   *arrivalTracker
 
 	mu      sync.Mutex
 	budgets map[string]*limit.RetryBudget
@@ -117,6 +118,7 @@
 		longestTimeouts: make(map[string]time.Duration),
 		timeouts:        make(map[string]*commonTimeout),
 		holds:           make(map[string]*hold),
+		arrivals:        newArrivalTracker(),
 		rnd:             rand.New(rand.NewPCG(seed, seed+1)),
 	}
 	r.probes = newProbes(func(ctx context.Context, e *Endpoint) error { return r.endpoints.Probe(ctx, e) })
--- a/router/stream.go
+++ b/router/stream.go
@@ -108,7 +108,7 @@
 	}
 	defer run.prefillWork.End()
 	s, err := g.r.endpoints.Generate(ctx, p.decode, g.c, start)
-	g.r.countUnanswered(ctx, g.c.Service.Name, err)
+	g.r.recordSent(ctx, p.decode, run.sentAt, g.c, &g.arrivals, err)
 	at := run.sentAt
 	if err == nil {
 		g.recordArrival()
--- a/soak/processes/budget.go
+++ b/soak/processes/budget.go
@@ -29,12 +29,14 @@
 	// its first arrival.
 	requests, repeats map[string][]time.Time
 	arrived           map[string]bool
+	// note adds a line to the run's history.
+	note func(format string, args ...any)
 	// prefilled holds the requests of which a prefill was accepted, which is no arrival.
 	prefilled map[string]bool
 }
 
-func newArrivalLog() *arrivalLog {
-	return &arrivalLog{requests: make(map[string][]time.Time), repeats: make(map[string][]time.Time), arrived: make(map[string]bool), prefilled: make(map[string]bool)}
+func newArrivalLog(note func(format string, args ...any)) *arrivalLog {
+	return &arrivalLog{note: note, requests: make(map[string][]time.Time), repeats: make(map[string][]time.Time), arrived: make(map[string]bool), prefilled: make(map[string]bool)}
 }
 
 func (l *arrivalLog) recordRequest(service string) {
@@ -43,23 +45,24 @@
 	l.requests[service] = append(l.requests[service], time.Now())
 }
 
-func (l *arrivalLog) recordArrival(service, id string) {
+func (l *arrivalLog) recordArrival(service, id, worker string) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.arrived[id] {
 		l.repeats[service] = append(l.repeats[service], time.Now())
+		l.note("repeat of %s reaches %s", id, worker)
 	}
 	l.arrived[id] = true
 }
 
 // recordPrefill records an accepted prefill. Each but the first of a request is an arrival.
-func (l *arrivalLog) recordPrefill(service, id string) {
+func (l *arrivalLog) recordPrefill(service, id, worker string) {
 	l.mu.Lock()
 	first := !l.prefilled[id]
 	l.prefilled[id] = true
 	l.mu.Unlock()
 	if !first {
-		l.recordArrival(service, id)
+		l.recordArrival(service, id, worker)
 	}
 }
 
@@ -145,12 +148,12 @@
 func (k *worker) serveFailing(w http.ResponseWriter, c standin.WorkerHeaders) bool {
 	switch k.failureOf(c.AttemptID) {
 	case refuse:
-		k.arrivals.recordArrival(k.service, c.AttemptID)
+		k.arrivals.recordArrival(k.service, c.AttemptID, k.instanceID())
 		standin.SetRefusalHeaders(w.Header(), c.AttemptID)
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return true
 	case breakOff:
-		k.arrivals.recordArrival(k.service, c.AttemptID)
+		k.arrivals.recordArrival(k.service, c.AttemptID, k.instanceID())
 		panic(http.ErrAbortHandler)
 	}
 	return false
--- a/soak/processes/run.go
+++ b/soak/processes/run.go
@@ -92,7 +92,8 @@
 
 // Run runs one seed.
 func Run(ctx context.Context, set Settings) (Report, error) {
-	r := &run{set: set, store: standin.NewStore(), executions: newExecutionLog(), arrivals: newArrivalLog(), began: time.Now(), rnd: rand.New(rand.NewPCG(set.Seed, 0))}
+	r := &run{set: set, store: standin.NewStore(), executions: newExecutionLog(), began: time.Now(), rnd: rand.New(rand.NewPCG(set.Seed, 0))}
+	r.arrivals = newArrivalLog(r.note)
 	var err error
 	if r.dir, err = os.MkdirTemp("", "soak-processes-"); err != nil {
 		return Report{}, err
--- a/soak/processes/worker.go
+++ b/soak/processes/worker.go
@@ -154,7 +154,7 @@
 		panic(http.ErrAbortHandler)
 	case c.ExpectedIncarnation != k.instanceID():
 		if c.AttemptID != "" {
-			k.arrivals.recordArrival(k.service, c.AttemptID)
+			k.arrivals.recordArrival(k.service, c.AttemptID, k.instanceID())
 		}
 		standin.SetAnswerHeaders(w.Header(), c.AttemptID)
 		w.WriteHeader(http.StatusMisdirectedRequest)
@@ -164,15 +164,15 @@
 	case k.serveBadPart(c):
 		panic(http.ErrAbortHandler)
 	case k.hanging.Load():
-		k.arrivals.recordArrival(k.service, c.AttemptID)
+		k.arrivals.recordArrival(k.service, c.AttemptID, k.instanceID())
 		<-r.Context().Done()
 	case k.serveFailing(w, c):
 	case c.Prefill:
-		k.arrivals.recordPrefill(k.service, c.AttemptID)
+		k.arrivals.recordPrefill(k.service, c.AttemptID, k.instanceID())
 		standin.SetAnswerHeaders(w.Header(), c.AttemptID)
 		standin.WritePrefillAnswer(w)
 	default:
-		k.arrivals.recordArrival(k.service, c.AttemptID)
+		k.arrivals.recordArrival(k.service, c.AttemptID, k.instanceID())
 		k.serveRequest(w, r, c)
 	}
 }
