Parts of prompts: a suspect is trimmed only once it is in all its records

Cause: PartDetector.add removed the oldest suspect of a blocked part while it was still adding one. News of an earlier crash makes the new one the oldest: remove walked records that didn't exist yet, and what was added after that pointed to a suspect that was gone. Class: a walk over a record that the same call removed. Elsewhere: evict never removes the suspect that is being added, but expire could, and its number was then assigned to a suspect that was gone; add now returns none. The detector of whole contents keeps the record that it is adding. Change: the suspect is added to all records first; trim then keeps the number.

--- a/poison/parts.go
+++ b/poison/parts.go
@@ -180,14 +180,30 @@
 		r := d.record(now, part)
 		r.suspects = append(r.suspects, s)
 		d.recount(part, r)
-		if d.verdicts[part] != nil && len(r.suspects) > maxSuspectsOfPart {
-			d.remove(oldest(r.suspects))
-		}
 	}
+	d.trim(s)
 	d.evict(now, s)
+	if d.suspects[s.suspectKey] != s {
+		return nil
+	}
 	return s
 }
 
+// trim keeps the suspects of blocked parts within maxSuspectsOfPart after one was added, which
+// may be the oldest itself. The caller holds d.mu.
+func (d *PartDetector) trim(added *suspect) {
+	for _, part := range added.parts {
+		if d.verdicts[part] == nil || len(d.parts[part].suspects) <= maxSuspectsOfPart {
+			continue
+		}
+		first := oldest(d.parts[part].suspects)
+		d.remove(first)
+		if first == added {
+			return
+		}
+	}
+}
+
 // lastBegun returns the time of the last known answer of a part. The caller holds d.mu.
 func (d *PartDetector) lastBegun(part uint64) time.Time {
 	if r := d.parts[part]; r != nil {
--- a/poison/parts_test.go
+++ b/poison/parts_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
 
 	"ebonypulley/poison"
 )
@@ -381,3 +382,24 @@
 		assert.True(t, d.Blocked(now, prompt(first, badTwo)), fmt.Sprint(crashes, " crashes of each other part"))
 	}
 }
+
+// TestOlderCrashOfBlockedPart guards against a detector that removes the suspect which it is
+// adding, because news of a crash is older than all suspects of a blocked part.
+func TestOlderCrashOfBlockedPart(t *testing.T) {
+	d, f := poison.NewPartDetector(), &partFleet{}
+	now := at(0)
+	for range 60 {
+		now = now.Add(300 * time.Millisecond)
+		recordCrash(d, now, f.crash(prompt(badPart)))
+	}
+	assert.True(t, d.Blocked(now, prompt(badPart)))
+	for i := range uint64(3) {
+		older := f.crash(prompt(badPart, badPart+0x1000+i, badPart+0x2000+i))
+		older[0].Age = time.Minute
+		require.NotPanics(t, func() { recordCrash(d, now, older) })
+	}
+	recordCrash(d, now, f.crash(prompt(badPart, badPart+0x1000)))
+	assert.True(t, d.Blocked(now, prompt(badPart)))
+	updates, _ := d.Updates(now, 0)
+	assert.NotEmpty(t, updates.Crashes)
+}
