Plain calls: the record of waiting calls changes together with the list

What callers saw: after bursts with a crashed worker, entries served no plain call until they were restarted, or ended by themselves. Cause: hold.waiting and waitList.waiters are two records of one waiting call. A call was in the first before it was in the second, and left it later. A pass in between refused a call that was not in the list: a nil dereference, in the goroutine of another call (recovered by net/http) or of a timer (the process ends). Class: one fact in two records that change at different moments. The queues of generations have one record. Change: the list calls added and removed with its lock held; hold follows them. What a pass refuses is collected first and ended outside of hold's lock.

--- a/router/hold.go
+++ b/router/hold.go
@@ -47,7 +47,8 @@
 	service string
 	list    *waitList
 
-	mu      sync.Mutex
+	mu sync.Mutex
+	// waiting holds the calls in list. It changes with the lock of the list held, too.
 	waiting map[*queue.Request]*heldCall
 	// onTime and late keep the calls at endpoints within the shares, atEndpoint counts them.
 	onTime, late share.Meter
@@ -125,22 +126,21 @@
 	if p.c.Workspace != nil {
 		w.request.Workspace = p.c.Workspace.ID
 	}
-	h.mu.Lock()
-	h.waiting[w.request] = w
-	h.mu.Unlock()
 	try := func(now time.Time) (bool, error) {
 		if ctx.Err() != nil {
 			return false, ctx.Err()
 		}
 		return h.try(now, w)
 	}
-	err := h.list.wait(ctx, w.request, &waiter{try: try, refused: func() error { return h.r.refusePoison(p.c) }})
-	h.mu.Lock()
-	if _, waits := h.waiting[w.request]; waits {
-		delete(h.waiting, w.request)
+	err := h.list.wait(ctx, w.request, &waiter{
+		try: try, refused: func() error { return h.r.refusePoison(p.c) },
+		added: func() { h.setWaiting(w, true) }, removed: func() { h.setWaiting(w, false) },
+	})
+	if err != nil && !errorx.IsOfType(err, errNoEndpoint) {
+		h.mu.Lock()
 		h.report(time.Now())
+		h.mu.Unlock()
 	}
-	h.mu.Unlock()
 	switch {
 	case err == nil:
 		h.r.metrics.Histogram("queue." + p.c.class()).Record(time.Since(now))
@@ -150,6 +150,17 @@
 	return err
 }
 
+// setWaiting records whether a call waits. It is called with the lock of the list held.
+func (h *hold) setWaiting(w *heldCall, waits bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if waits {
+		h.waiting[w.request] = w
+		return
+	}
+	delete(h.waiting, w.request)
+}
+
 // latestStart returns how long a call may wait and still meet its target, unless it takes much
 // longer than the mean.
 func latestStart(target, callTime time.Duration) time.Duration {
@@ -447,9 +458,17 @@
 // refuseHopeless refuses the waiting calls that have no chance any more. It is called before
 // each pass of the list.
 func (h *hold) refuseHopeless(now time.Time) {
+	for r, err := range h.findHopeless(now) {
+		h.list.end(r, err)
+	}
+}
+
+// findHopeless returns the waiting calls that have no chance any more, and why.
+func (h *hold) findHopeless(now time.Time) map[*queue.Request]error {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	var d serviceDemand
+	refused := make(map[*queue.Request]error)
 	for r, w := range h.waiting {
 		if !w.mayBeHopeless(now) || !w.judged && !now.Before(r.GiveUpAt) {
 			continue // one with little time from the start may still find room
@@ -458,9 +477,10 @@
 			d = h.measure(now, w.c.Route.LatencyTarget)
 		}
 		if err := h.judge(now, w, d); err != nil {
-			h.list.end(r, err)
+			refused[r] = err
 		}
 	}
+	return refused
 }
 
 // isFull reports whether an attempt ended with err because the endpoint turned it away.
--- a/router/waiting.go
+++ b/router/waiting.go
@@ -49,6 +49,9 @@
 	try func(now time.Time) (started bool, err error)
 	// refused returns an error if the request must wait no longer, whatever room there is.
 	refused func() error
+	// added and removed, which may be nil, are called when the request is added to the list and
+	// removed from it, with the lock of the list held, so that what they keep agrees with it.
+	added, removed func()
 	// ended receives the result of the wait.
 	ended chan error
 }
@@ -76,6 +79,9 @@
 	l.mu.Lock()
 	l.queue.Add(time.Now(), r)
 	l.waiters[r] = w
+	if w.added != nil {
+		w.added()
+	}
 	l.length.Store(int64(l.queue.Len()))
 	l.mu.Unlock()
 	l.wake()
@@ -92,11 +98,21 @@
 	default:
 	}
 	l.queue.Remove(r)
-	delete(l.waiters, r)
+	l.remove(r)
 	l.length.Store(int64(l.queue.Len()))
 	return ctx.Err()
 }
 
+// remove removes a request from the waiters and returns it. The caller holds l.mu.
+func (l *waitList) remove(r *queue.Request) *waiter {
+	w := l.waiters[r]
+	delete(l.waiters, r)
+	if w.removed != nil {
+		w.removed()
+	}
+	return w
+}
+
 // refuse refuses the requests that must wait no longer.
 func (l *waitList) refuse() {
 	if l.length.Load() == 0 {
@@ -182,8 +198,7 @@
 	} else {
 		l.queue.Remove(r)
 	}
-	l.waiters[r].ended <- err
-	delete(l.waiters, r)
+	l.remove(r).ended <- err
 }
 
 // setTimer wakes the list when the order changes or a request expires, and after
