Waiting requests: a panic in a pass ends neither later passes nor leaves its request behind

What callers saw: once a pass had panicked, nothing that waited for that service was tried again. Cause: a pass runs in the goroutine of a request. net/http recovers its panic; the count of wakes stayed above zero, so that no pass followed, no timer was set, and the request stayed in the list, where it would have got a slot that nobody uses. Class: a panic that leaves a count behind. Change: the count is reset, the next pass scheduled and the request discarded in deferred calls. Conclusion: mended.

--- a/router/waiting.go
+++ b/router/waiting.go
@@ -84,23 +84,30 @@
 	}
 	l.length.Store(int64(l.queue.Len()))
 	l.mu.Unlock()
+	defer l.discard(r) // a pass may panic here
 	l.wake()
 	select {
 	case err := <-w.ended:
 		return err
 	case <-ctx.Done():
 	}
+	if l.discard(r) {
+		return ctx.Err()
+	}
+	return <-w.ended // it started meanwhile; the caller of wait releases what it holds
+}
+
+// discard removes a request from the list. It reports whether the request was waiting.
+func (l *waitList) discard(r *queue.Request) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	select {
-	case err := <-w.ended:
-		return err // it started meanwhile; the caller of wait releases what it holds
-	default:
+	if l.waiters[r] == nil {
+		return false
 	}
 	l.queue.Remove(r)
 	l.remove(r)
 	l.length.Store(int64(l.queue.Len()))
-	return ctx.Err()
+	return true
 }
 
 // remove removes a request from the waiters and returns it. The caller holds l.mu.
@@ -146,10 +153,16 @@
 	if l.wakes.Add(1) > 1 {
 		return
 	}
+	passed := false
+	defer func() {
+		if !passed {
+			l.wakes.Store(0) // a panic in a pass must not end all passes
+		}
+	}()
 	for {
 		seen := l.wakes.Load()
 		l.passOnce()
-		if l.wakes.CompareAndSwap(seen, 0) {
+		if passed = l.wakes.CompareAndSwap(seen, 0); passed {
 			return
 		}
 	}
@@ -159,6 +172,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	began := time.Now()
+	defer l.schedulePass(began)
 	if l.beforePass != nil {
 		l.beforePass(began)
 	}
@@ -166,6 +180,10 @@
 	if l.afterPass != nil {
 		l.afterPass(began)
 	}
+}
+
+// schedulePass schedules the pass after one that began at a time. The caller holds l.mu.
+func (l *waitList) schedulePass(began time.Time) {
 	l.length.Store(int64(l.queue.Len()))
 	now := time.Now()
 	interval := max(min(maxPassTime*now.Sub(began), maxPassInterval), minPassInterval)
--- a/router/waiting_test.go
+++ b/router/waiting_test.go
@@ -192,3 +192,26 @@
 		assert.Equal(t, int64(50), others.Load())
 	})
 }
+
+// TestListWorksAfterPanicInPass guards against a list that never tries again because a pass
+// panicked, in the goroutine of one request.
+func TestListWorksAfterPanicInPass(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l, room := newWaitList(queue.ByUrgency), &fakeRoom{free: 1}
+		panics := true
+		l.beforePass = func(time.Time) {
+			if panics {
+				panics = false
+				panic("once")
+			}
+		}
+		wait := func() error {
+			return l.wait(t.Context(), request(1, time.Minute), &waiter{try: room.try(1)})
+		}
+		assert.Panics(t, func() { _ = wait() })
+		assert.Zero(t, l.queue.Len(), "nobody waits for the request any more")
+		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+		defer cancel()
+		assert.NoError(t, l.wait(ctx, request(1, time.Minute), &waiter{try: room.try(1)}))
+	})
+}
