Limits of workspaces: a bucket takes any number of tokens in one step

What callers saw: after one request with 2,147,483,647 output tokens of a tenant with a burst of one token, its entry answered no request of a tenant any more. Cause: spend took the tokens from the bucket in pieces of the burst, one call each, with the ledger locked. Class: work in proportion to a number that a caller names, under a lock. Looked for elsewhere: loops over slots of returns are bounded by maxSlots, ranks by maxRank, parts of a prompt by maxParts; none other found in the packages that decide. Change: the burst of the bucket is raised for the one call.

--- a/quota/quota.go
+++ b/quota/quota.go
@@ -369,13 +369,14 @@
 }
 
 // spend takes tokens from the bucket, even more than it holds. Negative tokens are returned
-// to it.
+// to it. A bucket takes no more than its burst at once, which is therefore raised meanwhile.
 func (a *account) spend(now time.Time, tokens float64) {
 	tokens += a.remainder
 	whole := math.Floor(tokens)
 	a.remainder = tokens - whole
-	for burst := float64(a.bucket.Burst()); whole > burst; whole -= burst {
-		a.bucket.ReserveN(now, int(burst))
+	if burst := a.bucket.Burst(); whole > float64(burst) {
+		a.bucket.SetBurstAt(now, int(whole))
+		defer a.bucket.SetBurstAt(now, burst)
 	}
 	a.bucket.ReserveN(now, int(whole))
 }
--- a/quota/quota_test.go
+++ b/quota/quota_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"testing"
 	"time"
 
@@ -373,3 +374,26 @@
 	}
 	assert.True(t, e.Take(at(6*time.Second), workspace, 200).OK)
 }
+
+// TestLargestRequestAtSmallBurst guards against work in proportion to the tokens that a caller
+// names: a request of 2 billion tokens held the ledger of its entry for minutes.
+func TestLargestRequestAtSmallBurst(t *testing.T) {
+	const tokens = 1000 + math.MaxInt32
+	l := quota.NewLedger(quota.Settings{SingleEntry: true})
+	l.SetFleetSize(1)
+	l.SetLimits(map[quota.ID]quota.Limit{workspace: {Rate: 100_000, Burst: 1}})
+	now := time.Unix(1000, 0)
+	taken := make(chan quota.Decision, 1)
+	go func() { taken <- l.Take(now, workspace, tokens) }()
+	select {
+	case d := <-taken:
+		assert.True(t, d.OK)
+	case <-time.After(5 * time.Second):
+		t.Fatal("the ledger is still held")
+	}
+	d := l.Take(now, workspace, 1)
+	assert.False(t, d.OK)
+	assert.InDelta(t, -tokens, d.Level, 100, "the debt")
+	l.Return(now, workspace, tokens)
+	assert.True(t, l.Take(now, workspace, 1).OK)
+}
