Requests to endpoints: the target is sent as it came

What callers saw: a request for //seat/book was run by its worker as one for /book. Cause: the target went through url.URL; net/http writes an opaque part that begins with two slashes in absolute form. Class: bytes that are interpreted again on their way. Tried: double and triple slashes, dot segments, ? alone and twice, percent signs, semicolons, a fragment, non-ASCII and invalid UTF-8, a user and host, a backslash, an address in the path; of these only those that begin with two slashes were changed. Other forms (*, absolute, authority, invalid escapes, control characters) are refused with 400 or 404. Change: upstream writes the head of a request itself. The headers left out are those that net/http left out; a User-Agent is no longer added to calls of an engine's own API.

--- a/upstream/exchange.go
+++ b/upstream/exchange.go
@@ -1,12 +1,12 @@
 package upstream
 
 import (
-	"bytes"
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
-	"net/url"
+	"strings"
 	"sync/atomic"
 	"time"
 )
@@ -111,13 +111,12 @@
 	}
 	r := &Response{pool: p, target: t, conn: c}
 	r.watch(ctx)
-	hr := req.httpRequest(t)
 	if len(req.Body) <= maxInlineBody {
-		r.write(hr)
+		r.write(req)
 	} else {
-		go r.write(hr)
+		go r.write(req)
 	}
-	if err := r.readHead(hr, req.Matches); err != nil {
+	if err := r.readHead(&http.Request{Method: req.Method}, req.Matches); err != nil {
 		if !c.reused && ctx.Err() == nil {
 			p.recordBroken(t)
 		}
@@ -130,24 +129,48 @@
 	return r, nil
 }
 
-func (req *Request) httpRequest(t Target) *http.Request {
-	hr := &http.Request{
-		Method: req.Method,
-		URL:    &url.URL{Scheme: "http", Host: t.Addr, Opaque: req.URI},
-		Host:   req.Host,
-		Header: req.Header,
+// ownHeaders are the headers that encode writes itself.
+var ownHeaders = map[string]bool{"Host": true, "Content-Length": true, "Transfer-Encoding": true, "Trailer": true}
+
+// errTarget is returned for a request line that can't be sent.
+var errTarget = upstreamErrors.NewType("target")
+
+// encode writes the request. Unlike http.Request.Write it sends the target as it is: that one
+// writes a target which begins with two slashes in absolute form.
+func (req *Request) encode(w io.Writer) error {
+	if strings.ContainsFunc(req.Method+req.URI+req.Host, isSpaceOrControl) {
+		return errTarget.New("%q %q %q", req.Method, req.URI, req.Host)
+	}
+	if _, err := fmt.Fprintf(w, "%s %s HTTP/1.1\r\nHost: %s\r\n", req.Method, req.URI, req.Host); err != nil {
+		return err
+	}
+	if len(req.Body) > 0 || req.expectsBody() {
+		if _, err := fmt.Fprintf(w, "Content-Length: %d\r\n", len(req.Body)); err != nil {
+			return err
+		}
 	}
-	if len(req.Body) > 0 {
-		hr.Body = io.NopCloser(bytes.NewReader(req.Body))
-		hr.ContentLength = int64(len(req.Body))
+	if err := req.Header.WriteSubset(w, ownHeaders); err != nil {
+		return err
 	}
-	return hr
+	if _, err := io.WriteString(w, "\r\n"); err != nil {
+		return err
+	}
+	_, err := w.Write(req.Body)
+	return err
 }
 
+// expectsBody reports whether the method's requests usually have a body, so that an empty one
+// has a length.
+func (req *Request) expectsBody() bool {
+	return req.Method == http.MethodPost || req.Method == http.MethodPut || req.Method == http.MethodPatch
+}
+
+func isSpaceOrControl(r rune) bool { return r <= ' ' || r == 0x7f }
+
 // write sends the request. A long body is written while the answer is read,
 // because an endpoint may answer before it has read the body.
-func (r *Response) write(hr *http.Request) {
-	err := hr.Write(r.conn.bw)
+func (r *Response) write(req *Request) {
+	err := req.encode(r.conn.bw)
 	if err == nil {
 		err = r.conn.bw.Flush()
 	}
