Refusals of endpoints: their body is read for 10 ms at most

What callers saw: nothing yet. A worker that refuses with a body without end held its refusal back: the caller got 503 at its deadline, and no other worker was tried before. Cause: the body of a refusal was read to its end, within 64 KB but without a bound in time, only to use the connection again. Change: Response.Discard reads what arrives within 10 ms, else the connection is closed.

--- a/upstream/exchange.go
+++ b/upstream/exchange.go
@@ -89,6 +89,10 @@
 }
 
 const (
+	// discardTimeout and maxDiscarded, in bytes, bound the body of an answer that is not used. A
+	// short body arrives with its header.
+	discardTimeout = 10 * time.Millisecond
+	maxDiscarded   = 64 << 10
 	// maxInlineBody is the size in bytes up to which a body is written before
 	// the answer is read. Together with the header it fits into any endpoint's
 	// receive window, so that the write can't block.
@@ -285,6 +289,18 @@
 	r.sideDone()
 }
 
+// Discard ends the exchange without the body. The connection is kept if the body ends within
+// discardTimeout and maxDiscarded bytes.
+func (r *Response) Discard() {
+	if r.conn.nc.SetReadDeadline(time.Now().Add(discardTimeout)) == nil {
+		_, _ = io.Copy(io.Discard, io.LimitReader(r, maxDiscarded)) // Close looks at what was read
+	}
+	if r.conn.nc.SetReadDeadline(time.Time{}) != nil {
+		r.reusable = false
+	}
+	r.Close()
+}
+
 // abort closes the connection.
 func (r *Response) abort() {
 	r.unwatch()
