Watchdog: the time of the last event is read with its lock held

Cause: after a probe, lastActivity and goneAfter were read without the lock while an event sets them. A verdict on the old time was then discarded by the epoch, so that only the report of the race remained. Change: mayBeGone reads them, and the epoch, with the lock held.

--- a/router/watch.go
+++ b/router/watch.go
@@ -165,7 +165,7 @@
 		return
 	}
 	w.r.metrics.Add("endpoints_asked_alive", 1)
-	if !w.r.probes.alive(w.e) && time.Since(w.lastActivity) >= w.goneAfter && w.r.anotherAnswers(w.e) {
+	if !w.r.probes.alive(w.e) && w.mayBeGone(epoch) && w.r.anotherAnswers(w.e) {
 		w.conclude(epoch, gone)
 		return
 	}
@@ -181,6 +181,14 @@
 	w.timer.Reset(next)
 }
 
+// mayBeGone reports whether an endpoint that answers no probe may be abandoned: it has been silent
+// for long enough, and there was no activity since epoch.
+func (w *watchdog) mayBeGone(epoch int) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return !w.stopped && w.epoch == epoch && time.Since(w.lastActivity) >= w.goneAfter
+}
+
 // postpone sets the timer again if there was activity after it had fired. It reports whether
 // there was. The caller holds w.mu.
 func (w *watchdog) postpone(waited time.Duration) bool {
