Test of idle connections: virtual time and connections in memory

Cause: TestIdleConnectionsAreBounded dialled one listener 1,600 times at once, each within the pool's 400 ms. Change: the same calls in virtual time over connections in memory. No call may fail, all 1,600 connections must be open at once, and the bound of 512 holds as soon as all calls have ended, not within a second.

--- a/upstream/upstream_test.go
+++ b/upstream/upstream_test.go
@@ -357,31 +357,40 @@
 // TestIdleConnectionsAreBounded guards against a pool that keeps connections, with their
 // buffers, to each of hundreds of endpoints until the memory of a small VM is used up.
 func TestIdleConnectionsAreBounded(t *testing.T) {
-	const endpoints, each, maxIdle = 200, 8, 512
-	var open atomic.Int32
-	target, _ := serveConns(t, func(_ int, c net.Conn) {
-		open.Add(1)
-		defer open.Add(-1)
-		br := bufio.NewReader(c)
-		for r := readRequest(t, br); r != nil; r = readRequest(t, br) {
-			time.Sleep(20 * time.Millisecond)
-			_, _ = io.WriteString(c, rawAnswer(r.Header.Get("Id"), "ok"))
+	synctest.Test(t, func(t *testing.T) {
+		const endpoints, each, maxIdle = 200, 8, 512
+		var open, most atomic.Int32
+		p := upstream.NewPool(func(context.Context, string, string) (net.Conn, error) {
+			near, far := net.Pipe()
+			most.Store(max(most.Load(), open.Add(1)))
+			go func() {
+				defer open.Add(-1)
+				defer func() { _ = far.Close() }()
+				br := bufio.NewReader(far)
+				for r := readRequest(t, br); r != nil; r = readRequest(t, br) {
+					time.Sleep(20 * time.Millisecond)
+					_, _ = io.WriteString(far, rawAnswer(r.Header.Get("Id"), "ok"))
+				}
+			}()
+			return near, nil
+		})
+		defer p.Close()
+		var wg sync.WaitGroup
+		for i := range endpoints {
+			e := upstream.Target{ID: fmt.Sprint("e", i), Addr: "e"}
+			for range each {
+				wg.Go(func() {
+					_, err := call(p, e, getRequest("a"))
+					assert.NoError(t, err)
+				})
+			}
 		}
+		wg.Wait()
+		synctest.Wait()
+		assert.Equal(t, int32(endpoints*each), most.Load(), "all calls have connections of their own")
+		assert.LessOrEqual(t, open.Load(), int32(maxIdle), "idle connections stay open")
+		assert.Positive(t, open.Load())
 	})
-	p := upstream.NewPool(nil)
-	defer p.Close()
-	var wg sync.WaitGroup
-	for i := range endpoints {
-		e := upstream.Target{ID: fmt.Sprint("e", i), Addr: target.Addr}
-		for range each {
-			wg.Go(func() {
-				_, err := call(p, e, getRequest("a"))
-				assert.NoError(t, err)
-			})
-		}
-	}
-	wg.Wait()
-	assert.Eventually(t, func() bool { return open.Load() <= maxIdle }, time.Second, 5*time.Millisecond, "idle connections stay open")
 }
 
 // TestResetBeforeSendIsConnectError: an endpoint at its connection limit resets each new
