Tests of simulated load: contents and promised returns depend on the seed

Cause: the simulated load drew the content hashes of its requests without a seed. They choose among engines, so that plays with one seed differed by more than the order of goroutines. Routers with a seed drew the returns that they promise without one. Change: contents follow from the seeded load; the calendar gets the router's seed. Conclusion: partial: the order of goroutines is not part of the seed yet.

--- a/emulator/freeze_test.go
+++ b/emulator/freeze_test.go
@@ -113,11 +113,12 @@
 		prompt := d.work.MeanPrompt/2 + d.rnd.IntN(d.work.MeanPrompt)
 		answer := d.work.MeanAnswer/4 + d.rnd.IntN(d.work.MeanAnswer*3/2)
 		r, again := d.routers[d.rnd.IntN(len(d.routers))], d.rnd.IntN(4) > 0
-		d.wg.Go(func() { d.generate(r, prompt, answer, again) })
+		content := d.nextContent(prompt, answer)
+		d.wg.Go(func() { d.generate(r, content, prompt, answer, again) })
 	}
 }
 
-func (d *freezeTest) generate(r *router.Router, prompt, answer int, again bool) {
+func (d *freezeTest) generate(r *router.Router, content uint64, prompt, answer int, again bool) {
 	route := &router.Route{Name: "draft", Kind: router.Generation, MaxAttempts: 1, Resumable: again, LatencyTarget: ttftTarget, MaxGap: maxGap, SilenceTimeout: 4 * ttftTarget}
 	if again {
 		route.MaxAttempts = 2
@@ -125,7 +126,7 @@
 	const wait = 14 * time.Second
 	now, s := time.Now(), &sink{}
 	c := &router.Call{ID: "c", Route: route, Service: d.fleet.Service, ReceivedAt: now, Deadline: now.Add(wait), Timeout: wait,
-		ContentHash: rand.Uint64(), PromptTokens: prompt, MaxOutputTokens: 2 * d.work.MeanAnswer, LengthHint: answer, ResumeAfter: router.NoEvent}
+		ContentHash: content, PromptTokens: prompt, MaxOutputTokens: 2 * d.work.MeanAnswer, LengthHint: answer, ResumeAfter: router.NoEvent}
 	_, fail := r.Generate(d.ctx, c, s)
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -173,14 +174,15 @@
 			kind, attempts = router.NonIdempotent, 1
 		}
 		r := d.routers[rnd.IntN(len(d.routers))]
-		d.wg.Go(func() { d.call(r, kind, attempts) })
+		content := rnd.Uint64()
+		d.wg.Go(func() { d.call(r, content, kind, attempts) })
 	}
 }
 
-func (d *freezeTest) call(r *router.Router, kind router.RouteKind, attempts int) {
+func (d *freezeTest) call(r *router.Router, content uint64, kind router.RouteKind, attempts int) {
 	now := time.Now()
 	c := &router.Call{ID: "p", Route: &router.Route{Name: "submit", Kind: kind, MaxAttempts: attempts, LatencyTarget: 300 * time.Millisecond, Timeout: plainTimeout},
-		Service: d.fleet.PlainService, ReceivedAt: now, Deadline: now.Add(plainTimeout), Timeout: plainTimeout, ContentHash: rand.Uint64()}
+		Service: d.fleet.PlainService, ReceivedAt: now, Deadline: now.Add(plainTimeout), Timeout: plainTimeout, ContentHash: content}
 	ctx, cancel := context.WithDeadline(d.ctx, c.Deadline)
 	defer cancel()
 	_, fail := r.Call(ctx, c)
--- a/emulator/sheets_test.go
+++ b/emulator/sheets_test.go
@@ -75,7 +75,8 @@
 	rnd          *rand.Rand
 	mu           sync.Mutex
 	generations  []generation
-	promptTokens int // of all requests
+	promptTokens int    // of all requests
+	contents     uint64 // number of contents so far
 	wg           sync.WaitGroup
 	metrics      *metrics.Set
 }
@@ -126,16 +127,23 @@
 		answer := d.work.MeanAnswer/4 + d.rnd.IntN(d.work.MeanAnswer*3/2)
 		r := d.routers[d.rnd.IntN(len(d.routers))]
 		d.promptTokens += prompt
-		d.wg.Go(func() { d.send(r, prompt, answer) })
+		content := d.nextContent(prompt, answer)
+		d.wg.Go(func() { d.send(r, content, prompt, answer) })
 	}
 }
 
+// nextContent returns the content hash of the next request. It chooses among engines, so it must
+// depend on the seed of the load alone.
+func (d *loadTest) nextContent(prompt, answer int) uint64 {
+	d.contents++
+	return rand.NewPCG(d.contents, uint64(prompt)<<32|uint64(answer)).Uint64()
+}
+
 // send makes the attempts of one caller, which retries once after a refusal.
-func (d *loadTest) send(r *router.Router, prompt, answer int) {
+func (d *loadTest) send(r *router.Router, content uint64, prompt, answer int) {
 	route := &router.Route{Name: "draft", Kind: router.Generation, MaxAttempts: 2, Resumable: true, LatencyTarget: ttftTarget, MaxGap: maxGap, SilenceTimeout: 4 * ttftTarget}
 	out := generation{sentAt: time.Now()}
 	const wait = 14 * time.Second
-	content := rand.Uint64()
 	for try := range 2 {
 		now := time.Now()
 		c := &router.Call{ID: "c", Route: route, Service: d.fleet.Service, ReceivedAt: now, Deadline: out.sentAt.Add(wait), Timeout: out.sentAt.Add(wait).Sub(now),
--- a/router/router.go
+++ b/router/router.go
@@ -107,7 +107,7 @@
 		}),
 		paces:           pace.NewTracker(),
 		shares:          share.NewTable(),
-		calendar:        returns.NewCalendar(),
+		calendar:        returns.NewSeeded(seed),
 		releases:        release.NewTracker(),
 		log:             log,
 		metrics:         m,
