--- a/router/arrivals.go
+++ b/router/arrivals.go
@@ -10,9 +10,13 @@
 	"ebonypulley/limit"
 )
 
-// maxArrivalDelay is how long an attempt that was given up without an answer may still arrive
-// at its endpoint.
-const maxArrivalDelay = time.Minute
+const (
+	// maxArrivalDelay is how long an attempt that was given up without an answer may still
+	// arrive at its endpoint.
+	maxArrivalDelay = time.Minute
+	// arrivalSweepInterval is the interval at which older ones are forgotten.
+	arrivalSweepInterval = 5 * time.Second
+)
 
 // arrivalTracker knows which attempts may still arrive at their endpoints.
 //
@@ -24,6 +28,8 @@
 	mu sync.Mutex
 	// unanswered holds the attempts that were given up, by endpoint ID.
 	unanswered map[string][]*unansweredAttempt
+	// sweeping says that a sweep is to come.
+	sweeping bool
 }
 
 // unansweredAttempt is an attempt that was sent and given up without an answer.
@@ -63,7 +69,27 @@
 	defer t.mu.Unlock()
 	a.open++
 	t.unanswered[endpoint] = append(t.unanswered[endpoint], &unansweredAttempt{givenUpAt: now, request: a})
-	time.AfterFunc(maxArrivalDelay, func() { t.recordAnswer(time.Now(), endpoint, now) })
+	t.scheduleSweep()
+}
+
+// scheduleSweep schedules the next sweep while there are attempts. The caller holds t.mu.
+func (t *arrivalTracker) scheduleSweep() {
+	if !t.sweeping && len(t.unanswered) > 0 {
+		t.sweeping = true
+		time.AfterFunc(arrivalSweepInterval, t.sweep)
+	}
+}
+
+// sweep forgets the attempts that were given up long ago.
+func (t *arrivalTracker) sweep() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	now := time.Now()
+	for endpoint := range t.unanswered {
+		t.close(now, endpoint, now.Add(-maxArrivalDelay))
+	}
+	t.sweeping = false
+	t.scheduleSweep()
 }
 
 // settle settles a charge for an attempt that has arrived or may still arrive; c may be nil.
@@ -85,13 +111,19 @@
 func (t *arrivalTracker) recordAnswer(now time.Time, endpoint string, sentAt time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	t.close(now, endpoint, sentAt)
+}
+
+// close records that the attempts at an endpoint that were given up by a time can't arrive any
+// more. The caller holds t.mu.
+func (t *arrivalTracker) close(now time.Time, endpoint string, givenUpBy time.Time) {
 	list := t.unanswered[endpoint]
 	if len(list) == 0 {
 		return
 	}
 	kept := list[:0]
 	for _, u := range list {
-		if u.givenUpAt.After(sentAt) {
+		if u.givenUpAt.After(givenUpBy) {
 			kept = append(kept, u)
 			continue
 		}
