Resumed streams: the log tells how a software version was found

Cause: after a restart of all entries streams held events of two versions, and nothing told from which source an entry had the version, how far back it knew the endpoints and when the stream may have begun.

Ruled out: a field of 6004, which is missing where a stream is refused.

Change: event 6028 for each resumed stream, counters by source, version_gone. No decision changes.

Conclusion: the line tells a version that was taken from the list from one that was told or worked out.

--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -88,6 +88,7 @@
 	PeerTraffic      = define(6024, zap.InfoLevel, "sent to other entries in the last minute")
 	PeerStalled      = define(6026, zap.WarnLevel, "connection to another entry closed: it stalls and memory is short")
 	PeerFrameRefused = define(6027, zap.WarnLevel, "no memory for a message from or to another entry")
+	VersionFound     = define(6028, zap.InfoLevel, "software version of a resumed stream looked up")
 	QuotaRefused     = define(6030, zap.InfoLevel, "request refused at the limit of its workspace")
 	ReturnBooked     = define(6031, zap.InfoLevel, "return of a refused caller booked")
 	ReturnNotBooked  = define(6032, zap.InfoLevel, "no room for the return of a refused caller")
--- a/release/release.go
+++ b/release/release.go
@@ -177,16 +177,29 @@
 // Find returns the version of a stream that began after a time. It returns false if that can't
 // be told.
 func (t *Tracker) Find(after time.Time, name, request string) (version string, ok bool) {
+	f := t.Trace(after, name, request)
+	return f.Version, f.Source != Unknown
+}
+
+// Trace returns the version of a stream that began after a time, and how it was found.
+func (t *Tracker) Trace(after time.Time, name, request string) Finding {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	s := t.services[name]
 	key := rendezvous.Hash(request)
 	if x := t.streams[key]; x != nil && request != "" {
-		return x.version, true
+		return s.finding(x.version, true, Told)
 	}
 	if request == "" {
-		return t.services[name].onlyVersion()
+		version, ok := s.onlyVersion()
+		return s.finding(version, ok, OnlyVersion)
+	}
+	source := Computed
+	if s == nil || s.since.After(after.Add(-viewLag)) {
+		source = OnlyVersion
 	}
-	return t.compute(after, name, key)
+	version, ok := t.compute(after, name, key)
+	return s.finding(version, ok, source)
 }
 
 // onlyVersion returns the version that all remembered endpoints of a service have.
--- a/router/admit.go
+++ b/router/admit.go
@@ -199,6 +199,7 @@
 		rule.fill = maxFill // its prompt is already prefilled, and the result expires soon
 	}
 	if g.versionGone() {
+		g.r.metrics.Add("version_gone", 1)
 		return placement{}, false, errVersionGone.New("no engine of %s has the software version %s of the stream", g.c.Service.Name, g.version)
 	}
 	var p placement
--- a/router/software.go
+++ b/router/software.go
@@ -3,6 +3,9 @@
 import (
 	"time"
 
+	"go.uber.org/zap"
+
+	"ebonypulley/event"
 	"ebonypulley/release"
 )
 
@@ -52,14 +55,23 @@
 		g.version = g.r.releases.Preferred(g.c.Service.Name, g.c.ID)
 		return nil
 	}
-	version, ok := g.r.releases.Find(g.earliestBegin(), g.c.Service.Name, g.c.Resumes)
-	if !ok {
+	f := g.r.releases.Trace(g.earliestBegin(), g.c.Service.Name, g.c.Resumes)
+	g.recordFinding(f)
+	if f.Source == release.Unknown {
 		return errVersionUnknown.New("it is unknown at which software version %q began", g.c.Resumes)
 	}
-	g.version, g.versionFixed = version, true
+	g.version, g.versionFixed = f.Version, true
 	return nil
 }
 
+// recordFinding counts and logs how the version of a resumed stream was found.
+func (g *generationRun) recordFinding(f release.Finding) {
+	g.r.metrics.Add("version_"+string(f.Source), 1)
+	g.r.log.Emit(event.VersionFound, zap.String("request", g.c.ID), zap.String("resumes", g.c.Resumes), zap.String("service", g.c.Service.Name),
+		zap.String("software", f.Version), zap.String("source", string(f.Source)), zap.Int64("after", g.c.ResumeAfter),
+		zap.Duration("known_for", g.c.ReceivedAt.Sub(f.Since)), zap.Duration("began_within", g.c.ReceivedAt.Sub(g.earliestBegin())))
+}
+
 // earliestBegin returns when the stream that the caller resumes began at the earliest: with the
 // caller's first attempt, whose timeout was no longer than that of the route or the longest seen.
 func (g *generationRun) earliestBegin() time.Time {
