Tests of a restart of all entries: streams are joined or given up

Cause: reproduced in virtual time: five entries before six engines, all entries killed while two versions serve, just after the old version has left, and during a release. What an entry lists after its start stands for what was listed when a stream began.

The engines of the model keep prompts, as real ones do.

--- a/router/version_test.go
+++ b/router/version_test.go
@@ -28,8 +28,11 @@
 	t       *testing.T
 	rnd     *rand.Rand
 	entries []*versionEntry
-	// engines are published, draining ones still serve.
+	// engines are published, draining ones still serve. down says that all entries are killed.
 	engines, draining []*router.Endpoint
+	down              bool
+	// caches holds the prompts that each engine keeps, the latest last.
+	caches map[string][]string
 
 	mu      sync.Mutex
 	callers sync.WaitGroup
@@ -94,6 +97,7 @@
 	if !v.site.serves(e) {
 		return nil, router.ErrNotListening.New("gone")
 	}
+	v.site.cache(e, c.Session)
 	last := int64(streamEvents)
 	if v.site.random(4) == 0 {
 		last = max(s.After, 0) + int64(v.site.random(8))
@@ -144,7 +148,7 @@
 
 // newVersionSite returns a site with a number of engines of each version: v1, v2 and so on.
 func newVersionSite(t *testing.T, seed uint64, entries int, perVersion ...int) *versionSite {
-	s := &versionSite{t: t, rnd: rand.New(rand.NewPCG(seed, seed))}
+	s := &versionSite{t: t, rnd: rand.New(rand.NewPCG(seed, seed)), caches: make(map[string][]string)}
 	for i, n := range perVersion {
 		for range n {
 			s.addEngine(fmt.Sprint("v", i+1))
@@ -294,8 +298,9 @@
 	for try := range 4 {
 		route := resumableRoute
 		route.Timeout = 14 * time.Second
+		s.awaitEntries()
 		c := newCall(route, llm)
-		c.ID, c.ContentHash = fmt.Sprintf("%x-%d", id, try), uint64(id)
+		c.ID, c.ContentHash, c.Session = fmt.Sprintf("%x-%d", id, try), uint64(id), fmt.Sprintf("part-%x", id)
 		c.Deadline = began.Add(14 * time.Second)
 		c.Timeout = time.Until(c.Deadline)
 		c.ResumeAfter, c.Resumes = sink.last, first
