Streams keep their version when all entries restart: engines are asked

Callers saw streams that ran to their end and held events of two software versions, or streams given up although engines of their version served.

Cause: after a restart of all entries nobody knows which endpoints were published when a stream began. With one version listed it was taken for that of every stream; with several everything was refused, and the callers' retries were spent before anything could be known. The class: what is listed now stands for what was listed then.

Ruled out: exceptions alone (all joined streams began at the version that had just left); the store's history as the source: it has the order of changes but no times, and one that was discarded can't be told from one in which nothing changed.

Change: nothing is taken from the list any more. An entry that starts, and hears of no other that has known the endpoints for longer, asks decode engines which requests they run and which prompts they have cached, each engine once among all entries, at once, since new prompts displace the old ones; it tells the others, and those that start later. A stream that nobody can place is looked for once more among the engines, then refused. Entries tell a newcomer how long they have known services of one version too. Streams that began before an entry knew the endpoints are told when they begin again.

--- a/emulator/fleet.go
+++ b/emulator/fleet.go
@@ -172,6 +172,9 @@
 // Cached implements router.EndpointClient: nothing is cached.
 func (f *Fleet) Cached(context.Context, *router.Endpoint) (map[string]bool, error) { return nil, nil }
 
+// Running implements router.EndpointClient.
+func (f *Fleet) Running(context.Context, *router.Endpoint) ([]string, error) { return nil, nil }
+
 // Probe implements router.EndpointClient.
 func (f *Fleet) Probe(_ context.Context, e *router.Endpoint) error {
 	time.Sleep(roundTrip)
--- a/entry/agents.go
+++ b/entry/agents.go
@@ -127,6 +127,9 @@
 	return nil, nil
 }
 
+// Running implements router.EndpointClient. Agents serve no other entry's requests.
+func (a agentEndpoints) Running(context.Context, *router.Endpoint) ([]string, error) { return nil, nil }
+
 // Probe implements router.EndpointClient. The router does not probe endpoints behind
 // agents; the agents do.
 func (a agentEndpoints) Probe(context.Context, *router.Endpoint) error { return nil }
--- a/gossip/members.go
+++ b/gossip/members.go
@@ -14,6 +14,8 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+
+	"ebonypulley/rendezvous"
 )
 
 const (
@@ -196,6 +198,26 @@
 	return list
 }
 
+// FirstFor returns the entry that ranks first for a key among those that are alive in a data
+// centre, or among all if there is none. All entries with the same view agree on it.
+func (m *Members) FirstFor(now time.Time, dataCentre, key string) string {
+	all := append(m.Alive(now), m.self)
+	near := slices.DeleteFunc(slices.Clone(all), func(a string) bool { return m.dataCentreOf(a) != dataCentre })
+	if len(near) > 0 {
+		all = near
+	}
+	order := rendezvous.Order(rendezvous.Hash(key), len(all), func(i int) string { return all[i] })
+	return all[order[0]]
+}
+
+// dataCentreOf returns the data centre of an entry, empty if unknown.
+func (m *Members) dataCentreOf(addr string) string {
+	if addr == m.self {
+		return m.dataCentre
+	}
+	return m.dataCentres[addr]
+}
+
 // readerTimeout is how long after its last report an entry still counts as the reader of its
 // data centre.
 const readerTimeout = 800 * time.Millisecond
--- a/gossip/node.go
+++ b/gossip/node.go
@@ -193,7 +193,7 @@
 	n.mergePressure(now, r)
 	n.mergeCrashes(now, r.Crashes, r.CrashRates)
 	n.mergePartUpdates(now, r.PartCrashes, r.PartsBegun)
-	n.mergeStreams(now, r.Begun)
+	n.mergeStreams(now, r.Begun, r.Prompts)
 	n.learnMaxEntries(now, r.Most, r.MostAge, r.Counted)
 }
 
@@ -208,7 +208,8 @@
 		reply.Members, reply.Centres, reply.Links = n.membersToList(now, maxListedFirst)
 		reply.Most, reply.MostAge = n.maxEntries(now)
 		reply.Counted = n.Quotas.FleetSizeSettled(now)
-		reply.Versions, reply.Begun = n.versionHistory(now), streamVersions(n.Releases.Exceptions(now))
+		reply.Versions = n.versionHistory(now)
+		reply.Begun, reply.Prompts = streamVersions(n.Releases.Exceptions(now))
 	}
 	return reply
 }
--- a/gossip/releases.go
+++ b/gossip/releases.go
@@ -7,25 +7,31 @@
 	"ebonypulley/wire"
 )
 
-// streamUpdates holds the software versions of streams after a sequence number, and the number
-// up to which they are complete.
+// streamUpdates holds the software versions of streams and of cached prompts after a sequence
+// number, and the number up to which they are complete.
 type streamUpdates struct {
-	list []wire.StreamVersion
-	upTo uint64
+	streams, prompts []wire.StreamVersion
+	upTo             uint64
 }
 
-// streamUpdates returns the streams for an entry that knows all up to a sequence number.
+// streamUpdates returns the updates for an entry that knows all up to a sequence number.
 func (n *Node) streamUpdates(now time.Time, after uint64) streamUpdates {
 	pending, upTo := n.Releases.Updates(now, after)
-	return streamUpdates{list: streamVersions(pending), upTo: upTo}
+	streams, prompts := streamVersions(pending)
+	return streamUpdates{streams: streams, prompts: prompts, upTo: upTo}
 }
 
-func streamVersions(updates []release.Update) []wire.StreamVersion {
-	var list []wire.StreamVersion
+// streamVersions encodes updates, those about streams and those about prompts.
+func streamVersions(updates []release.Update) (streams, prompts []wire.StreamVersion) {
 	for _, u := range updates {
-		list = append(list, wire.StreamVersion(u))
+		v := wire.StreamVersion{Request: u.Request, Version: u.Version}
+		if u.Prompt {
+			prompts = append(prompts, v)
+		} else {
+			streams = append(streams, v)
+		}
 	}
-	return list
+	return streams, prompts
 }
 
 // reachesAll reports whether all entries that are alive get this one's reports. The caller holds
@@ -42,15 +48,27 @@
 	return true
 }
 
-// mergeStreams merges the software versions of streams of another entry.
-func (n *Node) mergeStreams(now time.Time, list []wire.StreamVersion) {
-	updates := make([]release.Update, 0, len(list))
-	for _, s := range list {
-		updates = append(updates, release.Update(s))
+// mergeStreams merges the software versions of streams and of cached prompts that another entry
+// told.
+func (n *Node) mergeStreams(now time.Time, streams, prompts []wire.StreamVersion) {
+	updates := make([]release.Update, 0, len(streams)+len(prompts))
+	for _, s := range streams {
+		updates = append(updates, release.Update{Request: s.Request, Version: s.Version})
+	}
+	for _, p := range prompts {
+		updates = append(updates, release.Update{Request: p.Request, Version: p.Version, Prompt: true})
 	}
 	n.Releases.Merge(now, updates)
 }
 
+// ToAsk reports whether this entry is the one of all that are alive to ask an endpoint of a data
+// centre: each endpoint is asked by one entry, if possible of its own data centre.
+func (n *Node) ToAsk(dataCentre, endpoint string) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.members.FirstFor(time.Now(), dataCentre, endpoint) == n.self.Addr
+}
+
 // versionHistory returns the recent changes of endpoints, for an entry that may have started.
 func (n *Node) versionHistory(now time.Time) []wire.ServiceVersions {
 	var list []wire.ServiceVersions
--- a/gossip/report.go
+++ b/gossip/report.go
@@ -182,7 +182,7 @@
 		From: n.self.Addr, DataCentre: n.self.DataCentre, Incarnation: n.incarnation, Work: work, Avoided: n.ownAvoided(now), Demand: n.ownDemand(now),
 		Revision: own.Count, Era: own.Era, Behind: v.asksPublished,
 		Link: n.self.LinkMbps, NoStore: n.StoreFailed(), Crashes: crashes.list, CrashRates: crashes.rates,
-		Unsure: v.unsure, Begun: begun.list, PartCrashes: parts.crashes, PartsBegun: parts.begun,
+		Unsure: v.unsure, Begun: begun.streams, Prompts: begun.prompts, PartCrashes: parts.crashes, PartsBegun: parts.begun,
 	}
 	if v.use {
 		r.Use, r.Limits = use, limits
--- /dev/null
+++ b/release/recovered.go
@@ -0,0 +1,105 @@
+package release
+
+import (
+	"maps"
+	"time"
+
+	"ebonypulley/rendezvous"
+)
+
+const (
+	// promptRetention is how long it is remembered which engines had cached a prompt: longer
+	// than callers resume a stream.
+	promptRetention = time.Minute
+	// maxPrompts bounds the prompts that are remembered, maxToldPrompts those of them that
+	// are told to an entry that has started.
+	maxPrompts     = 1 << 14
+	maxToldPrompts = 1 << 9
+)
+
+// prompt is a prompt that engines had in their cache. version is empty if they have several.
+type prompt struct {
+	version string
+	at      time.Time
+}
+
+// EngineState is what one engine runs and has cached.
+type EngineState struct {
+	Service string
+	Version string
+	// Requests are the IDs of the requests that it runs, Sessions those of the prompts that it
+	// has cached; see router.Call.
+	Requests, Sessions []string
+}
+
+// Knows reports whether all endpoints of a service are known that were published after a time.
+func (t *Tracker) Knows(after time.Time, name string) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.services[name].knows(after)
+}
+
+// Recover records what an engine runs and has cached, and tells it to other entries. Engines keep
+// both when all entries are restarted, and nothing else tells then at which version streams began.
+func (t *Tracker) Recover(now time.Time, e EngineState) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.sweep(now)
+	for _, id := range e.Requests {
+		key := rendezvous.Hash(id)
+		if t.streams[key] != nil {
+			continue
+		}
+		x := &stream{service: e.Service, version: e.Version, begun: now, after: now}
+		t.streams[key] = x
+		t.tell(now, key, x)
+	}
+	for _, id := range e.Sessions {
+		u := Update{Request: promptKey(e.Service, id), Version: e.Version, Prompt: true}
+		t.addPrompt(now, u)
+		t.tellUpdate(now, u)
+	}
+}
+
+// promptKey returns the key of a prompt.
+func promptKey(service, session string) uint64 {
+	return rendezvous.Hash(service + "\x00" + session)
+}
+
+// addPrompt records that engines of a version had cached a prompt. The caller holds t.mu.
+func (t *Tracker) addPrompt(now time.Time, u Update) {
+	if p := t.prompts[u.Request]; p != nil {
+		if p.version != u.Version {
+			p.version = ""
+		}
+		return
+	}
+	if len(t.prompts) < maxPrompts {
+		t.prompts[u.Request] = &prompt{version: u.Version, at: now}
+	}
+}
+
+// promptVersion returns the version of the engines that had cached a prompt. The caller holds t.mu.
+func (t *Tracker) promptVersion(name, session string) (version string, ok bool) {
+	p := t.prompts[promptKey(name, session)]
+	if session == "" || p == nil {
+		return "", false
+	}
+	return p.version, p.version != ""
+}
+
+// cachedPrompts returns the remembered prompts, at most maxToldPrompts. The caller holds t.mu.
+func (t *Tracker) cachedPrompts() (list []Update) {
+	for key, p := range t.prompts {
+		if len(list) == maxToldPrompts {
+			break
+		}
+		list = append(list, Update{Request: key, Version: p.version, Prompt: true})
+	}
+	return list
+}
+
+// forgetPrompts forgets old prompts. The caller holds t.mu.
+func (t *Tracker) forgetPrompts(now time.Time) {
+	maps.DeleteFunc(t.prompts, func(_ uint64, p *prompt) bool { return now.Sub(p.at) > promptRetention })
+}
--- /dev/null
+++ b/release/recovered_test.go
@@ -0,0 +1,52 @@
+package release_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+
+	"ebonypulley/release"
+)
+
+// TestRecoveredVersions guards against streams that are lost, or joined, after a restart of all
+// entries: what engines run and have cached tells versions, at each entry that hears of it and at
+// one that starts later, unless engines of several versions have a prompt.
+func TestRecoveredVersions(t *testing.T) {
+	own, other := release.NewTracker(), release.NewTracker()
+	for _, tracker := range []*release.Tracker{own, other} {
+		tracker.SetEndpoints(epoch, "s", endpoints("v1", "v2"))
+	}
+	own.Recover(epoch, release.EngineState{Service: "s", Version: "v1", Requests: []string{"r1"}, Sessions: []string{"p1", "shared"}})
+	other.Recover(epoch, release.EngineState{Service: "s", Version: "v2", Requests: []string{"r2"}, Sessions: []string{"p2", "shared"}})
+	toOther, _ := own.Updates(epoch, 0)
+	toOwn, _ := other.Updates(epoch, 0)
+	own.Merge(epoch, toOwn)
+	other.Merge(epoch, toOther)
+	newcomer := release.NewTracker()
+	newcomer.Merge(epoch, own.Exceptions(epoch))
+
+	before := epoch.Add(-5 * time.Second)
+	for _, tracker := range []*release.Tracker{own, other, newcomer} {
+		for request, want := range map[string]release.Finding{
+			"r1": {Version: "v1", Source: release.Told}, "r2": {Version: "v2", Source: release.Told}, "r3": {Source: release.Unknown},
+		} {
+			f := tracker.Find(before, "s", request, "")
+			assert.Equal(t, want, release.Finding{Version: f.Version, Source: f.Source}, request)
+		}
+		for session, want := range map[string]string{"p1": "v1", "p2": "v2", "shared": "", "": ""} {
+			assert.Equal(t, want, tracker.Find(before, "s", "r4", session).Version, session)
+			assert.Empty(t, tracker.Find(before, "another", "r4", session).Version, session)
+		}
+	}
+}
+
+// TestRecoveredVersionsDontReplaceOwn guards against what an engine ran before the restart of all
+// entries and is taken for the version of a stream that runs here.
+func TestRecoveredVersionsDontReplaceOwn(t *testing.T) {
+	tracker := release.NewTracker()
+	tracker.SetEndpoints(epoch, "s", endpoints("v1", "v2"))
+	tracker.Begin(epoch, epoch, "s", "r1", "v2")
+	tracker.Recover(epoch, release.EngineState{Service: "s", Version: "v1", Requests: []string{"r1"}})
+	assert.Equal(t, "v2", tracker.Find(epoch, "s", "r1", "").Version)
+}
--- a/release/release.go
+++ b/release/release.go
@@ -4,8 +4,9 @@
 // Every entry can work out the version of most streams from the ID of the request that began
 // them and the published endpoints: it is that of the endpoint that ranks first for the ID. The
 // exceptions are told to other entries: streams that found no room at that version, and those
-// whose first endpoint has changed since. An entry that can't tell the version says so. The
-// package does no I/O.
+// whose first endpoint has changed since. After a restart of all entries, what engines still run
+// or keep tells where streams began. An entry that can't tell the version says so. The package
+// does no I/O.
 package release
 
 import (
@@ -39,13 +40,17 @@
 	services map[string]*service
 	// streams holds streams by the hash of the ID of the request that began them.
 	streams map[uint64]*stream
+	// prompts holds prompts that engines had cached, by promptKey.
+	prompts map[uint64]*prompt
 	swept   time.Time
-	// told holds this entry's exceptions in the order of their sequence numbers; latest is the
-	// last number.
+	// told holds what this entry tells others in the order of the sequence numbers; latest is
+	// the last number.
 	told   []toldStream
 	latest uint64
 	// unreached says that not all entries hear of exceptions.
 	unreached bool
+	// first says that no stream began before this entry started.
+	first bool
 }
 
 // service holds the endpoints of a service.
@@ -69,13 +74,31 @@
 	service string
 	version string
 	begun   time.Time
-	own     bool
-	told    bool
+	// after is when others assume that it began at the earliest.
+	after time.Time
+	own   bool
+	told  bool
 }
 
 // NewTracker returns an empty Tracker.
 func NewTracker() *Tracker {
-	return &Tracker{services: make(map[string]*service), streams: make(map[uint64]*stream)}
+	return &Tracker{services: make(map[string]*service), streams: make(map[uint64]*stream), prompts: make(map[uint64]*prompt)}
+}
+
+// SetFirstStart states that no process of the fleet has run before, and so that no stream began
+// before this entry knew the endpoints.
+func (t *Tracker) SetFirstStart() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.first = true
+}
+
+// newService returns a service that becomes known now.
+func (t *Tracker) newService(now time.Time) *service {
+	if t.first {
+		return &service{}
+	}
+	return &service{since: now}
 }
 
 // SetEndpoints sets the published endpoints of a service.
@@ -87,7 +110,7 @@
 	case s == nil && len(list) == 0:
 		return
 	case s == nil:
-		s = &service{since: now}
+		s = t.newService(now)
 		t.services[name] = s
 	}
 	if s.update(now, list) {
@@ -151,16 +174,16 @@
 }
 
 // Begin records that a stream begins at this entry, at a version. request is the ID of the
-// request that brings, or brought, its first event.
-func (t *Tracker) Begin(now time.Time, name, request, version string) {
+// request that brings, or brought, its first event; others assume that it began after a time.
+func (t *Tracker) Begin(now, after time.Time, name, request, version string) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.sweep(now)
 	key := rendezvous.Hash(request)
-	before, x := t.streams[key], &stream{service: name, version: version, begun: now, own: true}
+	before, x := t.streams[key], &stream{service: name, version: version, begun: now, after: after, own: true}
 	t.streams[key] = x
 	moved := before != nil && before.version != version
-	if found, ok := t.compute(now, name, key); moved || !ok || found != version {
+	if found, ok := t.compute(after, name, key); moved || !ok || found != version {
 		t.tell(now, key, x)
 	}
 }
@@ -174,45 +197,57 @@
 	}
 }
 
-// Find returns the version of a stream that began after a time. It returns false if that can't
-// be told.
-func (t *Tracker) Find(after time.Time, name, request string) (version string, ok bool) {
-	f := t.Trace(after, name, request)
-	return f.Version, f.Source != Unknown
-}
-
-// Trace returns the version of a stream that began after a time, and how it was found.
-func (t *Tracker) Trace(after time.Time, name, request string) Finding {
+// Find returns the version of a stream that began after a time. request is the ID of the request
+// that began it and session that of its prompt, empty if unknown.
+func (t *Tracker) Find(after time.Time, name, request, session string) Finding {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	s := t.services[name]
-	key := rendezvous.Hash(request)
-	if x := t.streams[key]; x != nil && request != "" {
-		return s.finding(x.version, true, Told)
+	f := Finding{Source: Unknown}
+	if s != nil {
+		f.Since = s.since
+	}
+	if x := t.streams[rendezvous.Hash(request)]; x != nil && request != "" {
+		f.Version, f.Source = x.version, Told
+		return f
+	}
+	if version, ok := t.find(after, name, request); ok {
+		f.Version, f.Source = version, Computed
+		return f
 	}
-	if request == "" {
-		version, ok := s.onlyVersion()
-		return s.finding(version, ok, OnlyVersion)
+	if version, ok := t.promptVersion(name, session); ok {
+		f.Version, f.Source = version, Cached
 	}
-	source := Computed
-	if s == nil || s.since.After(after.Add(-viewLag)) {
-		source = OnlyVersion
+	return f
+}
+
+// find works out the version of a stream that began after a time. The caller holds t.mu.
+func (t *Tracker) find(after time.Time, name, request string) (version string, ok bool) {
+	if request != "" {
+		return t.compute(after, name, rendezvous.Hash(request))
 	}
-	version, ok := t.compute(after, name, key)
-	return s.finding(version, ok, source)
+	return t.services[name].onlyVersion(after.Add(-viewLag))
 }
 
-// onlyVersion returns the version that all remembered endpoints of a service have.
-func (s *service) onlyVersion() (version string, ok bool) {
-	if s == nil || len(s.members) == 0 {
+// knows reports whether all endpoints are known that were published after a time.
+func (s *service) knows(after time.Time) bool { return s != nil && !s.since.After(after) }
+
+// onlyVersion returns the version of all endpoints that were published after a time. It returns
+// false if there were several versions, or if not all of these endpoints are known.
+func (s *service) onlyVersion(after time.Time) (version string, ok bool) {
+	if !s.knows(after) {
 		return "", false
 	}
 	for _, m := range s.members {
-		if m.version != s.members[0].version {
+		if !m.publishedAfter(after) {
+			continue
+		}
+		if ok && m.version != version {
 			return "", false
 		}
+		version, ok = m.version, true
 	}
-	return s.members[0].version, true
+	return version, ok
 }
 
 // compute works out the version at which a stream began that began after a time, unless that
@@ -221,12 +256,12 @@
 func (t *Tracker) compute(after time.Time, name string, key uint64) (version string, ok bool) {
 	after = after.Add(-viewLag)
 	s := t.services[name]
-	if s == nil || s.since.After(after) {
-		return s.onlyVersion()
+	if !s.knows(after) {
+		return "", false
 	}
 	stable, lowest := s.firstStable(after, key)
 	if stable == nil {
-		return s.onlyVersion()
+		return s.onlyVersion(after)
 	}
 	for _, m := range s.members {
 		if m.publishedAfter(after) && m.version != stable.version && rendezvous.Score(key, m.hash) < lowest {
@@ -263,6 +298,7 @@
 	}
 	t.swept = now
 	t.forgetTold(now)
+	t.forgetPrompts(now)
 	t.forget(func(x *stream) bool { return now.Sub(x.begun) > retention })
 	if len(t.streams) >= maxStreams {
 		t.forget(func(x *stream) bool { return !x.told })
--- a/release/told.go
+++ b/release/told.go
@@ -17,9 +17,12 @@
 
 // Update tells the version of a stream whose version others can't work out.
 type Update struct {
-	// Request is the hash of the ID of the request that began the stream.
+	// Request is the hash of the ID of the request that began the stream, or if Prompt is set
+	// the promptKey of its prompt.
 	Request uint64
 	Version string
+	// Prompt says that engines of the version had the prompt in their cache.
+	Prompt bool
 }
 
 // toldStream is an Update with its sequence number.
@@ -32,8 +35,13 @@
 // tell adds a stream to the exceptions. The caller holds t.mu.
 func (t *Tracker) tell(now time.Time, key uint64, x *stream) {
 	x.told = true
+	t.tellUpdate(now, Update{Request: key, Version: x.version})
+}
+
+// tellUpdate adds what is told to others. The caller holds t.mu.
+func (t *Tracker) tellUpdate(now time.Time, u Update) {
 	t.latest++
-	t.told = append(t.told, toldStream{Update: Update{Request: key, Version: x.version}, seq: t.latest, at: now})
+	t.told = append(t.told, toldStream{Update: u, seq: t.latest, at: now})
 	if len(t.told) > maxTold {
 		t.told = t.told[len(t.told)-maxTold:]
 	}
@@ -46,7 +54,7 @@
 		if !x.own || x.told || x.service != name {
 			continue
 		}
-		if found, ok := t.compute(x.begun, name, key); !ok || found != x.version {
+		if found, ok := t.compute(x.after, name, key); !ok || found != x.version {
 			t.tell(now, key, x)
 		}
 	}
@@ -95,8 +103,9 @@
 	return list, t.latest
 }
 
-// Exceptions returns the latest exceptions of all entries, for an entry that has started: those of
-// entries that have died since can be heard only from others.
+// Exceptions returns the latest exceptions of all entries and what engines were found to have
+// cached, for an entry that has started: what entries that have died since told can be heard only
+// from others.
 func (t *Tracker) Exceptions(now time.Time) []Update {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -107,7 +116,7 @@
 		}
 	}
 	slices.SortFunc(list, func(a, b toldStream) int { return cmp.Or(b.at.Compare(a.at), cmp.Compare(a.Request, b.Request)) })
-	updates := make([]Update, 0, min(len(list), maxRelayed))
+	updates := t.cachedPrompts()
 	for _, x := range list[:min(len(list), maxRelayed)] {
 		updates = append(updates, x.Update)
 	}
@@ -120,6 +129,10 @@
 	defer t.mu.Unlock()
 	t.sweep(now)
 	for _, u := range list {
+		if u.Prompt {
+			t.addPrompt(now, u)
+			continue
+		}
 		t.streams[u.Request] = &stream{version: u.Version, begun: now, told: true}
 	}
 }
--- a/router/answer.go
+++ b/router/answer.go
@@ -188,6 +188,8 @@
 	// Cached returns the sessions whose prompts an engine has in its cache; see
 	// Call.Session.
 	Cached(ctx context.Context, e *Endpoint) (map[string]bool, error)
+	// Running returns the IDs of the requests that an engine runs; see Call.ID.
+	Running(ctx context.Context, e *Endpoint) ([]string, error)
 	// Probe probes an endpoint. It returns nil if the endpoint is healthy, and
 	// ErrNotListening or ErrReplaced if it no longer runs.
 	Probe(ctx context.Context, e *Endpoint) error
--- a/router/cached.go
+++ b/router/cached.go
@@ -80,6 +80,24 @@
 	return nil
 }
 
+// cachedVersion returns the software version of the engines that cache a call's prompt. It returns
+// false if engines of several versions do, or none.
+func (r *Router) cachedVersion(ctx context.Context, c *Call) (version string, ok bool) {
+	versions := softwareVersions(r.Directory().Endpoints(c.Service.Name, Decode))
+	found := make(chan *Endpoint, len(versions))
+	for _, v := range versions {
+		go func() { found <- r.cachingEngine(ctx, c, v) }()
+	}
+	several := false
+	for range versions {
+		if e := <-found; e != nil {
+			several = ok
+			version, ok = e.SoftwareVersion, true
+		}
+	}
+	return version, ok && !several
+}
+
 // enginesByHash returns the engines to ask for a call's prompt, in rendezvous order.
 func (r *Router) enginesByHash(c *Call) []*Endpoint {
 	all := r.Directory().Endpoints(c.Service.Name, Decode)
--- a/router/directory.go
+++ b/router/directory.go
@@ -26,6 +26,9 @@
 	// classes is the largest number of them.
 	ranks   map[string][]int
 	classes int
+	// resumable holds the longest timeout of the routes of each service whose streams may be
+	// resumed.
+	resumable map[string]time.Duration
 }
 
 // NewDirectory indexes routes, services and the endpoints that accept new work.
@@ -36,10 +39,13 @@
 		hosts:    make(map[string]*hostRoutes),
 		services: make(map[string]*Service, len(services)),
 		ranks:    make(map[string][]int),
+
+		resumable: make(map[string]time.Duration),
 	}
 	for _, r := range routes {
 		d.addRoute(r)
 		d.recordRank(r)
+		d.recordResumable(r)
 	}
 	for _, h := range d.hosts {
 		h.sortLengths()
@@ -144,6 +150,16 @@
 	slices.Reverse(h.prefixLengths)
 }
 
+// recordResumable updates the longest timeout of the streams of the route's services.
+func (d *Directory) recordResumable(r *Route) {
+	if !r.Resumable {
+		return
+	}
+	for _, s := range r.Services {
+		d.resumable[s.Service] = max(d.resumable[s.Service], r.Timeout)
+	}
+}
+
 // recordRank updates the ranks of the route's services.
 func (d *Directory) recordRank(r *Route) {
 	for _, s := range r.Services {
--- a/router/fake_test.go
+++ b/router/fake_test.go
@@ -124,6 +124,8 @@
 	return held, nil
 }
 
+func (f *fakeEndpoints) Running(context.Context, *router.Endpoint) ([]string, error) { return nil, nil }
+
 func (f *fakeEndpoints) Probe(ctx context.Context, e *router.Endpoint) error {
 	f.record("alive %s", e.ID)
 	if f.alive != nil {
--- a/router/generate.go
+++ b/router/generate.go
@@ -97,7 +97,7 @@
 	r.budget(c.Service.Name).RecordFirst(c.ReceivedAt)
 	defer g.dropKept()
 	defer g.returnPrepaid()
-	if err := g.chooseVersion(); err != nil {
+	if err := g.chooseVersion(ctx); err != nil {
 		return nil, &Failure{Reason: NotRun, Cause: err, RetryAfter: versionRetryDelay}
 	}
 	defer g.endVersion()
--- a/router/router.go
+++ b/router/router.go
@@ -63,6 +63,7 @@
 	shares     *share.Table
 	calendar   *returns.Calendar
 	releases   *release.Tracker
+	recovery   *versionRecovery
 	log        *event.Log
 	metrics    *metrics.Set
 	directory  atomic.Pointer[Directory]
@@ -121,6 +122,10 @@
 		arrivals:        newArrivalTracker(),
 		rnd:             rand.New(rand.NewPCG(seed, seed+1)),
 	}
+	r.recovery = newVersionRecovery(r)
+	if !set.Restarted {
+		r.releases.SetFirstStart()
+	}
 	r.probes = newProbes(func(ctx context.Context, e *Endpoint) error { return r.endpoints.Probe(ctx, e) })
 	r.crashes.OnBlocked, r.parts.OnBlocked = r.poisonFound, r.partsFound
 	r.rooms = newRoomQueues(r)
@@ -140,6 +145,7 @@
 	r.directory.Store(r.withoutDraining(time.Now(), d))
 	r.mu.Unlock()
 	r.setVersions(time.Now(), d)
+	r.recovery.begin(d)
 	r.quotas.SetLimits(d.limits)
 	known := make(map[string]bool)
 	for _, list := range d.endpoints {
--- a/router/software.go
+++ b/router/software.go
@@ -1,6 +1,8 @@
 package router
 
 import (
+	"context"
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -10,8 +12,8 @@
 )
 
 // versionRetryDelay is when a caller should resume at another entry that may know the version
-// of its stream.
-const versionRetryDelay = 100 * time.Millisecond
+// of its stream: entries tell each other at least so often.
+const versionRetryDelay = 500 * time.Millisecond
 
 var (
 	// errVersionUnknown is returned for a stream that can't go on here because it is unknown at
@@ -33,6 +35,16 @@
 	}
 }
 
+// softwareVersions returns the software versions of endpoints.
+func softwareVersions(endpoints []*Endpoint) (versions []string) {
+	for _, e := range endpoints {
+		if !slices.Contains(versions, e.SoftwareVersion) {
+			versions = append(versions, e.SoftwareVersion)
+		}
+	}
+	return versions
+}
+
 // beginnerID returns the ID of the request that brings, or brought, the first event of the
 // stream; empty if unknown.
 func (c *Call) beginnerID() string {
@@ -47,7 +59,7 @@
 
 // chooseVersion chooses the software version of a new stream, and finds that of one that the
 // caller resumes.
-func (g *generationRun) chooseVersion() error {
+func (g *generationRun) chooseVersion(ctx context.Context) error {
 	if !g.tracksVersion() {
 		return nil
 	}
@@ -55,15 +67,34 @@
 		g.version = g.r.releases.Preferred(g.c.Service.Name, g.c.ID)
 		return nil
 	}
-	f := g.r.releases.Trace(g.earliestBegin(), g.c.Service.Name, g.c.Resumes)
+	f := g.findVersion(ctx)
 	g.recordFinding(f)
-	if f.Source == release.Unknown {
+	if !f.Found() {
 		return errVersionUnknown.New("it is unknown at which software version %q began", g.c.Resumes)
 	}
 	g.version, g.versionFixed = f.Version, true
 	return nil
 }
 
+// findVersion finds the software version of the stream that the caller resumes. What is unknown
+// may become known while it is recovered from engines, or from what they still have cached.
+func (g *generationRun) findVersion(ctx context.Context) release.Finding {
+	var f release.Finding
+	find := func() bool {
+		f = g.r.releases.Find(g.earliestBegin(), g.c.Service.Name, g.c.Resumes, g.c.Session)
+		return f.Found()
+	}
+	if !find() {
+		g.r.recovery.await(ctx, find)
+	}
+	if !f.Found() {
+		if version, ok := g.r.cachedVersion(ctx, g.c); ok {
+			f.Version, f.Source = version, release.Cached
+		}
+	}
+	return f
+}
+
 // recordFinding counts and logs how the version of a resumed stream was found.
 func (g *generationRun) recordFinding(f release.Finding) {
 	g.r.metrics.Add("version_"+string(f.Source), 1)
@@ -72,8 +103,7 @@
 		zap.Duration("known_for", g.c.ReceivedAt.Sub(f.Since)), zap.Duration("began_within", g.c.ReceivedAt.Sub(g.earliestBegin())))
 }
 
-// earliestBegin returns when the stream that the caller resumes began at the earliest: with the
-// caller's first attempt, whose timeout was no longer than that of the route or the longest seen.
+// earliestBegin returns when the caller's stream began at the earliest: with the caller's first attempt, whose timeout was no longer than that of the route or the longest seen.
 func (g *generationRun) earliestBegin() time.Time {
 	first := max(g.r.longestTimeout(g.c), g.c.Route.Timeout)
 	return g.c.ReceivedAt.Add(g.c.Timeout - first)
@@ -90,7 +120,7 @@
 // hear of it before its caller has the first event.
 func (g *generationRun) announceVersion(at *Endpoint) {
 	if id := g.c.beginnerID(); id != "" && g.tracksVersion() {
-		g.r.releases.Begin(time.Now(), g.c.Service.Name, id, at.SoftwareVersion)
+		g.r.releases.Begin(time.Now(), g.earliestBegin(), g.c.Service.Name, id, at.SoftwareVersion)
 	}
 }
 
--- a/wire/report.go
+++ b/wire/report.go
@@ -90,6 +90,9 @@
 	// is sent once on a connection and adds to the earlier ones.
 	PartCrashes []PartCrash
 	PartsBegun  []PartBegun
+	// Prompts are prompts that engines of a software version had cached when all entries had
+	// been restarted; Request is the key of the prompt. Each is sent once on a connection.
+	Prompts []StreamVersion
 }
 
 // PartCrash is a crash of an endpoint under a request with some parts, as in
@@ -230,11 +233,12 @@
 	// Corrects is set if Entries were written later than what the receiver has under the
 	// same revisions; UpTo is 0 then.
 	Corrects bool
-	// Versions are the services with endpoints of several software versions, and Begun the
-	// latest streams whose version others can't work out, of all entries. Both are in the
-	// first reply on a connection only.
+	// Versions are the services with engines, and Begun the latest streams whose version others
+	// can't work out, of all entries. Prompts are as in Report. All are in the first reply on a
+	// connection only.
 	Versions []ServiceVersions
 	Begun    []StreamVersion
+	Prompts  []StreamVersion
 }
 
 // At returns the revision of the sender's catalog.
