Recovery of versions: engines that drain are asked too

Ruled out: the drain bound: it is for callers' requests, reports and lists are the engine's own.

Change: the directory keeps draining endpoints aside, and the recovery asks them. They get no new work.

Conclusion: what began at an engine that has left stays unknown.

--- a/router/directory.go
+++ b/router/directory.go
@@ -18,6 +18,8 @@
 	services map[string]*Service
 	// endpoints holds the endpoints that accept new work, by service.
 	endpoints map[string][]*Endpoint
+	// leaving holds those that drain.
+	leaving []*Endpoint
 	// workspaces maps key digests to workspaces; it is nil if callers need no key. limits
 	// holds the limits of the workspaces that have one.
 	workspaces map[KeyDigest]*Workspace
@@ -31,7 +33,7 @@
 	resumable map[string]time.Duration
 }
 
-// NewDirectory indexes routes, services and the endpoints that accept new work.
+// NewDirectory indexes routes, services and endpoints.
 func NewDirectory(version uint64, maxBody int64, routes []*Route, services []*Service, endpoints []*Endpoint) *Directory {
 	d := &Directory{
 		Version:  version,
@@ -85,13 +87,28 @@
 // smallest entry.
 func (d *Directory) WithEndpoints(endpoints []*Endpoint) *Directory {
 	out := *d
-	out.endpoints = make(map[string][]*Endpoint)
+	out.endpoints, out.leaving = make(map[string][]*Endpoint), nil
 	for _, e := range endpoints {
+		if e.Draining {
+			out.leaving = append(out.leaving, e)
+			continue
+		}
 		out.endpoints[e.Service] = append(out.endpoints[e.Service], e)
 	}
 	return &out
 }
 
+// decodeEngines returns the engines of a service that decode, also those that drain.
+func (d *Directory) decodeEngines(service string) []*Endpoint {
+	list := slices.Clone(d.Endpoints(service, Decode))
+	for _, e := range d.leaving {
+		if e.Service == service && e.Role == Decode {
+			list = append(list, e)
+		}
+	}
+	return list
+}
+
 // AllServicesServed reports whether each service has an endpoint that can answer requests.
 func (d *Directory) AllServicesServed() bool {
 	for name, s := range d.services {
@@ -108,7 +125,7 @@
 
 // without returns a copy of the directory without the endpoints in ids.
 func (d *Directory) without(ids map[string]time.Time) *Directory {
-	var kept []*Endpoint
+	kept := slices.Clone(d.leaving)
 	for _, list := range d.endpoints {
 		for _, e := range list {
 			if _, out := ids[e.ID]; !out {
--- a/router/model.go
+++ b/router/model.go
@@ -156,6 +156,8 @@
 	Service    string
 	DataCentre string
 	Role       Role
+	// Draining says that the endpoint leaves and accepts no new work.
+	Draining bool
 	// SoftwareVersion is the version of the endpoint's software; empty if unknown. Streams of
 	// different versions don't fit together.
 	SoftwareVersion string
--- a/router/recovery.go
+++ b/router/recovery.go
@@ -78,7 +78,7 @@
 // stream that is resumed now may have begun.
 func (v *versionRecovery) unknown(d *Directory) (services []string) {
 	for name, longest := range d.resumable {
-		if len(d.Endpoints(name, Decode)) > 0 && !v.r.releases.Knows(v.started.Add(-longest), name) {
+		if len(d.decodeEngines(name)) > 0 && !v.r.releases.Knows(v.started.Add(-longest), name) {
 			services = append(services, name)
 		}
 	}
@@ -103,7 +103,7 @@
 func (v *versionRecovery) enginesToAsk(services []string) (list []*Endpoint) {
 	assigned := *v.assigned.Load()
 	for _, name := range services {
-		for _, e := range v.r.Directory().Endpoints(name, Decode) {
+		for _, e := range v.r.Directory().decodeEngines(name) {
 			if !v.answered[e.ID] && assigned(e) {
 				list = append(list, e)
 			}
