Recovery of versions: prompts leave room for exceptions that are told

Cause: prompts that engines had cached go the way of exceptions, of which the latest 1,024 are kept; engines with many prompts pushed out exceptions that had not been told.

Change: an entry tells 1,024 prompts at most, and keeps 2,048 updates.

Figures: TestPromptsLeaveRoomForExceptions fails before (5,000 prompts) and passes.

Conclusion: an exception is lost only behind 1,024 others, as before.

--- a/release/recovered.go
+++ b/release/recovered.go
@@ -11,10 +11,12 @@
 	// promptRetention is how long it is remembered which engines had cached a prompt: longer
 	// than callers resume a stream.
 	promptRetention = time.Minute
-	// maxPrompts bounds the prompts that are remembered, maxToldPrompts those of them that
-	// are told to an entry that has started.
-	maxPrompts     = 1 << 14
-	maxToldPrompts = 1 << 9
+	// maxPrompts bounds the prompts that are remembered.
+	maxPrompts = 1 << 14
+	// maxToldPrompts bounds those that this entry tells, so that they leave room for exceptions,
+	// and maxRelayedPrompts those of all entries that are told to one that has started.
+	maxToldPrompts    = 1 << 10
+	maxRelayedPrompts = 1 << 9
 )
 
 // prompt is a prompt that engines had in their cache. version is empty if they have several.
@@ -57,7 +59,10 @@
 	for _, id := range e.Sessions {
 		u := Update{Request: promptKey(e.Service, id), Version: e.Version, Prompt: true}
 		t.addPrompt(now, u)
-		t.tellUpdate(now, u)
+		if t.toldPrompts < maxToldPrompts {
+			t.toldPrompts++
+			t.tellUpdate(now, u)
+		}
 	}
 }
 
@@ -88,10 +93,10 @@
 	return p.version, p.version != ""
 }
 
-// cachedPrompts returns the remembered prompts, at most maxToldPrompts. The caller holds t.mu.
+// cachedPrompts returns the remembered prompts, at most maxRelayedPrompts. The caller holds t.mu.
 func (t *Tracker) cachedPrompts() (list []Update) {
 	for key, p := range t.prompts {
-		if len(list) == maxToldPrompts {
+		if len(list) == maxRelayedPrompts {
 			break
 		}
 		list = append(list, Update{Request: key, Version: p.version, Prompt: true})
--- a/release/recovered_test.go
+++ b/release/recovered_test.go
@@ -1,12 +1,14 @@
 package release_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/assert"
 
 	"ebonypulley/release"
+	"ebonypulley/rendezvous"
 )
 
 // TestRecoveredVersions guards against streams that are lost, or joined, after a restart of all
@@ -50,3 +52,19 @@
 	tracker.Recover(epoch, release.EngineState{Service: "s", Version: "v1", Requests: []string{"r1"}})
 	assert.Equal(t, "v2", tracker.Find(epoch, "s", "r1", "").Version)
 }
+
+// TestPromptsLeaveRoomForExceptions guards against exceptions that are never told because engines
+// had many prompts cached.
+func TestPromptsLeaveRoomForExceptions(t *testing.T) {
+	tracker := release.NewTracker()
+	tracker.SetEndpoints(epoch, "s", endpoints("v1", "v2"))
+	tracker.Begin(epoch, epoch, "s", "r1", "v2")
+	var sessions []string
+	for i := range 5000 {
+		sessions = append(sessions, fmt.Sprint("p", i))
+	}
+	tracker.Recover(epoch, release.EngineState{Service: "s", Version: "v1", Sessions: sessions})
+	updates, _ := tracker.Updates(epoch, 0)
+	assert.Contains(t, updates, release.Update{Request: rendezvous.Hash("r1"), Version: "v2"})
+	assert.Equal(t, "v1", tracker.Find(epoch, "s", "r2", "p4999").Version)
+}
--- a/release/release.go
+++ b/release/release.go
@@ -47,6 +47,8 @@
 	// the last number.
 	told   []toldStream
 	latest uint64
+	// toldPrompts counts the prompts among all that this entry has told.
+	toldPrompts int
 	// unreached says that not all entries hear of exceptions.
 	unreached bool
 	// first says that no stream began before this entry started.
--- a/release/told.go
+++ b/release/told.go
@@ -7,8 +7,8 @@
 )
 
 const (
-	// maxTold bounds the exceptions that are remembered to be told to others.
-	maxTold = 1 << 10
+	// maxTold bounds the exceptions and prompts that are remembered to be told to others.
+	maxTold = 1 << 11
 	// toldRetention is how long they are told to entries that have not heard of them.
 	toldRetention = time.Minute
 	// maxRelayed bounds the exceptions of all entries that are told to one that has started.
