Versions of streams: what another entry told does not replace a stream that runs here

Cause: Merge replaced the record of a stream in progress at this entry, with its service and the time at which it began, so that a later change of the endpoints no longer told it to others.

Ruled out: a stream that moved: it begins again here, which records it anew.

Change: of a stream that runs here this entry knows more.

Figures: TestToldVersionKeepsOwnStream fails before (another version, nothing told) and passes.

Conclusion: found by reading; no run has shown a joined stream by it.

--- a/release/release_test.go
+++ b/release/release_test.go
@@ -10,6 +10,7 @@
 
 	_ "ebonypulley/internal/fixedseed"
 	"ebonypulley/release"
+	"ebonypulley/rendezvous"
 )
 
 var epoch = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
@@ -205,3 +206,18 @@
 	assert.True(t, ok)
 	assert.Equal(t, "v3", version)
 }
+
+// TestToldVersionKeepsOwnStream guards against a stream in progress that an entry no longer tells to
+// others after a change of the endpoints, because another entry told it before.
+func TestToldVersionKeepsOwnStream(t *testing.T) {
+	tracker := release.NewTracker()
+	tracker.SetEndpoints(epoch, "s", endpoints("v1", "v1", "v2"))
+	now := epoch.Add(5 * time.Second)
+	tracker.Begin(now, now, "s", "r1", tracker.Preferred("s", "r1"))
+	version := tracker.Find(now, "s", "r1", "").Version
+	tracker.Merge(now, []release.Update{{Request: rendezvous.Hash("r1"), Version: "v3"}})
+	assert.Equal(t, version, tracker.Find(now, "s", "r1", "").Version)
+	tracker.SetEndpoints(now.Add(time.Second), "s", endpoints("v4", "v4", "v4"))
+	updates, _ := tracker.Updates(now.Add(time.Second), 0)
+	assert.Equal(t, []release.Update{{Request: rendezvous.Hash("r1"), Version: version}}, updates)
+}
--- a/release/told.go
+++ b/release/told.go
@@ -123,7 +123,7 @@
 	return updates
 }
 
-// Merge merges the exceptions of another entry.
+// Merge merges what another entry told. Of a stream that runs here this entry knows more.
 func (t *Tracker) Merge(now time.Time, list []Update) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -133,6 +133,9 @@
 			t.addPrompt(now, u)
 			continue
 		}
+		if x := t.streams[u.Request]; x != nil && x.own {
+			continue
+		}
 		t.streams[u.Request] = &stream{version: u.Version, begun: now, told: true}
 	}
 }
