Soak of processes: workers tell their runs and the prompts that they keep

Cause: an entry that has started is to ask decode engines what they run and which prompt parts they keep. The simulated workers answered an empty report and an empty list. Ruled out: the stand-in of the engine API alone; it has one memory for each incarnation to tell of. A run that is cut leaves its prompt; the next incarnation knows nothing. Conclusion: the soak can show whether what an entry asks for helps.

--- a/soak/processes/worker.go
+++ b/soak/processes/worker.go
@@ -98,6 +98,7 @@
 	mu            sync.Mutex
 	id            string
 	incarnations  int
+	memory        *memory   // of the current incarnation
 	drainingSince time.Time // when it was published as draining, zero if it was not
 	lastStart     time.Time // when it last began to run a request
 }
@@ -117,13 +118,13 @@
 	return k, nil
 }
 
-// newIncarnation replaces the worker by its next incarnation.
+// newIncarnation replaces the worker by its next incarnation, which knows nothing of the former.
 func (k *worker) newIncarnation() {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	k.incarnations++
 	k.id = fmt.Sprintf("i-%s%s-%s-%d", k.service, k.stage, k.proxy.addr(), k.incarnations)
-	k.drainingSince = time.Time{}
+	k.drainingSince, k.memory = time.Time{}, newMemory()
 }
 
 // softwareVersion returns the version of the worker's software. Each start installs another
@@ -158,7 +159,7 @@
 		}
 		standin.SetAnswerHeaders(w.Header(), c.AttemptID)
 		w.WriteHeader(http.StatusMisdirectedRequest)
-	case standin.ServeEngineAPI(w, r):
+	case standin.ServeEngineAPI(w, r, k.currentMemory().state(k.stage)):
 	case c.Key != "" || c.Workspace != workspaceOf(c.AttemptID):
 		k.onViolation("request %s reached %s as one of %q, with key %q", c.AttemptID, k.instanceID(), c.Workspace, c.Key)
 	case k.serveBadPart(c):
@@ -169,6 +170,7 @@
 	case k.serveFailing(w, c):
 	case c.Prefill:
 		k.arrivals.recordPrefill(k.service, c.AttemptID, k.instanceID())
+		k.currentMemory().cache(c.PromptParts)
 		standin.SetAnswerHeaders(w.Header(), c.AttemptID)
 		standin.WritePrefillAnswer(w)
 	default:
@@ -180,7 +182,7 @@
 // serveBadPart records a request with the bad part, and crashes the worker if it is to write
 // an answer. It reports whether the worker has crashed.
 func (k *worker) serveBadPart(c standin.WorkerHeaders) bool {
-	if !slices.Contains(c.PromptParts, badPart) {
+	if !slices.ContainsFunc(c.PromptParts, func(p standin.PromptPart) bool { return p.ID == badPart }) {
 		return false
 	}
 	k.badPart.recordArrival()
@@ -204,7 +206,7 @@
 	defer k.executions.end(id)
 	k.mu.Lock()
 	k.lastStart = time.Now()
-	version := k.softwareVersion()
+	version, mem := k.softwareVersion(), k.memory
 	k.mu.Unlock()
 	standin.SetAnswerHeaders(w.Header(), id)
 	answer, end := openAnswer(w, id, k.stage != "")
@@ -214,17 +216,21 @@
 		_, _ = io.WriteString(answer, "answer to "+id)
 		return
 	}
-	k.stream(r, answer, id, c.LastEvent, version)
+	mem.begin(c)
+	defer mem.end(id)
+	k.stream(r, answer, c, version, mem)
 }
 
-// stream writes the events after one, until the caller disconnects.
-func (k *worker) stream(r *http.Request, answer io.Writer, id string, after int, version string) {
-	for i := after + 1; i <= streamEvents; i++ {
+// stream writes the events that the caller lacks, until it disconnects.
+func (k *worker) stream(r *http.Request, answer io.Writer, c standin.WorkerHeaders, version string, mem *memory) {
+	id := c.AttemptID
+	for i := c.LastEvent + 1; i <= streamEvents; i++ {
 		select {
 		case <-r.Context().Done():
 			return
 		case <-time.After(eventGap):
 		}
+		mem.setEvents(id, i)
 		text := fmt.Sprintf("id: %d\ndata: %s %d %s\n\n", i, id, i, version)
 		if k.breaksEvents.Load() || i > streamEvents/2 && k.failureOf(id) == breakOffMidway {
 			_, _ = io.WriteString(answer, text[:len(text)/2])
--- a/standin/wire.go
+++ b/standin/wire.go
@@ -73,8 +73,8 @@
 	Prefill bool
 	// LastEvent is the number of the last event that the client has received, 0 if none.
 	LastEvent int
-	// PromptParts are the IDs of the parts of the prompt.
-	PromptParts []string
+	// PromptParts are the parts of the prompt, the last one that of the request alone.
+	PromptParts []PromptPart
 }
 
 // ReadWorkerHeaders reads the headers of a request.
@@ -91,12 +91,20 @@
 		c.LastEvent = n
 	}
 	for part := range strings.SplitSeq(r.Header.Get("Prompt-Prefix"), ",") {
-		id, _, _ := strings.Cut(part, ":")
-		c.PromptParts = append(c.PromptParts, strings.TrimSpace(id))
+		id, text, _ := strings.Cut(strings.TrimSpace(part), ":")
+		if tokens, err := strconv.Atoi(text); err == nil {
+			c.PromptParts = append(c.PromptParts, PromptPart{ID: id, Tokens: tokens, Model: r.Header.Get("Model")})
+		}
 	}
 	return c
 }
 
+// SetRouterHeaders sets the headers that a router adds to a request for one incarnation of a worker.
+func SetRouterHeaders(h http.Header, incarnation, workspace string) {
+	h.Set("Expect-Instance", incarnation)
+	h.Set("Tenant", workspace)
+}
+
 // SetAnswerHeaders sets the headers of a worker's answer to a client's request,
 // including its signature.
 func SetAnswerHeaders(h http.Header, id string) {
@@ -112,17 +120,3 @@
 
 // WritePrefillAnswer writes the answer to a prefill.
 func WritePrefillAnswer(w http.ResponseWriter) { _, _ = io.WriteString(w, `{"kv_handle":"kv"}`) }
-
-// ServeEngineAPI answers calls of the engine API as an engine that has free memory and
-// an empty cache. It returns false, without an answer, for other requests.
-func ServeEngineAPI(w http.ResponseWriter, r *http.Request) bool {
-	switch {
-	case r.URL.Path == "/api/hold-take":
-		_, _ = io.WriteString(w, `{"hold":"h"}`)
-	case r.URL.Path == "/api/kv-list":
-		_, _ = io.WriteString(w, `{"held":[]}`)
-	default:
-		return strings.HasPrefix(r.URL.Path, "/api/")
-	}
-	return true
-}
