Soak of processes: releases of software versions, and restarts of all entries

Cause: after a restart of all entries streams go on at another software version, or are refused although engines of theirs serve. No soak brought both about: three decode workers changed their version at each start, few streams were in progress, and callers resumed once, with a new time limit and another prompt. Releases put spares into service and let as many of the oldest leave, all and half in turn; all entries are killed at some time during or after each, also those that are about to end, and start 0.3 to 2.5 s later, in half of the cases with silent connections and in half with a store that has discarded its history. 24 more callers send streams, a third of which they break off. All callers resume up to three times within one time limit, honour Retry-After and keep the prompt's own part. Checked at the end: two streams of two versions at most; of the attempts to resume at entries that have run undisturbed for 3 s, while two workers of the version serve, at least half the share goes on that begins of the new ones; the same for streams that began before all entries were killed.

--- a/cmd/ebonypulley/soak.go
+++ b/cmd/ebonypulley/soak.go
@@ -27,6 +27,7 @@
 			&cli.IntFlag{Name: "entries", Value: 3, Usage: "with --processes: number of entries"},
 			&cli.DurationFlag{Name: "for", Value: 10 * time.Second, Usage: "with --processes: how long each seed brings faults about"},
 			&cli.BoolFlag{Name: "failing", Usage: "with --processes: let workers fail a part of all requests, so that the retry budget is used up"},
+			&cli.BoolFlag{Name: "restart-all", Usage: "with --processes: add releases of another software version, and restarts of all entries at once"},
 			&cli.BoolFlag{Name: "bad-part", Usage: "with --processes: add requests with a prompt part that crashes engines"},
 		},
 		Action: runSoak,
@@ -70,12 +71,15 @@
 	}
 	for i := range cmd.Int("seeds") {
 		seed := cmd.Uint64("seed") + uint64(i)
-		r, err := processes.Run(ctx, processes.Settings{Program: program, Seed: seed, Entries: cmd.Int("entries"), For: cmd.Duration("for"), BadPart: cmd.Bool("bad-part"), Failing: cmd.Bool("failing")})
+		r, err := processes.Run(ctx, processes.Settings{
+			Program: program, Seed: seed, Entries: cmd.Int("entries"), For: cmd.Duration("for"),
+			BadPart: cmd.Bool("bad-part"), Failing: cmd.Bool("failing"), RestartAll: cmd.Bool("restart-all"),
+		})
 		if err != nil {
 			return err
 		}
-		fmt.Printf("soak: processes seed=%d requests=%d answered=%d refused=%d other=%d cut=%d faults=%d memory=%dMB repeats:%s violations=%d\n",
-			seed, r.Requests, r.Answered, r.Refused, r.Other, r.Cut, r.Faults, r.PeakMemoryMB, r.WorstWindows, len(r.Violations))
+		fmt.Printf("soak: processes seed=%d requests=%d answered=%d refused=%d other=%d cut=%d faults=%d memory=%dMB repeats:%s %s violations=%d\n",
+			seed, r.Requests, r.Answered, r.Refused, r.Other, r.Cut, r.Faults, r.PeakMemoryMB, r.WorstWindows, r.Streams, len(r.Violations))
 		if len(r.Violations) == 0 {
 			continue
 		}
--- a/soak/processes/badpart.go
+++ b/soak/processes/badpart.go
@@ -148,7 +148,7 @@
 // sendPrompt sends a resumable generation whose prompt has a part between that of all prompts
 // and its own.
 func (r *run) sendPrompt(ctx context.Context, client *http.Client, id, part string) *stream {
-	s := &stream{next: 1, versions: make(map[string]bool)}
+	s := r.newStream()
 	k := requestKind{path: "/draft/", stream: true, part: part}
 	r.request(ctx, client, r.pickEntry(), k, id, identity{key: schoolKey, workspace: school, permanent: true}, s)
 	return s
--- a/soak/processes/caller.go
+++ b/soak/processes/caller.go
@@ -6,10 +6,15 @@
 	"errors"
 	"fmt"
 	"io"
+	"maps"
+	"math"
 	"net/http"
+	"slices"
+	"strconv"
 	"strings"
 	"time"
 
+	"ebonypulley"
 	"ebonypulley/standin"
 )
 
@@ -21,6 +26,8 @@
 	atMostOnce bool
 	// part is the second part of the prompt, empty for none.
 	part string
+	// breaks says that connections of callers may break in the middle of a stream.
+	breaks bool
 }
 
 var requestKinds = []requestKind{
@@ -53,24 +60,45 @@
 // callerCount is the number of concurrent callers.
 const callerCount = 12
 
-// call sends a request, and resumes its stream once if that breaks off.
+const (
+	// maxResumes is how often a caller resumes a stream.
+	maxResumes = 3
+	// maxResumePause is the longest pause before it does, unless it is asked to wait.
+	maxResumePause = 5 * time.Second
+)
+
+// call sends a request, and resumes its stream if that breaks off.
 func (r *run) call(ctx context.Context, client *http.Client, k requestKind, name string, caller identity) {
-	s := &stream{next: 1, versions: make(map[string]bool)}
+	s := r.newStream()
+	if k.breaks && r.randomFloat() < brokenConnFraction {
+		s.breaksAfter = 1 + r.randomInt(streamEvents-1)
+	}
 	r.request(ctx, client, r.pickEntry(), k, attemptID(name, caller), caller, s)
-	if s.broken && !k.atMostOnce {
-		r.request(ctx, client, r.pickEntry(), k, attemptID(name+"r", caller), caller, s)
+	for n := 1; n <= maxResumes && s.broken && !k.atMostOnce && r.waitToResume(ctx, s); n++ {
+		r.request(ctx, client, r.pickEntry(), k, attemptID(fmt.Sprintf("%sr%d", name, n), caller), caller, s)
 	}
 	if len(s.versions) > 1 {
+		r.note("stream %s holds events of %v", s.firstAttempt, slices.Collect(maps.Keys(s.versions)))
 		r.joined.Add(1)
 	}
 }
 
+// waitToResume waits for as long as the last answer asks, up to a third of the time left, or for
+// a random time. It reports whether time is left.
+func (r *run) waitToResume(ctx context.Context, s *stream) bool {
+	wait := min(s.retryAfter, time.Until(s.deadline)/3)
+	if s.retryAfter == 0 {
+		wait = r.randomMilliseconds(50, int(maxResumePause/time.Millisecond))
+	}
+	return ebonypulley.Sleep(ctx, wait) && time.Now().Before(s.deadline)
+}
+
 func (r *run) pickEntry() *entry { return r.entries[r.randomInt(len(r.entries))] }
 
 // request sends one request and checks how it ends.
 func (r *run) request(ctx context.Context, client *http.Client, e *entry, k requestKind, id string, caller identity, s *stream) {
 	began, process := time.Now(), e.processNumber()
-	ctx, cancel := context.WithTimeout(ctx, callerTimeout)
+	ctx, cancel := context.WithDeadline(ctx, s.deadline)
 	defer cancel()
 	disconnects := r.randomFloat() < disconnectFraction
 	if disconnects {
@@ -85,10 +113,10 @@
 		r.recordAtMostOnce(id)
 	}
 	req.Host = "app.example"
-	standin.SetClientHeaders(req.Header, id, callerTimeout)
+	standin.SetClientHeaders(req.Header, id, s.deadline.Sub(began))
 	standin.SetWorkspaceKey(req.Header, caller.key)
 	if k.stream {
-		standin.SetPromptHeaders(req.Header, promptTokens, outputTokens, r.randomInt(1<<20))
+		standin.SetPromptHeaders(req.Header, promptTokens, outputTokens, s.prompt)
 	}
 	if k.part != "" {
 		standin.InsertPromptPart(req.Header, k.part)
@@ -96,6 +124,8 @@
 	if s.next > 1 {
 		standin.SetResumeHeaders(req.Header, s.next-1, s.firstAttempt)
 	}
+	seen, version := s.next, s.version
+	compared := comparable(k, caller) && !disconnects && e.settled() && r.serves(version)
 	service := "app"
 	if k.stream {
 		service = "llm"
@@ -108,22 +138,26 @@
 		r.checkIdentity(e, id, caller, resp.StatusCode, began, process)
 	}
 	r.countOutcome(resp, err)
-	s.broken = errors.Is(err, errBrokenStream) && s.next > 1 && ctx.Err() == nil
+	s.broken = s.next > 1 && s.next <= streamEvents && ctx.Err() == nil && mayRetry(resp, err)
+	s.retryAfter = retryAfter(resp)
+	if compared && e.settled() && e.processNumber() == process && r.serves(version) {
+		r.recordProgress(s, seen)
+	}
 	if disconnects && ctx.Err() != nil {
 		r.checkAborted(e, id, time.Now(), process)
 		return
 	}
-	if err != nil && ctx.Err() == nil && r.executions.count(id) > 0 && e.undisturbedSince(began, process) && r.faultFreeSince(began.Add(-faultAftermath)) {
+	if err != nil && !errors.Is(err, errBrokenConn) && ctx.Err() == nil && r.executions.count(id) > 0 && e.undisturbedSince(began, process) && r.faultFreeSince(began.Add(-faultAftermath)) {
 		r.violation("%s: request %s to %s was cut without a recent fault: %v", e.name, id, k.path, err)
 	}
 }
 
-// callerTimeout is how long a caller waits for a complete answer.
-const callerTimeout = 6 * time.Second
+// callerTimeout is how long a caller waits for a complete answer, over all its attempts.
+const callerTimeout = 10 * time.Second
 
 var (
-	errWrongAnswer  = errors.New("another request's answer")
-	errBrokenStream = errors.New("cut")
+	errWrongAnswer = errors.New("another request's answer")
+	errBrokenConn  = errors.New("the caller's connection broke")
 )
 
 // checkAnswer reads and checks an answer. It returns an error if the answer is
@@ -149,20 +183,55 @@
 	return nil
 }
 
+// mayRetry reports whether a caller may repeat a request after an answer or an error.
+func mayRetry(resp *http.Response, err error) bool {
+	switch {
+	case errors.Is(err, errWrongAnswer):
+		return false
+	case resp == nil || resp.StatusCode == http.StatusOK:
+		return true
+	}
+	notRun := []int{http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests}
+	return resp.StatusCode >= http.StatusInternalServerError || slices.Contains(notRun, resp.StatusCode)
+}
+
+// retryAfter returns how long an answer asks the caller to wait, 0 if it doesn't.
+func retryAfter(resp *http.Response) time.Duration {
+	if resp == nil {
+		return 0
+	}
+	seconds, err := strconv.ParseFloat(resp.Header.Get("Retry-After"), 64)
+	if err != nil {
+		return 0
+	}
+	return time.Duration(seconds * float64(time.Second))
+}
+
 // stream is what a caller has of a stream.
 type stream struct {
 	// next is the number of the next event, firstAttempt the ID of the attempt that brought the
-	// first one.
+	// first one, at begun.
 	next         int
 	firstAttempt string
-	// versions are the software versions of the workers that wrote the events.
+	begun        time.Time
+	// versions are the software versions of the workers that wrote the events, version is that of
+	// the last one.
 	versions map[string]bool
-	// broken says that the last attempt ended in the middle of the stream.
-	broken bool
+	version  string
+	// broken says that the last attempt ended in the middle of the stream, retryAfter when the
+	// caller was asked to come back, if it was.
+	broken     bool
+	retryAfter time.Duration
+	// breaksAfter is the event after which the caller's connection breaks, 0 for none.
+	breaksAfter int
+	// deadline is when the caller gives up, prompt the number of the prompt's own part.
+	deadline time.Time
+	prompt   int
 }
 
-// maxJoinedStreams is how many streams may hold events of two software versions.
-const maxJoinedStreams = 2
+func (r *run) newStream() *stream {
+	return &stream{next: 1, versions: make(map[string]bool), deadline: time.Now().Add(callerTimeout), prompt: r.randomInt(math.MaxInt32)}
+}
 
 func (r *run) checkStream(resp *http.Response, id string, s *stream) error {
 	lines := bufio.NewScanner(resp.Body)
@@ -177,13 +246,16 @@
 			return errWrongAnswer
 		}
 		if s.next == 1 {
-			s.firstAttempt = id
+			s.firstAttempt, s.begun = id, time.Now()
 		}
-		s.versions[version] = true
+		s.versions[version], s.version = true, version
 		s.next++
+		if s.next-1 == s.breaksAfter {
+			return errBrokenConn
+		}
 	}
 	if err := lines.Err(); err != nil {
-		return errors.Join(errBrokenStream, err)
+		return err
 	}
 	if s.next <= streamEvents {
 		r.violation("stream %s ended without an error after %d of %d events", id, s.next-1, streamEvents)
--- a/soak/processes/entry.go
+++ b/soak/processes/entry.go
@@ -31,6 +31,7 @@
 	// when the run last killed, paused or continued one.
 	processCount  int
 	lastDisturbed time.Time
+	startedAt     time.Time
 	// exitExpected is set when the run ends the process.
 	exitExpected bool
 }
@@ -63,6 +64,7 @@
 	exited := make(chan struct{})
 	e.cmd, e.exited, e.exitExpected = cmd, exited, false
 	e.processCount++
+	e.startedAt = time.Now()
 	go func() {
 		err := cmd.Wait()
 		close(exited)
@@ -101,6 +103,13 @@
 	return e.processCount == process && e.lastDisturbed.Before(at)
 }
 
+// settled reports whether the process has run undisturbed for a while and isn't told to end.
+func (e *entry) settled() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return !e.exitExpected && time.Since(e.startedAt) >= settledTime && time.Since(e.lastDisturbed) >= settledTime
+}
+
 // processNumber returns the number of the current process.
 func (e *entry) processNumber() int {
 	e.mu.Lock()
@@ -133,6 +142,16 @@
 	}
 }
 
+// killEnding kills the process if it was told to end and still runs.
+func (e *entry) killEnding() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.exitExpected {
+		e.lastDisturbed = time.Now()
+		_ = e.cmd.Process.Signal(syscall.SIGKILL) // fails if the process has exited
+	}
+}
+
 // drainTimeout is the maximum time from SIGTERM to the exit of a process: the
 // grace of 6 s and a margin for a busy machine.
 const drainTimeout = 8 * time.Second
--- a/soak/processes/faults.go
+++ b/soak/processes/faults.go
@@ -26,11 +26,7 @@
 		e.signal(syscall.SIGCONT)
 		e.markDisturbed()
 	}},
-	{"kill all", func(r *run) {
-		for _, e := range r.entries {
-			r.wg.Go(func() { e.replace(syscall.SIGKILL, 500*time.Millisecond) })
-		}
-	}},
+	{"kill all", func(r *run) { r.killAll(500 * time.Millisecond) }},
 	{"store down", func(r *run) {
 		r.store.SetDown(true)
 		time.Sleep(r.randomMilliseconds(300, 4000))
@@ -80,18 +76,8 @@
 	}},
 	{"worker leaves", func(r *run) {
 		k := r.randomWorker()
-		r.store.Put(k.storeEntry("draining"))
-		k.mu.Lock()
-		k.drainingSince = time.Now()
-		k.mu.Unlock()
-		time.Sleep(drainNoticeTime + r.randomMilliseconds(500, 1500))
-		if k.startedWhileDraining(drainNoticeTime) && r.faultFreeSince(k.drainingSince.Add(-faultAftermath)) {
-			r.violation("%s got a new request more than %s after it was published as draining", k.instanceID(), drainNoticeTime)
-		}
-		key, _ := k.storeEntry("draining")
-		r.store.Delete(key)
-		k.newIncarnation()
-		r.store.Put(k.storeEntry("ready"))
+		r.leave(k, false)
+		k.publish(r.store, "ready")
 	}},
 	{"configuration", func(r *run) { r.publish() }},
 	{"key replaced", func(r *run) { r.rotateKey() }},
@@ -159,9 +145,9 @@
 
 // crashWorker crashes a worker, whose next incarnation runs after a time.
 func (r *run) crashWorker(k *worker, down time.Duration) {
+	key := k.setDown(false)
 	k.proxy.stop()
 	k.proxy.reset()
-	key, _ := k.storeEntry("ready")
 	time.Sleep(down)
 	k.newIncarnation() // the address serves the next incarnation before the store lists it
 	if err := k.proxy.restart(); err != nil {
@@ -169,7 +155,20 @@
 	}
 	time.Sleep(r.randomMilliseconds(100, 800))
 	r.store.Delete(key)
-	r.store.Put(k.storeEntry("ready"))
+	k.publish(r.store, "ready")
+}
+
+// leave publishes a worker as draining and removes it from the store some time later, possibly
+// for good.
+func (r *run) leave(k *worker, spare bool) {
+	since := time.Now()
+	k.publish(r.store, "draining")
+	time.Sleep(drainNoticeTime + r.randomMilliseconds(500, 1500))
+	if k.startedWhileDraining(drainNoticeTime) && r.faultFreeSince(since.Add(-faultAftermath)) {
+		r.violation("%s got a new request more than %s after it was published as draining", k.instanceID(), drainNoticeTime)
+	}
+	r.store.Delete(k.setDown(spare))
+	k.newIncarnation()
 }
 
 // replace restarts the process unless a restart is in progress.
--- a/soak/processes/run.go
+++ b/soak/processes/run.go
@@ -33,6 +33,8 @@
 	For time.Duration
 	// BadPart adds requests with a prompt part that crashes engines, after the other faults.
 	BadPart bool
+	// RestartAll adds releases of another software version, and restarts of all entries at once.
+	RestartAll bool
 	// Failing makes all workers fail a part of their requests while faults are injected, so that
 	// the retry budget is used up.
 	Failing bool
@@ -46,6 +48,9 @@
 	PeakMemoryMB int
 	// WorstWindows tells for each service how near to the retry budget its worst window came.
 	WorstWindows string
+	// Streams tells how many attempts began and resumed streams, of how many that were to, and how
+	// many streams hold events of two software versions.
+	Streams string
 	// Violations are the invariants violated. Dir holds the logs of the processes;
 	// it is removed if there are no violations.
 	Violations []string
@@ -71,6 +76,10 @@
 	version      atomic.Int64
 	// joined counts streams with events of two software versions.
 	joined atomic.Int64
+	// begun, resumed and carriedOver count the attempts to begin streams, to resume them, and to
+	// resume those that began before all entries were killed, which happened last at allKilled.
+	begun, resumed, carriedOver progress
+	allKilled                   time.Time
 
 	mu         sync.Mutex
 	rnd        *rand.Rand
@@ -120,6 +129,9 @@
 	if set.Failing {
 		r.failWorkers(faultCtx)
 	}
+	if set.RestartAll {
+		r.wg.Go(func() { r.releaseRepeatedly(faultCtx) })
+	}
 	r.injectFaults(faultCtx)
 	for r.disturbed() && ctx.Err() == nil {
 		time.Sleep(100 * time.Millisecond)
@@ -134,9 +146,7 @@
 	r.checkExecutions()
 	r.checkQuota()
 	r.checkBudget()
-	if n := r.joined.Load(); n > maxJoinedStreams {
-		r.violation("%d streams hold events of two software versions", n)
-	}
+	r.checkVersions()
 	r.report.Violations, r.report.Dir, r.report.Faults = r.violations, r.dir, r.faults.Load()
 	if len(r.violations) == 0 {
 		_ = os.RemoveAll(r.dir) // a failure only leaves logs behind
@@ -152,14 +162,15 @@
 	}
 	r.storeAddr = ln.Addr().String()
 	go func() { _ = http.Serve(ln, r.store.Handler()) }() // runs until the program exits
-	for i, w := range []struct{ service, stage string }{
-		{"app", ""}, {"app", ""}, {"app", ""}, {"llm", "prefill"}, {"llm", "prefill"}, {"llm", "decode"}, {"llm", "decode"}, {"llm", "decode"},
-	} {
-		k, err := newWorker(i, w.service, w.stage, r.executions, r.violation)
+	for i, w := range r.set.fleet() {
+		k, err := newWorker(i, w, r.executions, r.violation)
 		if err != nil {
 			return err
 		}
 		k.arrivals = r.arrivals
+		if r.set.RestartAll {
+			k.release, k.spare = 1, i >= len(r.set.fleet())-releaseSize
+		}
 		k.badPart, k.crash = &r.badPart, func() {
 			r.wg.Go(func() {
 				defer k.crashing.Store(false)
@@ -167,7 +178,7 @@
 			})
 		}
 		r.workers = append(r.workers, k)
-		r.store.Put(k.storeEntry("ready"))
+		k.publish(r.store, "ready")
 	}
 	r.publish()
 	return r.startEntries()
--- a/soak/processes/worker.go
+++ b/soak/processes/worker.go
@@ -73,15 +73,18 @@
 	return l.inProgress[id]
 }
 
+// workerKind is what a worker is for.
+type workerKind struct{ service, stage string }
+
 // worker simulates a worker at one address. It has one incarnation after
 // another, each with its own instance ID.
 type worker struct {
-	service, stage string
-	number         int
-	proxy          *proxy
-	server         *http.Server
-	executions     *executionLog
-	hanging        atomic.Bool
+	workerKind
+	number     int
+	proxy      *proxy
+	server     *http.Server
+	executions *executionLog
+	hanging    atomic.Bool
 	// failing makes the worker fail a part of its requests.
 	failing  atomic.Bool
 	arrivals *arrivalLog
@@ -95,20 +98,26 @@
 	// onViolation reports a request that must not reach a worker.
 	onViolation func(format string, args ...any)
 
-	mu            sync.Mutex
-	id            string
-	incarnations  int
+	mu           sync.Mutex
+	id           string
+	incarnations int
+	// release is the number of the installed release, 0 if each start installs another one of two.
+	release int
+	// state is what the store says of the worker, empty if the worker is down or isn't listed.
+	state string
+	// spare says that the worker is not in service: it has left, or waits for its first release.
+	spare         bool
 	memory        *memory   // of the current incarnation
 	drainingSince time.Time // when it was published as draining, zero if it was not
 	lastStart     time.Time // when it last began to run a request
 }
 
-func newWorker(number int, service, stage string, executions *executionLog, onViolation func(string, ...any)) (*worker, error) {
+func newWorker(number int, kind workerKind, executions *executionLog, onViolation func(string, ...any)) (*worker, error) {
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return nil, err
 	}
-	k := &worker{number: number, service: service, stage: stage, executions: executions, onViolation: onViolation}
+	k := &worker{number: number, workerKind: kind, executions: executions, onViolation: onViolation}
 	k.server = &http.Server{Handler: k, ReadHeaderTimeout: time.Minute}
 	go func() { _ = k.server.Serve(ln) }() // runs until tearDown closes the server
 	if k.proxy, err = newProxy("127.0.0.1:0", ln.Addr().String()); err != nil {
@@ -127,19 +136,41 @@
 	k.drainingSince, k.memory = time.Time{}, newMemory()
 }
 
-// softwareVersion returns the version of the worker's software. Each start installs another
-// one of two. The caller holds k.mu.
-func (k *worker) softwareVersion() string { return fmt.Sprintf("v%d", 1+(k.number+k.incarnations)%2) }
+// softwareVersion returns the version of the worker's software. The caller holds k.mu.
+func (k *worker) softwareVersion() string {
+	if k.release > 0 {
+		return fmt.Sprintf("v%d", k.release)
+	}
+	return fmt.Sprintf("v%d", 1+(k.number+k.incarnations)%2)
+}
 
-// storeEntry returns the worker's entry in the store.
-func (k *worker) storeEntry(state string) (key string, value any) {
+// publish writes the worker's entry to the store, unless it is a spare.
+func (k *worker) publish(store *standin.Store, state string) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
+	if k.spare {
+		return
+	}
+	k.state = state
+	if state == "draining" {
+		k.drainingSince = time.Now()
+	}
 	e := standin.NewWorkerEntry(k.service, k.proxy.addr(), k.stage)
 	e.Slots, e.State, e.Version = 16, state, k.softwareVersion()
-	return "servers/" + k.id, e
+	store.Put(k.storeKey(), e)
 }
 
+// setDown records that the worker no longer serves. It returns the key of its entry in the store.
+func (k *worker) setDown(spare bool) (key string) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.state, k.spare = "", k.spare || spare
+	return k.storeKey()
+}
+
+// storeKey returns the key of the worker's entry in the store. The caller holds k.mu.
+func (k *worker) storeKey() string { return "servers/" + k.id }
+
 func (k *worker) instanceID() string {
 	k.mu.Lock()
 	defer k.mu.Unlock()
