Resumed streams: a timeout that is not known yet is not guessed

Cause: an entry that has just started took what was left of a resuming caller's timeout, if that was longer than the route's, for all of it, so that the stream seemed to have begun after the entry had started and its version was worked out from what is listed.

Ruled out: the route's timeout as a bound: callers may wait longer.

Change: until a caller has begun a stream of the route at this entry, nothing is worked out from timeouts.

Figures: TestTimeoutsAreNotGuessed fails before (a stream of unknown version goes on) and passes.

Conclusion: callers of one route with timeouts that differ remain: the longest seen counts.

--- a/router/late.go
+++ b/router/late.go
@@ -144,5 +144,16 @@
 	defer r.mu.Unlock()
 	longest := max(r.longestTimeouts[c.Route.Name], c.Timeout)
 	r.longestTimeouts[c.Route.Name] = longest
+	if c.ResumeAfter == NoEvent {
+		r.sawNewStream[c.Route.Name] = true
+	}
 	return longest
 }
+
+// knowsTimeouts reports whether callers have begun streams of the call's route. Those that resume
+// one have only a part of their timeout left.
+func (r *Router) knowsTimeouts(c *Call) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.sawNewStream[c.Route.Name]
+}
--- a/router/recovery_test.go
+++ b/router/recovery_test.go
@@ -36,3 +36,35 @@
 		time.Sleep(10 * time.Second)
 	})
 }
+
+// TestTimeoutsAreNotGuessed guards against a stream that is resumed at another version because the
+// entry has just started and takes what is left of its caller's timeout for all of it.
+func TestTimeoutsAreNotGuessed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		e := engine("b", router.Decode)
+		e.SoftwareVersion = "v2"
+		f := new(fakeEndpoints)
+		f.setDefaults()
+		route := resumableRoute
+		route.Timeout, route.Services = 5*time.Second, []router.Share{{Service: llm.Name, Weight: 1}}
+		r := router.New(router.Settings{DataCentre: "dc-1", RetryRatio: 2, RetryWindow: 10 * time.Second, RetrySlack: 1000, SingleEntry: true, Restarted: true, Seed: 1},
+			f, event.Nop(), metrics.NewSet())
+		r.SetDirectory(router.NewDirectory(1, 0, []*router.Route{&route}, []*router.Service{llm}, []*router.Endpoint{e}))
+		time.Sleep(1500 * time.Millisecond)
+		resume := func() *router.Failure {
+			c := newCall(route, llm) // its caller had 10 s
+			c.Deadline, c.Timeout = time.Now().Add(7*time.Second), 7*time.Second
+			c.ResumeAfter, c.Resumes = 3, "begun-before"
+			_, fail := r.Generate(t.Context(), c, new(fakeSink))
+			return fail
+		}
+		assert.NotNil(t, resume())
+		c := newCall(route, llm)
+		c.Deadline, c.Timeout = time.Now().Add(10*time.Second), 10*time.Second
+		_, fail := r.Generate(t.Context(), c, new(fakeSink))
+		assert.Nil(t, fail)
+		assert.NotNil(t, resume())
+		time.Sleep(10 * time.Second)
+		assert.Nil(t, resume())
+	})
+}
--- a/router/router.go
+++ b/router/router.go
@@ -84,6 +84,8 @@
 	crashChecks map[string]*crashCheck
 	// longestTimeouts holds the longest timeout that callers of each route have requested.
 	longestTimeouts map[string]time.Duration
+	// sawNewStream holds the routes of which callers have begun streams.
+	sawNewStream map[string]bool
 	// timeouts holds the timeout of first attempts, by route.
 	timeouts map[string]*commonTimeout
 	// holds holds the waiting plain calls, by service.
@@ -117,6 +119,7 @@
 		draining:        make(map[string]time.Time),
 		crashChecks:     make(map[string]*crashCheck),
 		longestTimeouts: make(map[string]time.Duration),
+		sawNewStream:    make(map[string]bool),
 		timeouts:        make(map[string]*commonTimeout),
 		holds:           make(map[string]*hold),
 		arrivals:        newArrivalTracker(),
--- a/router/software.go
+++ b/router/software.go
@@ -103,9 +103,14 @@
 		zap.Duration("known_for", g.c.ReceivedAt.Sub(f.Since)), zap.Duration("began_within", g.c.ReceivedAt.Sub(g.earliestBegin())))
 }
 
-// earliestBegin returns when the caller's stream began at the earliest: with the caller's first attempt, whose timeout was no longer than that of the route or the longest seen.
+// earliestBegin returns when the caller's stream began at the earliest: with the caller's first
+// attempt, whose timeout was no longer than that of the route or the longest seen. The zero time
+// says that it is unknown.
 func (g *generationRun) earliestBegin() time.Time {
 	first := max(g.r.longestTimeout(g.c), g.c.Route.Timeout)
+	if !g.r.knowsTimeouts(g.c) {
+		return time.Time{}
+	}
 	return g.c.ReceivedAt.Add(g.c.Timeout - first)
 }
 
