poison: one request is tried a minute after a part was convicted

Cause: a verdict lasts twice as long with each crash, and all crashes of one burst count, as if each had shown again that the part still crashes engines. Nobody can clear what everybody refuses, so a service without an answer was refused for 16 min after 8 crashes within 0.4 s, for 1 h after 10. Class: one observation counted many times, and no way out but time. Ruled out: shorter verdicts for crashes of one burst. All entries would let all requests through again at one moment, and TestPartNewsExpire holds a part that came as news for an hour. Change: the entry that saw the suspect with the least content hash lets one request through, a minute after the last crash, then two minutes after the next; all others wait for it or are refused. Two trials at most. No message is added. Before: TestNewServiceIsServedAfterItsEngineIsMended: refused 16 min and 1 h. After: passes (1 min). TestOneRequestOfAllIsTried: 2 requests of some 21,600 in 30 min reach engines, with four entries; each of the three guards removed, it fails. go test -race: poison (but for TestNewPartInOutageIsServed, listed), emulator, router, platform, gossip (Part, Suspect, Poison, Crash) pass. Conclusion: a mended service is served by the first request after a minute that comes to that entry; if it has restarted, verdicts lapse as before.

--- a/poison/parts.go
+++ b/poison/parts.go
@@ -61,6 +61,8 @@
 type suspect struct {
 	suspectKey
 	at time.Time
+	// own is set if this entry saw the crash itself.
+	own bool
 	// parts are the parts of which no answer has begun since.
 	parts []uint64
 	// seq is the sequence number of the update for other entries; zero if there is none.
@@ -84,6 +86,8 @@
 	// notified of, and begunSeq the sequence number of that update.
 	begun, sequencedBegun time.Time
 	begunSeq              uint64
+	// tried is the time of the last trial.
+	tried time.Time
 }
 
 // PartCrash is a crash of an endpoint before a request there had an answer.
@@ -134,6 +138,7 @@
 	d.mu.Lock()
 	d.attempts.countCrash(now, c.Endpoint)
 	if s := d.add(now, c); s != nil {
+		s.own = true
 		d.assignSeq(s)
 	}
 	found := d.review(now)
--- a/poison/partverdict.go
+++ b/poison/partverdict.go
@@ -60,7 +60,10 @@
 type partVerdict struct {
 	class   []uint64
 	crashes int
-	until   time.Time
+	// last is the time of the last crash.
+	last, until time.Time
+	// trialPause is the pause before a trial by this entry; zero if it tries none.
+	trialPause time.Duration
 }
 
 // partCandidate is a part that may be convicted.
@@ -80,17 +83,27 @@
 // blocks reports whether a request with these parts is blocked. The caller holds d.mu.
 func (d *PartDetector) blocks(now time.Time, parts []uint64) bool {
 	for _, part := range parts {
-		v := d.verdicts[part]
-		if v == nil || now.After(v.until) {
-			continue
-		}
-		if !slices.ContainsFunc(v.class, func(p uint64) bool { return !slices.Contains(parts, p) }) {
+		v, r := d.verdictOn(now, part, parts), d.parts[part]
+		if v != nil && !v.trialDue(now, r) && !v.trialRuns(now, r) {
 			return true
 		}
 	}
 	return false
 }
 
+// verdictOn returns the verdict against one of the parts of a request if it applies to the
+// request, else nil. The caller holds d.mu.
+func (d *PartDetector) verdictOn(now time.Time, part uint64, parts []uint64) *partVerdict {
+	v := d.verdicts[part]
+	if v == nil || now.After(v.until) {
+		return nil
+	}
+	if slices.ContainsFunc(v.class, func(p uint64) bool { return !slices.Contains(parts, p) }) {
+		return nil
+	}
+	return v
+}
+
 // review works out the verdicts again if they are due, and returns the new ones. The caller
 // holds d.mu.
 func (d *PartDetector) review(now time.Time) []*partVerdict {
@@ -226,9 +239,9 @@
 			r.conviction, r.convictedClass = found, c.class
 		}
 	}
-	v := &partVerdict{class: c.class, crashes: len(c.endpoints), until: c.last.Add(doubtfulTTL)}
+	v := &partVerdict{class: c.class, crashes: len(c.endpoints), last: c.last, until: c.last.Add(doubtfulTTL)}
 	if found == convicted {
-		v.until = c.last.Add(verdictTTL(v.crashes))
+		v.until, v.trialPause = c.last.Add(verdictTTL(v.crashes)), d.parts[c.part].trialPause()
 	}
 	if found == acquitted || now.After(v.until) {
 		return nil
--- a/poison/suspected.go
+++ b/poison/suspected.go
@@ -4,10 +4,27 @@
 
 // Suspected reports whether endpoints have crashed one after the other under requests that share
 // one of these parts, of which no answer has begun since. It takes fewer crashes than a verdict.
+//
+// A request for which it returns false is taken for the trial of a part if one is due: it must be
+// sent at once.
 func (d *PartDetector) Suspected(now time.Time, parts []uint64) bool {
 	d.mu.Lock()
-	defer d.mu.Unlock()
-	for _, part := range considered(parts) {
+	found := d.review(now)
+	suspected := d.awaitsVerdict(now, considered(parts))
+	d.mu.Unlock()
+	d.notifyBlocked(found)
+	return suspected
+}
+
+// awaitsVerdict reports whether a request with these parts has to wait. The caller holds d.mu.
+func (d *PartDetector) awaitsVerdict(now time.Time, parts []uint64) bool {
+	if d.takeTrial(now, parts) {
+		return false
+	}
+	for _, part := range parts {
+		if d.verdictOn(now, part, parts) != nil {
+			return true // a trial runs
+		}
 		if r := d.parts[part]; r != nil && r.suspectedSince(now.Add(-rateWindow)) {
 			return true
 		}
