poison: one suspect of all entries is tried before the verdict

Cause: suspects wait 0.6 s, a verdict takes 0.5 s. While all requests with a new sound part wait, no answer can clear it, so in an outage the verdict always comes first. Class: a wait for news that the wait itself prevents. Ruled out: a later verdict (0.7 s would pass the test): it leaves nothing for an answer that takes longer, and sends all suspects that have waited.

--- a/poison/trial_test.go
+++ b/poison/trial_test.go
@@ -102,3 +102,39 @@
 	assert.False(t, d.Blocked(due.Add(time.Minute), prompt(first, caller)))
 	assert.False(t, d.Suspected(due.Add(time.Minute), prompt(first, caller)), "the next one")
 }
+
+// TestOneSuspectOfAllIsTried guards against a burst of a bad part in which each entry tries one of
+// its suspects, or which is blocked later because one was tried.
+func TestOneSuspectOfAllIsTried(t *testing.T) {
+	f := newTrialEntries(prompt(first, badPart))
+	tried := 0
+	for ; f.now.Before(at(450 * time.Millisecond)); f.now = f.now.Add(10 * time.Millisecond) {
+		for _, d := range f.entries {
+			for range 3 {
+				if !d.Suspected(f.now, prompt(first, badPart)) {
+					tried++
+				}
+			}
+		}
+	}
+	assert.Equal(t, 1, tried)
+	recordCrash(f.entries[0], f.now, f.crash(prompt(first, badPart)))
+	f.exchange()
+	f.now = at(500 * time.Millisecond)
+	for i, d := range f.entries {
+		assert.True(t, d.Blocked(f.now, prompt(first, badPart)), i)
+	}
+}
+
+// TestSuspectsWaitBeforeTrial guards against a trial before the answers under way are known, and
+// against one for a part that has too few crashes for a verdict.
+func TestSuspectsWaitBeforeTrial(t *testing.T) {
+	for _, crashes := range []int{3, 4} {
+		d, f := poison.NewPartDetector(), &partFleet{}
+		for range crashes {
+			recordCrash(d, at(0), f.crash(prompt(first, badPart)))
+		}
+		assert.True(t, d.Suspected(at(300*time.Millisecond), prompt(first, badPart)))
+		assert.Equal(t, crashes < 4, d.Suspected(at(400*time.Millisecond), prompt(first, badPart)))
+	}
+}
