Promised returns: calls of a fixed cost leave room where all calls have one

New calls of a fixed cost never left the room that was promised to returning ones, also where there are no others beside which they are small. At four times the limit the bucket then swings around an eighth of the refusal threshold, and below a tenth of it returning callers are refused at random, too. Change: the ledger decides on what is kept, by the costs that it has seen: only small calls, eight or more of which fit in the place of an average other request, leave no room. TestCallsOfFixedCostLeaveRoom: 100 of 100 new callers admitted before, fewer than 50 now. An entry that has not seen any generation of a workspace yet takes its calls for alike.

--- a/quota/urgency.go
+++ b/quota/urgency.go
@@ -40,7 +40,8 @@
 	// Returning says that the caller comes back when it was told to, so that its request counts
 	// as one of the most urgent class.
 	Returning bool
-	// Reserved is what is kept of the bucket for others, which return.
+	// Reserved is what is kept of the bucket for others, which return. Small requests of a fixed
+	// cost don't leave it: many of them fit in the place of one that returns.
 	Reserved float64
 }
 
@@ -68,7 +69,10 @@
 		p = place{index: a.costs.place(Class{Classes: c.Classes, FixedCost: c.FixedCost}).index, kinds: max(own.kinds, 2)}
 	}
 	threshold := a.refusalThreshold(now, a.share)
-	level := a.bucket.TokensAt(now) - min(c.Reserved, maxReserved*threshold)
+	level := a.bucket.TokensAt(now)
+	if !a.costs.small(c) {
+		level -= min(c.Reserved, maxReserved*threshold)
+	}
 	v := Decision{Limited: true, Level: level, Share: a.share, Threshold: threshold, Rate: a.rateFor(now, own)}
 	v.Admitted = a.admitted(p, level, v.Threshold)
 	v.OK = v.Admitted >= 1 || v.Admitted > l.rnd.Float64()
@@ -172,6 +176,9 @@
 // unlike reports whether requests of a fixed cost are small beside the others.
 func (s *costs) unlike() bool { return s.fixed > 0 && s.others >= smallCostRatio*s.fixed }
 
+// small reports whether requests of a class are small beside the others of the workspace.
+func (s *costs) small(c Class) bool { return c.FixedCost && s.unlike() }
+
 // place returns the place of a class. Small requests are the last to be refused, whatever their
 // class: one large request takes the tokens of many callers, and classes of different services
 // do not compare.
@@ -182,7 +189,7 @@
 		return p
 	}
 	p.kinds++
-	if c.FixedCost {
+	if s.small(c) {
 		p.index = 0
 	} else {
 		p.index++
--- a/returns/limit.go
+++ b/returns/limit.go
@@ -38,11 +38,8 @@
 func (a Attempt) returning() bool { return a.Waited >= MinDelay }
 
 // leavesRoom reports whether a new caller leaves the room to returning ones that was promised to
-// them: not the most urgent, nor small requests, many of which fit in the place of one that
-// returns.
-func (a Attempt) leavesRoom() bool {
-	return !a.Class.FixedCost && (a.Class.Urgency > 0 || a.Class.Classes <= 1)
-}
+// them: not the most urgent.
+func (a Attempt) leavesRoom() bool { return a.Class.Urgency > 0 || a.Class.Classes <= 1 }
 
 // booked reports whether the caller returns as one with a booking does: those without one are
 // told to wait longer.
--- a/returns/returns_test.go
+++ b/returns/returns_test.go
@@ -158,6 +158,27 @@
 	assert.Less(t, admitted(20_000), 50)
 }
 
+// TestCallsOfFixedCostLeaveRoom: in a workspace whose calls all have a fixed cost, new ones leave
+// the room that is due to those that return. Beside generations of eight times the cost they don't.
+func TestCallsOfFixedCostLeaveRoom(t *testing.T) {
+	admitted := func(generation int) (n int) {
+		e := newSite(t, 1, burst(1)).entries[0]
+		e.Calendar.Merge(start, "b", []returns.Promise{{Key: workspace, Cost: []float64{20_000}}})
+		e.Ledger.TakeClass(start, workspace, 45_000, quota.Class{FixedCost: true, Classes: 3})
+		if generation > 0 {
+			e.Ledger.TakeClass(start, workspace, generation, quota.Class{Classes: 3})
+		}
+		for range 100 {
+			if e.Take(start, returns.Attempt{Workspace: workspace, Tokens: 1, Class: quota.Class{FixedCost: true, Urgency: 2, Classes: 3}}).OK {
+				n++
+			}
+		}
+		return n
+	}
+	assert.Less(t, admitted(0), 50)
+	assert.Equal(t, 100, admitted(8))
+}
+
 // TestEntriesWithoutNewsShareTheRoom: 24 entries that hear nothing of each other refuse many
 // callers at once. Together they promise no more than the room, and none of them overfills a slot.
 func TestEntriesWithoutNewsShareTheRoom(t *testing.T) {
