poison: a verdict whose crashes have been forgotten is no trial

Cause: trials look at the record of a part, which is removed with its last crash; the verdict stays until the next review, and a request that comes in between would end the process.

Ruled out: verdicts without a record at a review: they are worked out from it.

Change: without a record no trial is due, and none runs.

Conclusion: by reading only.

--- a/poison/trial.go
+++ b/poison/trial.go
@@ -56,14 +56,15 @@
 	return n
 }
 
-// trialDue reports whether a request may be tried in spite of a verdict.
+// trialDue reports whether a request may be tried in spite of a verdict. The record is nil if its
+// crashes have been forgotten since.
 func (v *partVerdict) trialDue(now time.Time, r *partRecord) bool {
-	return v.trialPause > 0 && !now.Before(latest(v.last, r.tried).Add(v.trialPause))
+	return r != nil && v.trialPause > 0 && !now.Before(latest(v.last, r.tried).Add(v.trialPause))
 }
 
 // trialRuns reports whether a request was tried that may still be answered.
 func (v *partVerdict) trialRuns(now time.Time, r *partRecord) bool {
-	return r.tried.After(v.last) && now.Before(r.tried.Add(trialTime))
+	return r != nil && r.tried.After(v.last) && now.Before(r.tried.Add(trialTime))
 }
 
 // earlyTrialDue reports whether a request may be tried before there is a verdict. While all of
