Limits of endpoints: a bucket grows with the limit, within what is tolerated

Cause: an advertised limit names no burst, and got a burst of one request at any rate. Its bucket held two and refused at random below one; reports of others bring up to a second of their requests at once. Class: a bound in requests where what it covers (late news) grows with the rate. Ruled out: endpoints without room and failing calls (there are none in this test; no code of the choice of an endpoint changed). Change: the burst is a quarter of what is tolerated beyond the limit, at least one request, and is still part of what is tolerated (it is subtracted without being cut off at zero). Depth 72 at 80 a second, 5.7 at 4, 2.5 at 0.4. Rates above a million a second are enforced as that: a bucket can't hold more than an int.

--- a/quota/quota.go
+++ b/quota/quota.go
@@ -81,7 +81,7 @@
 // advertised: the burst is part of what is tolerated.
 func (t Tolerance) withoutBurst(burst float64) *Tolerance {
 	t = t.withDefaults()
-	t.Slack = max(t.Slack-burst*(1+t.Overrun), 0)
+	t.Slack -= burst * (1 + t.Overrun)
 	return &t
 }
 
@@ -97,7 +97,7 @@
 func (t Tolerance) allowed(l Limit) float64 { return l.Rate*t.Window.Seconds() + l.Burst }
 
 // excess returns what is tolerated beyond that in a window.
-func (t Tolerance) excess(l Limit) float64 { return t.allowed(l)*t.Overrun + t.Slack }
+func (t Tolerance) excess(l Limit) float64 { return max(t.allowed(l)*t.Overrun+t.Slack, 0) }
 
 // depth returns the capacity of a bucket. In addition to the burst it contains a part of the
 // tolerance, so that replicas that lag behind each other refuse little that the limit allows.
@@ -109,15 +109,13 @@
 // Ledger holds an entry's view of the use of workspaces and endpoints. It is safe for
 // concurrent use.
 type Ledger struct {
-	mu       sync.Mutex
-	settings Settings
-	limits   map[ID]Limit
-	// endpointTolerance applies to endpointLimits, which endpoints advertise.
-	endpointTolerance *Tolerance
-	endpointLimits    map[ID]*endpointLimitState
-	accounts          map[ID]*account
-	peers             map[string]*peer
-	fleet             fleetSize
+	mu             sync.Mutex
+	settings       Settings
+	limits         map[ID]Limit
+	endpointLimits map[ID]*endpointLimitState
+	accounts       map[ID]*account
+	peers          map[string]*peer
+	fleet          fleetSize
 	// reachable is the number of entries that were reachable at reachableAt, this one
 	// included.
 	reachable   int
@@ -145,9 +143,9 @@
 func NewLedger(settings Settings) *Ledger {
 	settings.Tolerance = settings.Tolerance.withDefaults()
 	return &Ledger{
-		settings: settings, endpointTolerance: settings.EndpointTolerance.withoutBurst(endpointLimitBurst),
-		fleet:  newFleetSize(settings.Restarted && !settings.SingleEntry),
-		limits: make(map[ID]Limit), endpointLimits: make(map[ID]*endpointLimitState), accounts: make(map[ID]*account), peers: make(map[string]*peer),
+		settings: settings,
+		fleet:    newFleetSize(settings.Restarted && !settings.SingleEntry),
+		limits:   make(map[ID]Limit), endpointLimits: make(map[ID]*endpointLimitState), accounts: make(map[ID]*account), peers: make(map[string]*peer),
 		rnd: rand.New(rand.NewPCG(settings.Seed, settings.Seed)),
 	}
 }
--- a/quota/stated.go
+++ b/quota/stated.go
@@ -9,13 +9,14 @@
 )
 
 const (
-	// endpointLimitBurst is the burst, in requests, of the limits that endpoints advertise,
-	// which specify none.
-	endpointLimitBurst = 1
+	// minEndpointBurst is the minimum burst, in requests, of the limits that endpoints
+	// advertise, which specify none.
+	minEndpointBurst = 1
 	// minEndpointRate is the rate, in requests a second, at which requests are sent to an
 	// endpoint even if its limit is lower, because only an answer can show that the limit is
-	// lifted.
+	// lifted. maxEndpointRate is the maximum rate that is enforced.
 	minEndpointRate = 0.1
+	maxEndpointRate = 1e6
 	// maxEndpointLimits bounds the limits that are reported at a time; the newest come first.
 	maxEndpointLimits = 64
 	// endpointLimitReportTime is how long a limit is reported to others.
@@ -88,13 +89,23 @@
 	}
 	changed = known.advertised != s.Advertised || known.perSecond != s.PerSecond
 	known.advertised, known.perSecond, known.validAt = s.Advertised, s.PerSecond, validAt
-	known.limit = Limit{Rate: max(s.PerSecond, minEndpointRate), Burst: endpointLimitBurst, Tolerance: l.endpointTolerance}
 	if changed {
+		known.limit = l.endpointLimit(s.PerSecond)
 		known.changed = now
 	}
 	return changed
 }
 
+// endpointLimit returns the limit of an endpoint that advertises a number of requests a second.
+// Its burst is part of what is tolerated, and grows with it: entries learn of each other's
+// requests later, several at once, and a small bucket would be empty then.
+func (l *Ledger) endpointLimit(perSecond float64) Limit {
+	rate := min(max(perSecond, minEndpointRate), maxEndpointRate)
+	tolerance := l.settings.EndpointTolerance.withDefaults()
+	burst := max(toleranceDepthFraction*tolerance.excess(Limit{Rate: rate}), minEndpointBurst)
+	return Limit{Rate: rate, Burst: burst, Tolerance: tolerance.withoutBurst(burst)}
+}
+
 // OwnEndpointLimits returns the limits advertised to this entry that are to be reported to
 // others.
 func (l *Ledger) OwnEndpointLimits(now time.Time) []EndpointLimit {
--- a/quota/stated_test.go
+++ b/quota/stated_test.go
@@ -1,6 +1,7 @@
 package quota_test
 
 import (
+	"math"
 	"testing"
 	"time"
 
@@ -73,3 +74,33 @@
 	l.SetFleetSize(2)
 	assert.True(t, l.Take(start, limited, 1).OK)
 }
+
+// TestLargeEndpointLimit guards against a limit that is too large for a bucket, so that its
+// endpoint gets nothing.
+func TestLargeEndpointLimit(t *testing.T) {
+	l := quota.NewLedger(quota.Settings{EndpointTolerance: quota.Tolerance{Window: 4 * time.Second, Overrun: 0.5, Slack: 5}})
+	l.SetFleetSize(1)
+	l.SetEndpointLimit(start, start, quota.EndpointLimit{Endpoint: endpoint, Advertised: true, PerSecond: math.MaxFloat64})
+	for range 1000 {
+		assert.True(t, l.Take(start, endpoint, 1).OK)
+	}
+}
+
+// TestEndpointLimitIsTolerated: whatever limit an endpoint advertises, a sole entry sends it no
+// more in a window than is tolerated, although the bucket was full at its start.
+func TestEndpointLimitIsTolerated(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		tolerance := quota.Tolerance{Window: 4 * time.Second, Overrun: 0.5, Slack: 5}
+		l := quota.NewLedger(quota.Settings{EndpointTolerance: tolerance})
+		l.SetFleetSize(1)
+		perSecond := rapid.Float64Range(0, 200).Draw(t, "per second")
+		l.SetEndpointLimit(start, start, quota.EndpointLimit{Endpoint: endpoint, Advertised: true, PerSecond: perSecond})
+		sent := 0
+		for d := time.Duration(0); d < tolerance.Window; d += time.Millisecond {
+			if l.Take(at(d), endpoint, 1).OK {
+				sent++
+			}
+		}
+		assert.LessOrEqual(t, float64(sent), (1+tolerance.Overrun)*perSecond*tolerance.Window.Seconds()+tolerance.Slack)
+	})
+}
