Versions of streams: a newcomer is told only what the other entry has seen, and more from the review

Cause: a reviewer who had not seen the work found, each shown by a test: an endpoint that a newcomer lists and the sender of its history has not seen yet, or that it lists after the history came, counted as published for ever, also under another version; a request that engines of two versions ran had the version of the first; silence of an engine, or its drain, counted as absence; prompts were relayed from restart to restart, and used for streams that began later; half an answer of an engine was dropped or not asked again; runs that have not begun were evidence.

Ruled out: hashes of all endpoints in each first reply: 23 kB at 2,600 endpoints; a digest takes 9 bytes.

Change: a history counts once the receiver lists the very endpoints that the sender saw; what it says of an endpoint counts for its version. Ambiguous requests and prompts give no version. The last resort asks engines that drain, and is unknown while one of another version is silent. Prompts are relayed for 20 s and used for streams that may have begun before. Two guards that could not fail are mended.

Conclusion: an entry whose view is old still trusts it (known failure).

--- a/gossip/gossip_test.go
+++ b/gossip/gossip_test.go
@@ -362,6 +362,28 @@
 	}
 }
 
+// TestRecoveredPromptsAreReported guards against streams that are lost because an entry does not
+// hear, in a report or when it starts, what another one found engines to have cached.
+func TestRecoveredPromptsAreReported(t *testing.T) {
+	found := func(version, session string) release.EngineState {
+		return release.EngineState{Service: "s", Version: version, Sessions: []string{session}}
+	}
+	nodes := pair(t, func(i int, n *gossip.Node) {
+		n.Releases.SetEndpoints(time.Now(), "s", []release.Endpoint{{ID: "a", Version: "v1"}, {ID: "b", Version: "v2"}})
+		if i == 0 {
+			n.Releases.Recover(time.Now(), found("v1", "early"))
+		}
+	})
+	hears := func(session, version string) {
+		require.Eventually(t, func() bool {
+			return nodes[1].Releases.Find(time.Now().Add(-5*time.Second), "s", "r1", session).Version == version
+		}, 5*time.Second, 10*time.Millisecond, session)
+	}
+	hears("early", "v1")
+	nodes[0].Releases.Recover(time.Now(), found("v2", "late"))
+	hears("late", "v2")
+}
+
 // TestNewcomerHearsOfVersions guards against an entry that has started and can't tell the versions
 // of streams, or takes one that began before a change of the endpoints for one of after it.
 func TestNewcomerHearsOfVersions(t *testing.T) {
--- a/gossip/link.go
+++ b/gossip/link.go
@@ -149,7 +149,7 @@
 		case *wire.Reply:
 			n.observe(time.Now(), l.addr, m.DataCentre, StoreAccess{LinkMbps: m.Link, StoreFailed: m.NoStore}, membersOf(m.Members, m.Centres, m.Links))
 			n.learnMaxEntries(time.Now(), m.Most, m.MostAge, m.Counted)
-			n.mergeVersionHistory(time.Now(), m.Versions)
+			n.mergeVersionHistory(time.Now(), m.Versions, m.Published)
 			n.mergeStreams(time.Now(), m.Begun, m.Prompts)
 			n.recordRevision(l.addr, m.At())
 			n.handlePublished(l.addr, m, c)
--- a/gossip/node.go
+++ b/gossip/node.go
@@ -208,7 +208,7 @@
 		reply.Members, reply.Centres, reply.Links = n.membersToList(now, maxListedFirst)
 		reply.Most, reply.MostAge = n.maxEntries(now)
 		reply.Counted = n.Quotas.FleetSizeSettled(now)
-		reply.Versions = n.versionHistory(now)
+		reply.Versions, reply.Published = n.versionHistory(now)
 		reply.Begun, reply.Prompts = streamVersions(n.Releases.Exceptions(now))
 	}
 	return reply
--- a/gossip/releases.go
+++ b/gossip/releases.go
@@ -69,24 +69,28 @@
 	return n.members.FirstFor(time.Now(), dataCentre, endpoint) == n.self.Addr
 }
 
-// versionHistory returns the recent changes of endpoints, for an entry that may have started.
-func (n *Node) versionHistory(now time.Time) []wire.ServiceVersions {
-	var list []wire.ServiceVersions
+// versionHistory returns the recent changes of endpoints, for an entry that may have started, and
+// the digests of those that are published.
+func (n *Node) versionHistory(now time.Time) (list []wire.ServiceVersions, published []uint64) {
 	for _, h := range n.Releases.History(now) {
 		s := wire.ServiceVersions{Service: h.Service, Age: h.Age}
 		for _, c := range h.Changes {
 			s.Changes = append(s.Changes, wire.EndpointVersion(c))
 		}
-		list = append(list, s)
+		list, published = append(list, s), append(published, h.Published)
 	}
-	return list
+	return list, published
 }
 
-// mergeVersionHistory merges the recent changes of endpoints that another entry knows.
-func (n *Node) mergeVersionHistory(now time.Time, list []wire.ServiceVersions) {
+// mergeVersionHistory merges the recent changes of endpoints that another entry knows. One that
+// sends no digests is of a release without them.
+func (n *Node) mergeVersionHistory(now time.Time, list []wire.ServiceVersions, published []uint64) {
+	if len(published) != len(list) {
+		return
+	}
 	histories := make([]release.History, 0, len(list))
-	for _, s := range list {
-		h := release.History{Service: s.Service, Age: s.Age}
+	for i, s := range list {
+		h := release.History{Service: s.Service, Age: s.Age, Published: published[i]}
 		for _, c := range s.Changes {
 			h.Changes = append(h.Changes, release.Change(c))
 		}
--- a/release/history.go
+++ b/release/history.go
@@ -15,6 +15,8 @@
 	Service string
 	// Age is how long the sender has known the endpoints, at most historyTime.
 	Age time.Duration
+	// Published is the digest of the published endpoints; see service.digest.
+	Published uint64
 	// Changes are empty if all endpoints have one version.
 	Changes []Change
 }
@@ -34,7 +36,7 @@
 	defer t.mu.Unlock()
 	list := make([]History, 0, len(t.services))
 	for name, s := range t.services {
-		h := History{Service: name, Age: min(now.Sub(s.since), historyTime)}
+		h := History{Service: name, Age: min(now.Sub(s.since), historyTime), Published: s.digest()}
 		if _, single := s.onlyVersion(s.since); !single {
 			h.Changes = s.recentChanges(now)
 		}
@@ -66,7 +68,30 @@
 	return c.Added >= 0 && c.Added <= historyTime || c.Removed >= 0 && c.Removed <= historyTime
 }
 
-// MergeHistory merges what another entry knows.
+// digest returns a digest of the published endpoints and their versions.
+func (s *service) digest() (sum uint64) {
+	for _, m := range s.members {
+		if m.removed.IsZero() {
+			sum ^= rendezvous.Score(m.hash, rendezvous.Hash(m.version))
+		}
+	}
+	return sum
+}
+
+const (
+	// pendingTime is how long a history that does not fit yet is kept, maxPending how many are.
+	pendingTime = 5 * time.Second
+	maxPending  = 8
+)
+
+// pendingHistory is a history that another entry sent at a time.
+type pendingHistory struct {
+	History
+	at time.Time
+}
+
+// MergeHistory merges what another entry knows, once this entry lists the same endpoints: those
+// that the other one has not seen may have been published just now.
 func (t *Tracker) MergeHistory(now time.Time, list []History) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -76,39 +101,60 @@
 			s = t.newService(now)
 			t.services[h.Service] = s
 		}
-		for _, c := range h.Changes {
-			s.merge(now, c)
-		}
-		if since := now.Add(-min(h.Age, historyTime)); since.Before(s.since) {
-			s.since = since
+		s.pending = append(s.pending, pendingHistory{h, now})
+		s.pending = s.pending[max(0, len(s.pending)-maxPending):]
+		s.mergePending(now)
+	}
+}
+
+// mergePending merges the histories of entries that saw the endpoints that are published now.
+func (s *service) mergePending(now time.Time) {
+	if !s.listed || len(s.pending) == 0 {
+		return
+	}
+	published := s.digest()
+	kept := s.pending[:0]
+	for _, h := range s.pending {
+		switch {
+		case h.Published == published:
+			s.mergeHistory(h)
+		case now.Sub(h.at) <= pendingTime:
+			kept = append(kept, h)
 		}
 	}
+	s.pending = kept
+}
+
+func (s *service) mergeHistory(h pendingHistory) {
+	for _, c := range h.Changes {
+		s.merge(h.at, c)
+	}
+	if since := h.at.Add(-min(h.Age, historyTime)); since.Before(s.since) {
+		s.since = since
+	}
 }
 
 // merge merges a change that this entry has not seen itself. An endpoint that was removed may be
 // published again.
 func (s *service) merge(now time.Time, c Change) {
-	m := s.member(c.Endpoint, c.Removed >= 0)
+	m := s.member(c.Endpoint, c.Version, c.Removed >= 0)
 	if m == nil {
-		if c.Removed < 0 && s.listed {
+		if c.Removed < 0 {
 			return // it was removed since
 		}
-		m = &member{hash: c.Endpoint, version: c.Version}
+		m = &member{hash: c.Endpoint, version: c.Version, removed: now.Add(-c.Removed)}
 		s.members = append(s.members, m)
-		if c.Removed >= 0 {
-			m.removed = now.Add(-c.Removed)
-		}
 	}
 	if c.Added >= 0 && m.added.IsZero() {
 		m.added = now.Add(-c.Added)
 	}
 }
 
-// member returns the endpoint with an ID's hash that was removed, or is published; nil if there
-// is none.
-func (s *service) member(hash uint64, removed bool) *member {
+// member returns the endpoint with an ID's hash and a version that was removed, or is published;
+// nil if there is none.
+func (s *service) member(hash uint64, version string, removed bool) *member {
 	for _, m := range s.members {
-		if m.hash == hash && m.removed.IsZero() != removed {
+		if m.hash == hash && m.version == version && m.removed.IsZero() != removed {
 			return m
 		}
 	}
--- a/release/recovered.go
+++ b/release/recovered.go
@@ -17,6 +17,8 @@
 	// and maxRelayedPrompts those of all entries that are told to one that has started.
 	maxToldPrompts    = 1 << 10
 	maxRelayedPrompts = 1 << 9
+	// promptRelayTime is how long after it was found out it is told to those.
+	promptRelayTime = 20 * time.Second
 )
 
 // prompt is a prompt that engines had in their cache. version is empty if they have several.
@@ -49,10 +51,11 @@
 	t.sweep(now)
 	for _, id := range e.Requests {
 		key := rendezvous.Hash(id)
-		if t.streams[key] != nil {
+		if before := t.streams[key]; before != nil {
+			before.recover(e.Version)
 			continue
 		}
-		x := &stream{service: e.Service, version: e.Version, begun: now, after: now}
+		x := &stream{service: e.Service, version: e.Version, begun: now, after: now, recovered: true}
 		t.streams[key] = x
 		t.tell(now, key, x)
 	}
@@ -66,6 +69,13 @@
 	}
 }
 
+// recover records that an engine of a version ran the stream, too.
+func (x *stream) recover(version string) {
+	if x.recovered && x.version != version {
+		x.version = ""
+	}
+}
+
 // promptKey returns the key of a prompt.
 func promptKey(service, session string) uint64 {
 	return rendezvous.Hash(service + "\x00" + session)
@@ -84,21 +94,25 @@
 	}
 }
 
-// promptVersion returns the version of the engines that had cached a prompt. The caller holds t.mu.
-func (t *Tracker) promptVersion(name, session string) (version string, ok bool) {
+// promptVersion returns the version of the engines that had cached the prompt of a stream that
+// began after a time. The caller holds t.mu.
+func (t *Tracker) promptVersion(after time.Time, name, session string) (version string, ok bool) {
 	p := t.prompts[promptKey(name, session)]
-	if session == "" || p == nil {
+	if session == "" || p == nil || after.After(p.at) {
 		return "", false
 	}
 	return p.version, p.version != ""
 }
 
-// cachedPrompts returns the remembered prompts, at most maxRelayedPrompts. The caller holds t.mu.
-func (t *Tracker) cachedPrompts() (list []Update) {
+// cachedPrompts returns what was found out lately, at most maxRelayedPrompts. The caller holds t.mu.
+func (t *Tracker) cachedPrompts(now time.Time) (list []Update) {
 	for key, p := range t.prompts {
 		if len(list) == maxRelayedPrompts {
 			break
 		}
+		if now.Sub(p.at) > promptRelayTime {
+			continue
+		}
 		list = append(list, Update{Request: key, Version: p.version, Prompt: true})
 	}
 	return list
--- a/release/release.go
+++ b/release/release.go
@@ -57,10 +57,13 @@
 
 // service holds the endpoints of a service.
 type service struct {
-	// since is from when on all changes are known; listed says that the endpoints were set.
+	// since is from when on all changes are known, zero for always; listed says that the endpoints
+	// were set.
 	since   time.Time
 	listed  bool
 	members []*member
+	// pending holds histories of entries that saw other endpoints than those published here.
+	pending []pendingHistory
 }
 
 // member is one endpoint, published from added to removed. A zero time means before since, or
@@ -74,12 +77,15 @@
 // stream is a stream that began at an entry. own says that it runs at this one.
 type stream struct {
 	service string
+	// version is empty if engines of several versions ran it.
 	version string
 	begun   time.Time
 	// after is when others assume that it began at the earliest.
 	after time.Time
 	own   bool
 	told  bool
+	// recovered says that an engine ran it when all entries had been restarted.
+	recovered bool
 }
 
 // NewTracker returns an empty Tracker.
@@ -115,7 +121,9 @@
 		s = t.newService(now)
 		t.services[name] = s
 	}
-	if s.update(now, list) {
+	changed := s.update(now, list)
+	s.mergePending(now)
+	if changed {
 		t.tellAffected(now, name)
 	}
 }
@@ -210,14 +218,16 @@
 		f.Since = s.since
 	}
 	if x := t.streams[rendezvous.Hash(request)]; x != nil && request != "" {
-		f.Version, f.Source = x.version, Told
+		if x.version != "" {
+			f.Version, f.Source = x.version, Told
+		}
 		return f
 	}
 	if version, ok := t.find(after, name, request); ok {
 		f.Version, f.Source = version, Computed
 		return f
 	}
-	if version, ok := t.promptVersion(name, session); ok {
+	if version, ok := t.promptVersion(after, name, session); ok {
 		f.Version, f.Source = version, Cached
 	}
 	return f
@@ -232,7 +242,9 @@
 }
 
 // knows reports whether all endpoints are known that were published after a time.
-func (s *service) knows(after time.Time) bool { return s != nil && !s.since.After(after) }
+func (s *service) knows(after time.Time) bool {
+	return s != nil && (s.since.IsZero() || !s.since.After(after))
+}
 
 // onlyVersion returns the version of all endpoints that were published after a time. It returns
 // false if there were several versions, or if not all of these endpoints are known.
--- a/release/told.go
+++ b/release/told.go
@@ -116,7 +116,7 @@
 		}
 	}
 	slices.SortFunc(list, func(a, b toldStream) int { return cmp.Or(b.at.Compare(a.at), cmp.Compare(a.Request, b.Request)) })
-	updates := t.cachedPrompts()
+	updates := t.cachedPrompts(now)
 	for _, x := range list[:min(len(list), maxRelayed)] {
 		updates = append(updates, x.Update)
 	}
--- a/router/answer.go
+++ b/router/answer.go
@@ -186,9 +186,9 @@
 	// Drop frees a result that will not be used. It does not block.
 	Drop(r *PrefillResult)
 	// Cached returns the sessions whose prompts an engine has in its cache; see
-	// Call.Session.
+	// Call.Session. The map is not nil if the engine answered.
 	Cached(ctx context.Context, e *Endpoint) (map[string]bool, error)
-	// Running returns the IDs of the requests that an engine runs; see Call.ID.
+	// Running returns the IDs of the requests that an engine answers; see Call.ID.
 	Running(ctx context.Context, e *Endpoint) ([]string, error)
 	// Probe probes an endpoint. It returns nil if the endpoint is healthy, and
 	// ErrNotListening or ErrReplaced if it no longer runs.
--- a/router/cached.go
+++ b/router/cached.go
@@ -81,26 +81,53 @@
 }
 
 // cachedVersion returns the software version of the engines that cache a call's prompt. It returns
-// false if engines of several versions do, or none.
+// false if engines of several versions do, or none, or if one of another version does not answer.
 func (r *Router) cachedVersion(ctx context.Context, c *Call) (version string, ok bool) {
-	versions := softwareVersions(r.Directory().Endpoints(c.Service.Name, Decode))
-	found := make(chan *Endpoint, len(versions))
-	for _, v := range versions {
-		go func() { found <- r.cachingEngine(ctx, c, v) }()
+	if c.Session == "" {
+		return "", false
+	}
+	ctx, cancel := context.WithTimeout(ctx, cacheLookupTimeout)
+	defer cancel()
+	lists := make(map[*cachedSessions]string)
+	all := r.Directory().decodeEngines(c.Service.Name)
+	for _, v := range softwareVersions(all) {
+		for _, e := range byHash(c, ofVersion(all, v)) {
+			lists[r.cachedSessions(e)] = v
+		}
 	}
-	several := false
-	for range versions {
-		if e := <-found; e != nil {
-			several = ok
-			version, ok = e.SoftwareVersion, true
+	caching, unknown := make(map[string]bool), make(map[string]bool)
+	for list, v := range lists {
+		switch cached, answered := list.has(ctx, c.Session); {
+		case !answered:
+			unknown[v] = true
+		case cached:
+			caching[v] = true
 		}
 	}
-	return version, ok && !several
+	for version = range caching {
+		delete(unknown, version)
+	}
+	return version, len(caching) == 1 && len(unknown) == 0
+}
+
+// has waits for the list and reports whether it has a session. It returns false if the engine
+// did not answer.
+func (l *cachedSessions) has(ctx context.Context, session string) (cached, answered bool) {
+	select {
+	case <-l.done:
+		return l.sessions[session], l.sessions != nil
+	case <-ctx.Done():
+		return false, false
+	}
 }
 
 // enginesByHash returns the engines to ask for a call's prompt, in rendezvous order.
 func (r *Router) enginesByHash(c *Call) []*Endpoint {
-	all := r.Directory().Endpoints(c.Service.Name, Decode)
+	return byHash(c, r.Directory().Endpoints(c.Service.Name, Decode))
+}
+
+// byHash returns the first engines for a call in rendezvous order, at most maxCacheLookups.
+func byHash(c *Call, all []*Endpoint) []*Endpoint {
 	order := rendezvous.Order(c.ContentHash, len(all), func(i int) string { return all[i].ID })
 	engines := make([]*Endpoint, 0, maxCacheLookups)
 	for _, i := range order[:min(len(order), maxCacheLookups)] {
@@ -129,13 +156,7 @@
 
 // checkCached returns the engine if it caches a session's prompt, else nil.
 func (r *Router) checkCached(ctx context.Context, session string, e *Endpoint) *Endpoint {
-	list := r.cachedSessions(e)
-	select {
-	case <-list.done:
-	case <-ctx.Done():
-		return nil
-	}
-	if !list.sessions[session] {
+	if cached, _ := r.cachedSessions(e).has(ctx, session); !cached {
 		return nil
 	}
 	return e
--- a/router/recovery.go
+++ b/router/recovery.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -128,14 +129,14 @@
 		g.Go(func() {
 			defer func() { <-slots }()
 			state, ok := v.askEngine(e)
-			if !ok {
-				return
-			}
 			v.r.releases.Recover(time.Now(), state)
 			mu.Lock()
 			defer mu.Unlock()
-			v.answered[e.ID] = true
-			requests, sessions, answered = requests+len(state.Requests), sessions+len(state.Sessions), answered+1
+			requests, sessions = requests+len(state.Requests), sessions+len(state.Sessions)
+			if ok {
+				v.answered[e.ID] = true
+				answered++
+			}
 		})
 	}
 	g.Wait()
@@ -147,24 +148,21 @@
 		zap.Int("requests", requests), zap.Int("prompts", sessions), zap.Duration("took", time.Since(began)))
 }
 
-// askEngine asks one engine. It returns false unless the engine told what it has cached.
-func (v *versionRecovery) askEngine(e *Endpoint) (release.EngineState, bool) {
+// askEngine asks one engine. It returns false if a call failed, with what the other one told.
+func (v *versionRecovery) askEngine(e *Endpoint) (state release.EngineState, ok bool) {
 	ctx, cancel := context.WithTimeout(context.Background(), recoveryCallTimeout)
 	defer cancel()
-	state := release.EngineState{Service: e.Service, Version: e.SoftwareVersion}
-	var err error
-	if state.Requests, err = v.r.endpoints.Running(ctx, e); err != nil {
-		v.r.log.Emit(event.CacheStateUnknown, zap.String("endpoint", e.ID), event.Err(err))
-	}
+	state = release.EngineState{Service: e.Service, Version: e.SoftwareVersion}
+	running, failed := v.r.endpoints.Running(ctx, e)
+	state.Requests = running
 	cached, err := v.r.endpoints.Cached(ctx, e)
-	if err != nil {
-		v.r.log.Emit(event.CacheStateUnknown, zap.String("endpoint", e.ID), event.Err(err))
-		return state, false
-	}
 	for session := range cached {
 		state.Sessions = append(state.Sessions, session)
 	}
-	return state, true
+	if err = errors.Join(failed, err); err != nil {
+		v.r.log.Emit(event.CacheStateUnknown, zap.String("endpoint", e.ID), event.Err(err))
+	}
+	return state, err == nil
 }
 
 // await calls found repeatedly while the recovery is in progress, until it returns true.
--- a/wire/report.go
+++ b/wire/report.go
@@ -239,6 +239,9 @@
 	Versions []ServiceVersions
 	Begun    []StreamVersion
 	Prompts  []StreamVersion
+	// Published holds, for each of Versions, the digest of the published endpoints, as in
+	// release.History.
+	Published []uint64
 }
 
 // At returns the revision of the sender's catalog.
