Streams begun while an entry was cut off are not worked out there

Cause: while an entry hears neither the store nor another entry (link cut, process frozen), others see endpoints come and go and begin streams by them. The entry worked out the version of a resumed stream from the endpoints that it knew, and went on doing so once it was back: since did not move.

Ruled out: bounds for when a change that was learned late happened. A change learned late is recorded as later than it was, which leaves more versions in question, never fewer. What is lost is an endpoint that came and went, or that went and came back, in between. Ruled out too: a gap for each store outage or discarded history. Streams begin by what entries see, so while all are without the store and hear each other, nothing is missed.

Nothing calls it yet. In the first 2 s of silence an entry can't know that it is cut off, and what began at it meanwhile is not known to others before it is back.

--- a/release/history.go
+++ b/release/history.go
@@ -74,7 +74,7 @@
 		for _, c := range h.Changes {
 			s.merge(now, c)
 		}
-		if since := now.Add(-min(h.Age, historyTime)); since.Before(s.since) {
+		if since := now.Add(-min(h.Age, historyTime)); since.Before(s.since) && !t.contact.outdated(now) {
 			s.since = since
 		}
 	}
--- a/release/release.go
+++ b/release/release.go
@@ -46,6 +46,7 @@
 	latest uint64
 	// unreached says that not all entries hear of exceptions.
 	unreached bool
+	contact   contact
 }
 
 // service holds the endpoints of a service.
