Merge: streams begun while an entry was cut off are not worked out there

Joins the gap of an entry's history with the recovery after a restart of all: while an entry is out of contact, and for a second after, nothing is worked out, and histories of others wait.

--- a/release/history.go
+++ b/release/history.go
@@ -103,13 +103,14 @@
 		}
 		s.pending = append(s.pending, pendingHistory{h, now})
 		s.pending = s.pending[max(0, len(s.pending)-maxPending):]
-		s.mergePending(now)
+		t.mergePending(now, s)
 	}
 }
 
-// mergePending merges the histories of entries that saw the endpoints that are published now.
-func (s *service) mergePending(now time.Time) {
-	if !s.listed || len(s.pending) == 0 {
+// mergePending merges the histories of entries that saw the endpoints that are published now. The
+// caller holds t.mu.
+func (t *Tracker) mergePending(now time.Time, s *service) {
+	if !s.listed || len(s.pending) == 0 || t.contact.outdated(now) {
 		return
 	}
 	published := s.digest()
--- a/release/release.go
+++ b/release/release.go
@@ -52,7 +52,8 @@
 	// unreached says that not all entries hear of exceptions.
 	unreached bool
 	// first says that no stream began before this entry started.
-	first bool
+	first   bool
+	contact contact
 }
 
 // service holds the endpoints of a service.
@@ -122,7 +123,7 @@
 		t.services[name] = s
 	}
 	changed := s.update(now, list)
-	s.mergePending(now)
+	t.mergePending(now, s)
 	if changed {
 		t.tellAffected(now, name)
 	}
