--- a/router/software.go
+++ b/router/software.go
@@ -100,7 +100,15 @@
 	g.r.metrics.Add("version_"+string(f.Source), 1)
 	g.r.log.Emit(event.VersionFound, zap.String("request", g.c.ID), zap.String("resumes", g.c.Resumes), zap.String("service", g.c.Service.Name),
 		zap.String("software", f.Version), zap.String("source", string(f.Source)), zap.Int64("after", g.c.ResumeAfter),
-		zap.Duration("known_for", g.c.ReceivedAt.Sub(f.Since)), zap.Duration("began_within", g.c.ReceivedAt.Sub(g.earliestBegin())))
+		zap.Duration("known_for", timeSince(g.c.ReceivedAt, f.Since)), zap.Duration("began_within", timeSince(g.c.ReceivedAt, g.earliestBegin())))
+}
+
+// timeSince returns the time since at, -1 s if at is the zero time.
+func timeSince(now, at time.Time) time.Duration {
+	if at.IsZero() {
+		return -time.Second
+	}
+	return now.Sub(at)
 }
 
 // earliestBegin returns when the caller's stream began at the earliest: with the caller's first
