Resumed streams: with one version the engines are asked in growing batches again

Cause: the last resort asked up to 64 engines of each version for every stream of unknown version, so that no silent one is taken for one without the prompt. With one version there is nothing to rule out, and after a restart of a large fleet engines would be asked by all entries at once.

Ruled out: batches with several versions: an engine that was not asked may have the prompt.

Change: with one version the first engine found ends the search, as before.

Conclusion: with several versions the cost stands: 64 calls a version, shared for 0.7 s.

--- a/router/cached.go
+++ b/router/cached.go
@@ -82,15 +82,20 @@
 
 // cachedVersion returns the software version of the engines that cache a call's prompt. It returns
 // false if engines of several versions do, or none, or if one of another version does not answer.
+// With one version the first engine that has the prompt is enough.
 func (r *Router) cachedVersion(ctx context.Context, c *Call) (version string, ok bool) {
 	if c.Session == "" {
 		return "", false
 	}
 	ctx, cancel := context.WithTimeout(ctx, cacheLookupTimeout)
 	defer cancel()
-	lists := make(map[*cachedSessions]string)
 	all := r.Directory().decodeEngines(c.Service.Name)
-	for _, v := range softwareVersions(all) {
+	versions := softwareVersions(all)
+	if len(versions) == 1 {
+		return versions[0], r.cachingEngine(ctx, c, versions[0]) != nil
+	}
+	lists := make(map[*cachedSessions]string)
+	for _, v := range versions {
 		for _, e := range byHash(c, ofVersion(all, v)) {
 			lists[r.cachedSessions(e)] = v
 		}
