Resumed streams: a silent engine does not hide the answers of others

Ruled out: the order of the engines: any silent one will do.

Change: a list that has come counts also after the deadline.

--- a/router/asked_test.go
+++ b/router/asked_test.go
@@ -100,6 +100,22 @@
 	}
 }
 
+// TestAnswersBesideSilenceCount guards against streams that are lost because a silent engine of their
+// version uses up the time in which others have answered.
+func TestAnswersBesideSilenceCount(t *testing.T) {
+	for range 20 {
+		synctest.Test(t, func(t *testing.T) {
+			f := &askedEngines{silent: map[string]bool{"a": true, "b": true}, cache: map[string][]string{"b": {"s1"}}}
+			time.AfterFunc(1900*time.Millisecond, func() {
+				f.mu.Lock()
+				f.silent = map[string]bool{"a": true}
+				f.mu.Unlock()
+			})
+			assert.True(t, resumeAfterStart(t, f, false))
+		})
+	}
+}
+
 // TestHalfAnAnswerCounts guards against streams that are lost because one of the two calls to an
 // engine failed, always or once.
 func TestHalfAnAnswerCounts(t *testing.T) {
--- a/router/cached.go
+++ b/router/cached.go
@@ -116,14 +116,18 @@
 }
 
 // has waits for the list and reports whether it has a session. It returns false if the engine
-// did not answer.
+// did not answer. A list that has come counts also once ctx has ended.
 func (l *cachedSessions) has(ctx context.Context, session string) (cached, answered bool) {
 	select {
 	case <-l.done:
-		return l.sessions[session], l.sessions != nil
 	case <-ctx.Done():
-		return false, false
+		select {
+		case <-l.done:
+		default:
+			return false, false
+		}
 	}
+	return l.sessions[session], l.sessions != nil
 }
 
 // enginesByHash returns the engines to ask for a call's prompt, in rendezvous order.
