Tests of resumed streams: one copy of the entry that has restarted

Cause: three tests set up the same router. Ruled out: nothing. Change: one function; no check changes. Conclusion: none.

--- a/router/asked_test.go
+++ b/router/asked_test.go
@@ -54,6 +54,14 @@
 	return f.runs[e.ID], nil
 }
 
+// newRestartedRouter returns the router of an entry that may have run before.
+func newRestartedRouter(f router.EndpointClient, route *router.Route, engines ...*router.Endpoint) *router.Router {
+	set := router.Settings{DataCentre: "dc-1", RetryRatio: 2, RetryWindow: 10 * time.Second, RetrySlack: 1000, SingleEntry: true, Restarted: true, Seed: 1}
+	r := router.New(set, f, event.Nop(), metrics.NewSet())
+	r.SetDirectory(router.NewDirectory(1, 0, []*router.Route{route}, []*router.Service{llm}, engines))
+	return r
+}
+
 // resumeAfterStart resumes a stream 2 s after the start of an entry before two engines of v1 and one
 // of v2: a, b and c.
 func resumeAfterStart(t *testing.T, f *askedEngines, drains bool) (gone bool) {
@@ -64,9 +72,7 @@
 	list[0].Draining = drains
 	route := resumableRoute
 	route.Timeout, route.Services = 14*time.Second, []router.Share{{Service: llm.Name, Weight: 1}}
-	r := router.New(router.Settings{DataCentre: "dc-1", RetryRatio: 2, RetryWindow: 10 * time.Second, RetrySlack: 1000, SingleEntry: true, Restarted: true, Seed: 1},
-		f, event.Nop(), metrics.NewSet())
-	r.SetDirectory(router.NewDirectory(1, 0, []*router.Route{&route}, []*router.Service{llm}, list))
+	r := newRestartedRouter(f, &route, list...)
 	time.Sleep(2 * time.Second)
 	c := newCall(route, llm)
 	c.Deadline, c.Timeout = time.Now().Add(10*time.Second), 10*time.Second
--- a/router/recovery_test.go
+++ b/router/recovery_test.go
@@ -7,8 +7,6 @@
 
 	"github.com/stretchr/testify/assert"
 
-	"ebonypulley/event"
-	"ebonypulley/metrics"
 	"ebonypulley/router"
 )
 
@@ -23,9 +21,7 @@
 		f.setDefaults()
 		route := resumableRoute
 		route.Timeout, route.Services = 14*time.Second, []router.Share{{Service: llm.Name, Weight: 1}}
-		r := router.New(router.Settings{DataCentre: "dc-1", RetryRatio: 2, RetryWindow: 10 * time.Second, RetrySlack: 1000, SingleEntry: true, Restarted: true, Seed: 1},
-			f, event.Nop(), metrics.NewSet())
-		r.SetDirectory(router.NewDirectory(1, 0, []*router.Route{&route}, []*router.Service{llm}, []*router.Endpoint{leaving, first, second}))
+		r := newRestartedRouter(f, &route, leaving, first, second)
 		c := newCall(route, llm)
 		c.Deadline = c.Deadline.Add(-4 * time.Second)
 		c.Timeout -= 4 * time.Second
@@ -47,9 +43,7 @@
 		f.setDefaults()
 		route := resumableRoute
 		route.Timeout, route.Services = 5*time.Second, []router.Share{{Service: llm.Name, Weight: 1}}
-		r := router.New(router.Settings{DataCentre: "dc-1", RetryRatio: 2, RetryWindow: 10 * time.Second, RetrySlack: 1000, SingleEntry: true, Restarted: true, Seed: 1},
-			f, event.Nop(), metrics.NewSet())
-		r.SetDirectory(router.NewDirectory(1, 0, []*router.Route{&route}, []*router.Service{llm}, []*router.Endpoint{e}))
+		r := newRestartedRouter(f, &route, e)
 		time.Sleep(1500 * time.Millisecond)
 		resume := func() *router.Failure {
 			c := newCall(route, llm) // its caller had 10 s
