--- a/cmd/ebonypulley/soak.go
+++ b/cmd/ebonypulley/soak.go
@@ -33,6 +33,9 @@
 			&cli.BoolFlag{Name: "claim-first-start", Usage: "with --processes: let the settings of entries say at each start, also at restarts, that no process has run before"},
 			&cli.BoolFlag{Name: "restarts", Usage: "with --processes: pause all entries and kill them, one by one and all at once in turn"},
 			&cli.BoolFlag{Name: "late-arrivals", Usage: "with --processes: instead of random faults, make requests arrive late: workers stop and connections hold bytes back while entries are paused and killed"},
+			&cli.StringFlag{Name: "out-of-step", Usage: "with --processes: instead of random faults, let workers of other software versions join while entries are stopped, refused or stopped-refused (by the store)"},
+			&cli.IntFlag{Name: "out-of-step-entries", Value: 1, Usage: "with --out-of-step: how many are so together"},
+			&cli.DurationFlag{Name: "out-of-step-for", Usage: "with --out-of-step: for how long; several lengths in turn by default"},
 			&cli.BoolFlag{Name: "deadly", Usage: "with --processes: add requests that crash each worker that runs them, and come again"},
 			&cli.BoolFlag{Name: "bad-part", Usage: "with --processes: add requests with a prompt part that crashes engines"},
 		},
@@ -88,13 +91,17 @@
 			return err
 		}
 	}
+	outOfStep, err := outOfStepOf(cmd)
+	if err != nil {
+		return err
+	}
 	for i := range cmd.Int("seeds") {
 		seed := cmd.Uint64("seed") + uint64(i)
 		r, err := processes.Run(ctx, processes.Settings{
 			Program: program, Seed: seed, Entries: cmd.Int("entries"), For: cmd.Duration("for"),
 			BadPart: cmd.Bool("bad-part"), Failing: cmd.Bool("failing"), RestartAll: cmd.Bool("restart-all"),
 			ClaimFirstStart: cmd.Bool("claim-first-start"), Restarts: cmd.Bool("restarts"),
-			LateArrivals: cmd.Bool("late-arrivals"), Deadly: cmd.Bool("deadly"), Fleet: fleet,
+			LateArrivals: cmd.Bool("late-arrivals"), OutOfStep: outOfStep, Deadly: cmd.Bool("deadly"), Fleet: fleet,
 		})
 		if err != nil {
 			return err
@@ -116,6 +123,18 @@
 	return nil
 }
 
+// outOfStepOf returns what the flags say of entries out of step, nil if they ask for none.
+func outOfStepOf(cmd *cli.Command) (*processes.OutOfStep, error) {
+	if cmd.String("out-of-step") == "" {
+		return nil, nil
+	}
+	var lengths []time.Duration
+	if d := cmd.Duration("out-of-step-for"); d > 0 {
+		lengths = append(lengths, d)
+	}
+	return processes.NewOutOfStep(cmd.String("out-of-step"), cmd.Int("out-of-step-entries"), lengths)
+}
+
 func printHistory(r soak.Report) {
 	fmt.Printf("seed %d after %d steps:\n", r.Seed, r.Steps)
 	for _, line := range r.History {
--- a/soak/processes/caller.go
+++ b/soak/processes/caller.go
@@ -83,6 +83,11 @@
 	for n := 1; n <= k.repeats() && (s.broken && !k.atMostOnce || s.repeatable) && r.waitToResume(ctx, s); n++ {
 		r.request(ctx, client, r.pickEntry(), k, attemptID(fmt.Sprintf("%sr%d", name, n), caller), caller, s)
 	}
+	r.recordVersions(s)
+}
+
+// recordVersions counts a stream that holds events of several software versions.
+func (r *run) recordVersions(s *stream) {
 	if len(s.versions) > 1 {
 		r.note("stream %s holds events of %v", s.firstAttempt, slices.Collect(maps.Keys(s.versions)))
 		r.joined.Add(1)
@@ -111,7 +116,7 @@
 	began, process := time.Now(), e.processNumber()
 	ctx, cancel := context.WithDeadline(ctx, s.deadline)
 	defer cancel()
-	disconnects := r.randomFloat() < disconnectFraction
+	disconnects := r.set.OutOfStep == nil && r.randomFloat() < disconnectFraction
 	if disconnects {
 		time.AfterFunc(time.Duration(r.randomInt(600))*time.Millisecond, cancel)
 	}
--- a/soak/processes/release.go
+++ b/soak/processes/release.go
@@ -31,10 +31,10 @@
 // fleet returns the workers of a run. With releases, there is a spare for each decode worker.
 func (s Settings) fleet() []workerKind {
 	if s.Fleet != nil {
-		return s.Fleet.workers(s.RestartAll)
+		return s.Fleet.workers(s.hasReleases())
 	}
 	decode := 3
-	if s.RestartAll {
+	if s.hasReleases() {
 		decode = 2 * releaseSize
 	}
 	usual := pace{workerSlots, memoryTokens, callTime, 0, eventGap}
--- a/soak/processes/run.go
+++ b/soak/processes/run.go
@@ -47,10 +47,15 @@
 	Restarts bool
 	// LateArrivals replaces the random faults by those that make requests arrive late at workers.
 	LateArrivals bool
+	// OutOfStep replaces the random faults by entries that miss what is published; nil for none.
+	OutOfStep *OutOfStep
 	// Fleet describes the fleet and its load; nil for the usual ones.
 	Fleet *Profile
 }
 
+// hasReleases reports whether workers of other software versions join.
+func (s Settings) hasReleases() bool { return s.RestartAll || s.OutOfStep != nil }
+
 // Report is the result of a run.
 type Report struct {
 	Requests, Answered, Refused, Other, Cut int64
@@ -100,7 +105,9 @@
 	begun, resumed, carriedOver progress
 	allKilled                   time.Time
 
-	mu         sync.Mutex
+	mu sync.Mutex
+	// resumeAt are the entries out of step, at which callers resume their streams.
+	resumeAt   []*entry
 	rnd        *rand.Rand
 	report     Report
 	violations []string
@@ -145,7 +152,7 @@
 	defer stop()
 	callerCtx, stopCallers := context.WithCancel(ctx)
 	defer stopCallers()
-	if !set.LateArrivals {
+	if !set.LateArrivals && set.OutOfStep == nil {
 		r.startCallers(callerCtx)
 	}
 	r.wg.Go(func() { r.watchMemory(callerCtx) })
@@ -159,9 +166,12 @@
 	if set.Restarts {
 		r.restartRepeatedly(faultCtx)
 	}
-	if set.LateArrivals {
+	switch {
+	case set.LateArrivals:
 		r.delayArrivals(faultCtx)
-	} else {
+	case set.OutOfStep != nil:
+		r.playOutOfStep(faultCtx)
+	default:
 		r.injectFaults(faultCtx)
 	}
 	for r.disturbed() && ctx.Err() == nil {
@@ -206,7 +216,7 @@
 			return err
 		}
 		k.arrivals, k.lengths = r.arrivals, &r.lengths
-		if r.set.RestartAll {
+		if r.set.hasReleases() {
 			k.release, k.spare = 1, i >= len(fleet)-r.set.releaseSize()
 		}
 		k.deadly = &r.deadly
--- a/soak/processes/worker.go
+++ b/soak/processes/worker.go
@@ -100,6 +100,8 @@
 	lengths    *lengthLog
 	// breaksEvents makes the worker end its streams in the middle of an event.
 	breaksEvents atomic.Bool
+	// breaksAfter is after how many events the worker ends its streams, 0 for never.
+	breaksAfter atomic.Int64
 	// badPart records requests with the bad part, deadly those that crash their worker. crash crashes the worker and returns at once;
 	// crashing says that it has not restarted yet.
 	badPart  *badPartLog
@@ -283,7 +285,7 @@
 		}
 		mem.setEvents(id, i)
 		text := fmt.Sprintf("id: %d\ndata: %s\n\n", i, eventText(id, i, version, run))
-		if k.breaksEvents.Load() || i > midway && k.failureOf(id) == breakOffMidway {
+		if n := int(k.breaksAfter.Load()); n > 0 && i > c.LastEvent+n || k.breaksEvents.Load() || i > midway && k.failureOf(id) == breakOffMidway {
 			_, _ = io.WriteString(answer, text[:len(text)/2])
 			return
 		}
