Event 6028 tells when others were heard, and whether the process has just stood still

Cause: a lookup that went wrong at an entry out of step can't be told from one at an entry that knows it is.

Ruled out: nothing.

Change: heard_ago and checked_ago; no logic.

--- a/release/finding.go
+++ b/release/finding.go
@@ -24,6 +24,9 @@
 	Source  Source
 	// Since is from when on all changes of the endpoints are known; zero if none are.
 	Since time.Time
+	// Heard is when the store or another entry was last heard, Checked when CheckContact was last
+	// called; zero if never.
+	Heard, Checked time.Time
 }
 
 // Found reports whether the version is known.
--- a/release/gap.go
+++ b/release/gap.go
@@ -14,6 +14,8 @@
 	heard time.Time
 	// settledAt is when the endpoints are known again after a gap.
 	settledAt time.Time
+	// checked is when CheckContact was last called.
+	checked time.Time
 }
 
 // HearEntry records that another entry was heard.
@@ -46,6 +48,7 @@
 func (t *Tracker) CheckContact(now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	t.contact.checked = now
 	t.checkContact(now)
 }
 
--- a/release/release.go
+++ b/release/release.go
@@ -204,7 +204,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	s := t.services[name]
-	f := Finding{Source: Unknown}
+	f := Finding{Source: Unknown, Heard: t.contact.heard, Checked: t.contact.checked}
 	if s != nil {
 		f.Since = s.since
 	}
--- a/router/software.go
+++ b/router/software.go
@@ -98,9 +98,11 @@
 // recordFinding counts and logs how the version of a resumed stream was found.
 func (g *generationRun) recordFinding(f release.Finding) {
 	g.r.metrics.Add("version_"+string(f.Source), 1)
+	now := time.Now()
 	g.r.log.Emit(event.VersionFound, zap.String("request", g.c.ID), zap.String("resumes", g.c.Resumes), zap.String("service", g.c.Service.Name),
 		zap.String("software", f.Version), zap.String("source", string(f.Source)), zap.Int64("after", g.c.ResumeAfter),
-		zap.Duration("known_for", timeSince(g.c.ReceivedAt, f.Since, 0)), zap.Duration("began_within", timeSince(g.c.ReceivedAt, g.earliestBegin(), -time.Second)))
+		zap.Duration("known_for", timeSince(g.c.ReceivedAt, f.Since, 0)), zap.Duration("began_within", timeSince(g.c.ReceivedAt, g.earliestBegin(), -time.Second)),
+		zap.Duration("heard_ago", timeSince(now, f.Heard, -time.Second)), zap.Duration("checked_ago", timeSince(now, f.Checked, -time.Second)))
 }
 
 // timeSince returns the time since at, or another value if at is the zero time.
