Versions of streams: nothing is worked out from a list older than the resumed attempt

Callers saw streams go on at another software version: they had begun at workers of a new version through other entries, broke, and were taken up at an entry that had stood still for 1 to 2 s.

Cause: knowledge was dated by when it came in. The limit of 2 s of silence and the reach of 1 s for late views were assumptions that nothing enforced.

Ruled out: the round that looks at the silence alone (it had just run before most wrong lookups); a longer silence as the only cause (2.5 to 4 s are noticed, 0 or 1 stream).

Change: an answer counts from when its question was sent. Reports carry a time that replies repeat, and replies say how long ago the sender's copy was complete. Find works a version out only if the endpoints in use are confirmed past the resumed attempt; else the request asks for a read of the store and waits up to 0.4 s. While the store is away all other entries must agree. After a pause of the process, all others must have answered. An entry that isn't confirmed tells what it begins.

Conclusion: no constant about silence decides any more.

--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -124,6 +124,13 @@
 	return c.revision
 }
 
+// Version returns a number that rises with each change.
+func (c *Catalog) Version() uint64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.version
+}
+
 // Get returns the entry of a key, unless it is unknown or removed.
 func (c *Catalog) Get(key string) (Entry, bool) {
 	c.mu.Lock()
--- a/gossip/link.go
+++ b/gossip/link.go
@@ -9,6 +9,7 @@
 
 	"ebonypulley"
 	"ebonypulley/event"
+	"ebonypulley/revision"
 	"ebonypulley/wire"
 )
 
@@ -52,6 +53,10 @@
 	partSeq uint64
 	// streamSeq is the sequence number up to which versions of streams were sent on conn.
 	streamSeq uint64
+	// answered is when the latest report was sent that has an answer on conn, revision the other
+	// entry's catalog revision in it.
+	answered time.Time
+	revision revision.Revision
 }
 
 // manageLinks keeps a link to each target until ctx ends.
@@ -157,6 +162,7 @@
 			n.mergeStreams(time.Now(), m.Begun, m.Prompts)
 			n.recordRevision(l.addr, m.At())
 			n.handlePublished(l.addr, m, c)
+			n.recordAnswer(l, m)
 		case *wire.Parts:
 			n.handleParts(l.addr, m, c)
 		}
@@ -172,5 +178,6 @@
 	l.conn = c
 	l.sent, l.workSent, l.membersSent, l.useSent = time.Time{}, time.Time{}, time.Time{}, time.Time{}
 	l.crashSeq, l.partSeq, l.streamSeq = 0, 0, 0
+	l.answered = time.Time{}
 	l.connected = time.Now()
 }
--- a/gossip/members.go
+++ b/gossip/members.go
@@ -211,6 +211,17 @@
 	return list
 }
 
+// OldestOf returns the earliest of the times of the entries that were alive when it was last looked,
+// false if there are none. Entries without a time are left out.
+func (m *Members) OldestOf(timeOf func(addr string) (time.Time, bool)) (oldest time.Time, any bool) {
+	for a := range m.lastSeen {
+		if at, ok := timeOf(a); ok && (!any || at.Before(oldest)) {
+			oldest, any = at, true
+		}
+	}
+	return oldest, any
+}
+
 // FirstFor returns the entry that ranks first for a key among those that are alive in a data
 // centre, or among all if there is none. All entries with the same view agree on it.
 func (m *Members) FirstFor(now time.Time, dataCentre, key string) string {
--- a/gossip/node.go
+++ b/gossip/node.go
@@ -51,6 +51,14 @@
 	// called with the age of a copy that another entry relayed.
 	CatalogAge func() time.Duration
 	OnReceive  func(age time.Duration)
+	// CheckedAge returns how long ago this entry's copy of the published entries was complete, by
+	// what the store answered; false if that was never so. OnChecked is called with when it was, by
+	// what another entry answered, OnAgreed with when none of the other entries knew more.
+	CheckedAge func() (time.Duration, bool)
+	OnChecked  func(at time.Time)
+	OnAgreed   func(at time.Time)
+	// OnRefresh is called when another entry needs a read of the store.
+	OnRefresh func()
 	// OnFleetSize is called with the largest recent fleet size, this entry included.
 	OnFleetSize func(n int)
 	// Budget, if set, bounds the memory of the frames that are queued for other entries.
@@ -71,6 +79,8 @@
 	// Releases holds the software versions of streams.
 	Releases *release.Tracker
 
+	// started is what the times in reports count from.
+	started     time.Time
 	mu          sync.Mutex
 	members     *Members
 	work        []wire.EndpointWork
@@ -98,9 +108,10 @@
 // NewNode returns the node of an entry.
 func NewNode(self Self, seeds []string, loads *router.LoadTracker, cat *catalog.Catalog, log *event.Log, dial ebonypulley.Dialer) *Node {
 	return &Node{
-		self: self, incarnation: wire.NewID(), loads: loads, catalog: cat, log: log, dial: dial.OrTCP(),
+		self: self, started: time.Now(), incarnation: wire.NewID(), loads: loads, catalog: cat, log: log, dial: dial.OrTCP(),
 		Behind: func() bool { return false }, StoreFailed: func() bool { return false }, OnFleetSize: func(int) {},
 		CatalogAge: func() time.Duration { return 0 }, OnReceive: func(time.Duration) {},
+		CheckedAge: func() (time.Duration, bool) { return 0, false }, OnChecked: func(time.Time) {}, OnAgreed: func(time.Time) {}, OnRefresh: func() {},
 		Metrics: metrics.NewSet(), Crashes: poison.NewDetector(), CrashingParts: poison.NewPartDetector(), Quotas: quota.NewLedger(quota.Settings{}),
 		Paces: pace.NewTracker(), Shares: share.NewTable(), Returns: returns.NewCalendar(), Releases: release.NewTracker(),
 		members: NewMembers(self.Addr, self.DataCentre, seeds), links: make(map[string]*link), conns: make(map[*wire.Conn]peerConn), stalledAt: make(map[string]time.Time),
@@ -195,6 +206,9 @@
 	n.mergePartUpdates(now, r.PartCrashes, r.PartsBegun)
 	n.mergeStreams(now, r.Begun, r.Prompts)
 	n.learnMaxEntries(now, r.Most, r.MostAge, r.Counted)
+	if r.Refresh && n.IsReader() {
+		n.OnRefresh()
+	}
 }
 
 // replyTo returns the reply to a report. The first reply on a connection lists members.
@@ -202,8 +216,9 @@
 	own := n.catalog.Revision()
 	reply := &wire.Reply{
 		DataCentre: n.self.DataCentre, Age: n.CatalogAge(),
-		Link: n.self.LinkMbps, NoStore: n.StoreFailed(), Revision: own.Count, Era: own.Era,
+		Link: n.self.LinkMbps, NoStore: n.StoreFailed(), Revision: own.Count, Era: own.Era, Sent: r.Sent,
 	}
+	reply.CheckedAge, reply.Checked = n.CheckedAge()
 	if first {
 		reply.Members, reply.Centres, reply.Links = n.membersToList(now, maxListedFirst)
 		reply.Most, reply.MostAge = n.maxEntries(now)
@@ -227,7 +242,7 @@
 
 // observe records that an entry is alive, and what it says about itself and others.
 func (n *Node) observe(now time.Time, addr, dataCentre string, access StoreAccess, members []Member) {
-	n.Releases.HearEntry(now)
+	n.Releases.ExpectOthers()
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	if n.members.Observe(now, addr, dataCentre) {
--- a/gossip/releases.go
+++ b/gossip/releases.go
@@ -38,15 +38,7 @@
 // within forgetTimeout and is no longer may be cut off, and callers may resume streams there; if most
 // are not heard, this one may be. The caller holds n.mu.
 func (n *Node) reachesAll(now time.Time) bool {
-	if !n.members.TargetsAll(now) || n.members.MayBeCutOff(now) {
-		return false
-	}
-	for _, addr := range n.members.Recent(now) {
-		if l := n.links[addr]; l == nil || l.conn == nil {
-			return false
-		}
-	}
-	return true
+	return n.members.TargetsAll(now) && !n.members.MayBeCutOff(now) && n.linkedToAll(now)
 }
 
 // mergeStreams merges the software versions of streams and of cached prompts that another entry
--- a/gossip/report.go
+++ b/gossip/report.go
@@ -50,6 +50,7 @@
 	n.Releases.CheckContact(now)
 	work, changed := n.ownWork(now)
 	uses, limits := n.Quotas.OwnUse(now), n.endpointLimits(now)
+	n.checkHeard(now)
 	asked := n.sourceToAsk(now)
 	frames := make(map[reportVariant][]byte)
 	updates := make(map[uint64]crashUpdates)
@@ -116,6 +117,9 @@
 	interval, idle := n.reportInterval(now), n.idleReportInterval(now)
 	newestCrash, newestPart, newestStream := n.Crashes.LatestSeq(), n.CrashingParts.LatestSeq(), n.Releases.LatestSeq()
 	usePause := n.useReportInterval(now)
+	if n.Releases.Awaited() {
+		idle = interval
+	}
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	newest := n.members.LastJoin()
@@ -186,6 +190,7 @@
 		Revision: own.Count, Era: own.Era, Behind: v.asksPublished,
 		Link: n.self.LinkMbps, NoStore: n.StoreFailed(), Crashes: crashes.list, CrashRates: crashes.rates,
 		Unsure: v.unsure, Begun: begun.streams, Prompts: begun.prompts, PartCrashes: parts.crashes, PartsBegun: parts.begun,
+		Sent: n.sentAt(now), Refresh: n.Releases.Awaited() && n.StoreFailed(),
 	}
 	if v.use {
 		r.Use, r.Limits = workspaceUses(uses), limits
--- a/release/gap.go
+++ b/release/gap.go
@@ -2,60 +2,86 @@
 
 import "time"
 
-// maxSilence is how long neither the store nor another entry may be heard until what is known of
-// the endpoints counts as out of date. It covers a slow read of the store.
-const maxSilence = 2 * time.Second
+const (
+	// maxGap is the longest time between two confirmations of the endpoints in which none can have
+	// come and gone unseen: endpoints serve for longer than that.
+	maxGap = 3 * time.Second
+	// maxPause is how long this process may go without running until what waits in its connections
+	// counts as unheard.
+	maxPause = 200 * time.Millisecond
+	// catchUpTime is within what time that has been heard, or its connection replaced.
+	catchUpTime = 1500 * time.Millisecond
+)
 
-// contact is when an entry last heard what others know of the endpoints.
-//
-// A store that is away for all entries is no gap: none of them learns what the others don't.
+// contact is up to when an entry knows what others know.
 type contact struct {
-	// heard is when the store or another entry was last heard, zero if no other entry ever was.
-	heard time.Time
-	// settledAt is when the endpoints are known again after a gap.
+	// others says that other entries are expected. A single entry needs no contact: nobody else
+	// begins streams.
+	others bool
+	// current is when the endpoints were known to be complete last: a question that was sent then
+	// has been answered, and its answer is set.
+	current time.Time
+	// heardAll is when all other entries were sent a question that each has answered.
+	heardAll time.Time
+	// checked is when this process ran last, woke when it last did so after a pause.
+	checked, woke time.Time
+	// settledAt is when others have told what they did during a gap.
 	settledAt time.Time
-	// checked is when CheckContact was last called.
-	checked time.Time
 }
 
-// HearEntry records that another entry was heard.
-func (t *Tracker) HearEntry(now time.Time) {
+// ExpectOthers records that other entries may begin streams.
+func (t *Tracker) ExpectOthers() {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.hear(now)
+	t.contact.others = true
 }
 
-// HearStore records that the store was read. A single entry needs no contact: no other entry
-// begins streams.
-func (t *Tracker) HearStore(now time.Time) {
+// Confirm records that all changes of the endpoints up to a time are set.
+func (t *Tracker) Confirm(now, upTo time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if !t.contact.heard.IsZero() {
-		t.hear(now)
+	t.checkContact(now)
+	if upTo.After(t.contact.current) {
+		t.contact.current = upTo
 	}
 }
 
-// hear records a contact. The caller holds t.mu.
-func (t *Tracker) hear(now time.Time) {
-	if t.contact.silent(now) {
-		t.checkContact(now)
-	}
-	t.contact.heard = now
+// Current returns up to when all changes of the endpoints are set.
+func (t *Tracker) Current() time.Time {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.contact.current
+}
+
+// HeardAll records that each other entry has answered a question that was sent at a time or later.
+func (t *Tracker) HeardAll(at time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.contact.heardAll = at
 }
 
+// Await records that a request waits until this entry is in step, until end is called.
+func (t *Tracker) Await() (end func()) {
+	t.awaited.Add(1)
+	return func() { t.awaited.Add(-1) }
+}
+
+// Awaited reports whether a request waits until this entry is in step.
+func (t *Tracker) Awaited() bool { return t.awaited.Load() > 0 }
+
 // CheckContact is to be called often. While the endpoints are out of date, nothing is worked out
 // of streams that may have begun before now, and the streams at this entry are told to others.
 func (t *Tracker) CheckContact(now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.contact.checked = now
 	t.checkContact(now)
 }
 
 // checkContact implements CheckContact. The caller holds t.mu.
 func (t *Tracker) checkContact(now time.Time) {
 	c := &t.contact
-	if c.silent(now) {
+	c.noteRunning(now)
+	if !c.current.IsZero() && !c.confirmedWithin(now, maxGap) {
 		c.settledAt = now.Add(viewLag)
 	}
 	if !c.outdated(now) {
@@ -67,10 +93,26 @@
 	}
 }
 
-// silent reports whether nothing has been heard for too long.
-func (c *contact) silent(now time.Time) bool {
-	return !c.heard.IsZero() && now.Sub(c.heard) > maxSilence
+// noteRunning records that this process runs.
+func (c *contact) noteRunning(now time.Time) {
+	if !c.checked.IsZero() && now.Sub(c.checked) > maxPause {
+		c.woke = now
+	}
+	c.checked = now
+}
+
+// inStep reports whether all is known that others knew at a time: the endpoints, and what waited in
+// connections while this process didn't run.
+func (c *contact) inStep(now, at time.Time) bool {
+	c.noteRunning(now)
+	caughtUp := !c.heardAll.Before(c.woke) || now.Sub(c.woke) > catchUpTime
+	return !c.others || caughtUp && !c.current.Before(at)
+}
+
+// confirmedWithin reports whether the endpoints have been confirmed within a time.
+func (c *contact) confirmedWithin(now time.Time, d time.Duration) bool {
+	return !c.others || now.Sub(c.current) <= d
 }
 
-// outdated reports whether endpoints may have come or gone of which this entry has not heard.
+// outdated reports whether endpoints may have come and gone of which this entry has not heard.
 func (c *contact) outdated(now time.Time) bool { return now.Before(c.settledAt) }
--- a/release/release.go
+++ b/release/release.go
@@ -12,14 +12,16 @@
 import (
 	"maps"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"ebonypulley/rendezvous"
 )
 
 const (
-	// viewLag is how much later than another entry one may learn of a change of the endpoints.
-	viewLag = time.Second
+	// viewLag is how much later than another entry one may begin streams by a change of the
+	// endpoints. One whose endpoints have not been confirmed for so long tells all that it begins.
+	viewLag = 2500 * time.Millisecond
 	// retention is how long removed endpoints and streams are remembered.
 	retention = 5 * time.Minute
 	// sweepInterval is the pause between two searches for what is to be forgotten.
@@ -52,6 +54,8 @@
 	// unreached says that not all entries hear of exceptions.
 	unreached bool
 	contact   contact
+	// awaited counts the requests that wait until this entry is in step.
+	awaited atomic.Int32
 }
 
 // service holds the endpoints of a service.
@@ -184,7 +188,8 @@
 	before, x := t.streams[key], &stream{service: name, version: version, begun: now, after: after, own: true}
 	t.streams[key] = x
 	moved := before != nil && before.version != version
-	if found, ok := t.compute(after, name, key); moved || !ok || found != version {
+	t.contact.noteRunning(now)
+	if found, ok := t.compute(after, name, key); moved || !ok || found != version || !t.contact.confirmedWithin(now, viewLag) {
 		t.tell(now, key, x)
 	}
 }
@@ -198,27 +203,28 @@
 	}
 }
 
-// Find returns the version of a stream that began after a time. request is the ID of the request
-// that began it and session that of its prompt, empty if unknown.
-func (t *Tracker) Find(after time.Time, name, request, session string) Finding {
+// Find returns the version of a stream.
+func (t *Tracker) Find(now time.Time, q Query) Finding {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	s := t.services[name]
-	f := Finding{Source: Unknown, Heard: t.contact.heard, Checked: t.contact.checked}
-	if s != nil {
+	f := Finding{Source: Unknown, Current: t.contact.current, Checked: t.contact.checked}
+	if s := t.services[q.Service]; s != nil {
 		f.Since = s.since
 	}
-	if x := t.streams[rendezvous.Hash(request)]; x != nil && request != "" {
+	if x := t.streams[rendezvous.Hash(q.Request)]; x != nil && q.Request != "" {
 		if x.version != "" {
 			f.Version, f.Source = x.version, x.source()
 		}
 		return f
 	}
-	if version, ok := t.find(after, name, request); ok {
+	if f.Behind = !t.contact.inStep(now, q.Before); f.Behind {
+		return f
+	}
+	if version, ok := t.find(q.After, q.Service, q.Request); ok {
 		f.Version, f.Source = version, Computed
 		return f
 	}
-	if version, ok := t.promptVersion(after, name, session); ok {
+	if version, ok := t.promptVersion(q.After, q.Service, q.Session); ok {
 		f.Version, f.Source = version, Cached
 	}
 	return f
--- a/router/router.go
+++ b/router/router.go
@@ -53,6 +53,10 @@
 // Router serves requests using the endpoints in its Directory. It is safe for concurrent
 // use.
 type Router struct {
+	// OnBehind, if set before use, is called while a request waits until this entry knows what is
+	// published now.
+	OnBehind func()
+
 	set        Settings
 	endpoints  EndpointClient
 	loads      *LoadTracker
@@ -128,6 +132,7 @@
 		former:          newFormerProcess(set.Restarted, started),
 		rnd:             rand.New(rand.NewPCG(seed, seed+1)),
 	}
+	r.OnBehind = func() {}
 	r.loads.onUnresponsive = r.recordUnresponsive
 	r.recovery = newVersionRecovery(r)
 	r.probes = newProbes(func(ctx context.Context, e *Endpoint) error { return r.endpoints.Probe(ctx, e) })
--- a/router/software.go
+++ b/router/software.go
@@ -7,6 +7,7 @@
 
 	"go.uber.org/zap"
 
+	"ebonypulley"
 	"ebonypulley/event"
 	"ebonypulley/release"
 )
@@ -77,17 +78,24 @@
 }
 
 // findVersion finds the software version of the stream that the caller resumes. What is unknown
-// may become known while it is recovered from engines, or from what they still have cached.
+// may become known once this entry is in step, or while it is recovered from engines, or from what
+// they still have cached.
 func (g *generationRun) findVersion(ctx context.Context) release.Finding {
 	var f release.Finding
 	find := func() bool {
-		f = g.r.releases.Find(g.earliestBegin(), g.c.Service.Name, g.c.Resumes, g.c.Session)
+		f = g.r.releases.Find(time.Now(), release.Query{
+			Service: g.c.Service.Name, Request: g.c.Resumes, Session: g.c.Session,
+			After: g.earliestBegin(), Before: g.c.ReceivedAt,
+		})
 		return f.Found()
 	}
-	if !find() {
-		g.r.recovery.await(ctx, find)
+	if find(); f.Behind {
+		g.r.awaitInStep(ctx, func() bool { return find() || !f.Behind })
 	}
 	if !f.Found() {
+		g.r.recovery.await(ctx, find)
+	}
+	if !f.Found() && !f.Behind {
 		if version, ok := g.r.cachedVersion(ctx, g.c); ok {
 			f.Version, f.Source = version, release.Cached
 		}
@@ -95,6 +103,28 @@
 	return f
 }
 
+const (
+	// maxBehindWait bounds how long a request waits until this entry knows what is published now;
+	// its caller may resume at another one then.
+	maxBehindWait = 400 * time.Millisecond
+	// behindPollInterval is the interval at which it looks.
+	behindPollInterval = 5 * time.Millisecond
+)
+
+// awaitInStep asks for what is published now until inStep returns true.
+func (r *Router) awaitInStep(ctx context.Context, inStep func() bool) {
+	defer r.releases.Await()()
+	ctx, cancel := context.WithTimeout(ctx, maxBehindWait)
+	defer cancel()
+	for began := time.Now(); ; {
+		r.OnBehind()
+		if !ebonypulley.Sleep(ctx, behindPollInterval) || inStep() {
+			r.metrics.Histogram("version_in_step").Record(time.Since(began))
+			return
+		}
+	}
+}
+
 // recordFinding counts and logs how the version of a resumed stream was found.
 func (g *generationRun) recordFinding(f release.Finding) {
 	g.r.metrics.Add("version_"+string(f.Source), 1)
@@ -102,7 +132,7 @@
 	g.r.log.Emit(event.VersionFound, zap.String("request", g.c.ID), zap.String("resumes", g.c.Resumes), zap.String("service", g.c.Service.Name),
 		zap.String("software", f.Version), zap.String("source", string(f.Source)), zap.Int64("after", g.c.ResumeAfter),
 		zap.Duration("known_for", timeSince(g.c.ReceivedAt, f.Since, 0)), zap.Duration("began_within", timeSince(g.c.ReceivedAt, g.earliestBegin(), -time.Second)),
-		zap.Duration("heard_ago", timeSince(now, f.Heard, -time.Second)), zap.Duration("checked_ago", timeSince(now, f.Checked, -time.Second)))
+		zap.Bool("behind", f.Behind), zap.Duration("current_ago", timeSince(now, f.Current, -time.Second)), zap.Duration("checked_ago", timeSince(now, f.Checked, -time.Second)))
 }
 
 // timeSince returns the time since at, or another value if at is the zero time.
--- a/wire/report.go
+++ b/wire/report.go
@@ -96,6 +96,11 @@
 	// Levels are the levels of the buckets of some of Use, in the first seconds of a connection
 	// only. It is a separate list because WorkspaceUse can't get new fields.
 	Levels []WorkspaceLevel
+	// Sent is when the report was sent, as the time since its sender started. The reply repeats it.
+	Sent time.Duration
+	// Refresh asks for a read of the store, because the sender can't read it and a request waits for
+	// what is published now.
+	Refresh bool
 }
 
 // WorkspaceLevel is the level of an entry's replica of a workspace's bucket.
@@ -252,6 +257,11 @@
 	// Published holds, for each of Versions, the digest of the published endpoints, as in
 	// release.History.
 	Published []uint64
+	// Sent is that of the report; 0 from an entry that doesn't repeat it. If Checked is set, the
+	// sender's copy of the published entries was complete CheckedAge before the reply.
+	Sent       time.Duration
+	Checked    bool
+	CheckedAge time.Duration
 }
 
 // At returns the revision of the sender's catalog.
