Versions of streams: what an attempt waited doesn't make its stream younger

Cause: the time at which a stream began was worked out from when its resumed attempt was read and what was left of the caller's timeout when that was sent.

Ruled out: a bound on the wait. Callers abandon attempts that aren't read, but nothing enforces when.

Change: only the longest timeout of the route's callers bounds the beginning.

--- a/router/software.go
+++ b/router/software.go
@@ -144,14 +144,14 @@
 }
 
 // earliestBegin returns when the caller's stream began at the earliest: with the caller's first
-// attempt, whose timeout was no longer than that of the route or the longest seen. The zero time
-// says that it is unknown.
+// attempt, whose timeout was no longer than that of the route or the longest seen. What was left of
+// it when this attempt was sent doesn't tell, as the attempt may have waited in a connection. The
+// zero time says that it is unknown.
 func (g *generationRun) earliestBegin() time.Time {
-	first := max(g.r.longestTimeout(g.c), g.c.Route.Timeout)
 	if !g.r.knowsTimeouts(g.c) {
 		return time.Time{}
 	}
-	return g.c.ReceivedAt.Add(g.c.Timeout - first)
+	return g.c.ReceivedAt.Add(-max(g.r.longestTimeout(g.c), g.c.Route.Timeout))
 }
 
 // fixVersion records at which software version the stream goes on from now on.
