Soak of processes: entries out of step beside the load of a described fleet

It could not tell how many streams a deployment with kinds, rates and retries of its own would join. The streams of the play without a description go through the usual call.

--- a/cmd/ebonypulley/soak.go
+++ b/cmd/ebonypulley/soak.go
@@ -36,6 +36,7 @@
 			&cli.StringFlag{Name: "out-of-step", Usage: "with --processes: instead of random faults, let workers of other software versions join while entries are stopped, refused or stopped-refused (by the store)"},
 			&cli.IntFlag{Name: "out-of-step-entries", Value: 1, Usage: "with --out-of-step: how many are so together"},
 			&cli.DurationFlag{Name: "out-of-step-for", Usage: "with --out-of-step: for how long; several lengths in turn by default"},
+			&cli.BoolFlag{Name: "out-of-step-anywhere", Usage: "with --out-of-step: let callers begin and resume streams at any entry, after their usual pauses"},
 			&cli.BoolFlag{Name: "deadly", Usage: "with --processes: add requests that crash each worker that runs them, and come again"},
 			&cli.BoolFlag{Name: "bad-part", Usage: "with --processes: add requests with a prompt part that crashes engines"},
 		},
@@ -132,7 +133,7 @@
 	if d := cmd.Duration("out-of-step-for"); d > 0 {
 		lengths = append(lengths, d)
 	}
-	return processes.NewOutOfStep(cmd.String("out-of-step"), cmd.Int("out-of-step-entries"), lengths)
+	return processes.NewOutOfStep(cmd.String("out-of-step"), cmd.Int("out-of-step-entries"), lengths, cmd.Bool("out-of-step-anywhere"))
 }
 
 func printHistory(r soak.Report) {
--- a/soak/processes/caller.go
+++ b/soak/processes/caller.go
@@ -79,9 +79,9 @@
 	if k.breaks && r.randomFloat() < brokenConnFraction {
 		s.breaksAfter = 1 + r.randomInt(s.events-1)
 	}
-	r.request(ctx, client, r.pickEntry(), k, attemptID(name, caller), caller, s)
+	r.request(ctx, client, r.callEntry(k, false), k, attemptID(name, caller), caller, s)
 	for n := 1; n <= k.repeats() && (s.broken && !k.atMostOnce || s.repeatable) && r.waitToResume(ctx, s); n++ {
-		r.request(ctx, client, r.pickEntry(), k, attemptID(fmt.Sprintf("%sr%d", name, n), caller), caller, s)
+		r.request(ctx, client, r.callEntry(k, true), k, attemptID(fmt.Sprintf("%sr%d", name, n), caller), caller, s)
 	}
 	r.recordVersions(s)
 }
@@ -98,7 +98,10 @@
 // a random time. It reports whether time is left.
 func (r *run) waitToResume(ctx context.Context, s *stream) bool {
 	wait := min(s.retryAfter, time.Until(s.deadline)/3)
-	if s.retryAfter == 0 {
+	switch o := r.set.OutOfStep; {
+	case o != nil && !o.Anywhere:
+		wait = max(wait, resumePause)
+	case s.retryAfter == 0:
 		wait = r.randomMilliseconds(50, int(maxResumePause/time.Millisecond))
 	}
 	return ebonypulley.Sleep(ctx, wait) && time.Now().Before(s.deadline)
--- a/soak/processes/outofstep.go
+++ b/soak/processes/outofstep.go
@@ -88,13 +88,16 @@
 	// Entries is how many are out of step together, Lengths for how long, in turn.
 	Entries int
 	Lengths []time.Duration
+	// Anywhere makes callers begin and resume streams at any entry, and wait as usual before they
+	// resume them, as behind a balancer that notices nothing.
+	Anywhere bool
 }
 
 // outOfStepLengths are the usual lengths, from one that no timeout notices to one that all do.
 var outOfStepLengths = []time.Duration{400 * time.Millisecond, 1000 * time.Millisecond, 1500 * time.Millisecond, 1950 * time.Millisecond, 2500 * time.Millisecond, 4 * time.Second}
 
 // NewOutOfStep returns the description of a way; no lengths stand for the usual ones.
-func NewOutOfStep(how string, entries int, lengths []time.Duration) (*OutOfStep, error) {
+func NewOutOfStep(how string, entries int, lengths []time.Duration, anywhere bool) (*OutOfStep, error) {
 	if _, ok := outOfStepFaults[how]; !ok {
 		return nil, errorx.IllegalArgument.New("entries can't be out of step by %q", how)
 	}
@@ -104,12 +107,14 @@
 	if len(lengths) == 0 {
 		lengths = outOfStepLengths
 	}
-	return &OutOfStep{How: how, Entries: entries, Lengths: lengths}, nil
+	return &OutOfStep{How: how, Entries: entries, Lengths: lengths, Anywhere: anywhere}, nil
 }
 
 // playOutOfStep plays rounds with entries out of step until ctx ends.
 func (r *run) playOutOfStep(ctx context.Context) {
-	r.wg.Go(func() { r.beginStreams(ctx) })
+	if r.set.Fleet == nil {
+		r.wg.Go(func() { r.beginStreams(ctx) })
+	}
 	for n := int(r.set.Seed); ctx.Err() == nil; n++ {
 		r.outOfStepRound(n, r.set.OutOfStep.Lengths[n%len(r.set.OutOfStep.Lengths)])
 		ebonypulley.Sleep(ctx, betweenRounds)
@@ -177,19 +182,21 @@
 	}
 }
 
+// callEntry returns an entry for a new request, or for one that is resumed or repeated.
+func (r *run) callEntry(k requestKind, resume bool) *entry {
+	if o := r.set.OutOfStep; o == nil || o.Anywhere || !k.stream {
+		return r.pickEntry()
+	}
+	return r.outOfStepEntry(resume)
+}
+
 // beginStreams sends resumable generations at a steady rate until ctx ends.
 func (r *run) beginStreams(ctx context.Context) {
 	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true, DisableCompression: true}}
-	kind := requestKind{path: "/draft/", stream: true}
+	kind, caller := requestKind{path: "/draft/", stream: true}, identity{key: schoolKey, workspace: school, permanent: true}
 	for n := 0; ebonypulley.Sleep(ctx, outOfStepGap); n++ {
 		r.wg.Go(func() {
-			name, caller := fmt.Sprintf("%d-o-%d", r.set.Seed, n), identity{key: schoolKey, workspace: school, permanent: true}
-			s := r.streamOf(kind)
-			r.request(context.WithoutCancel(ctx), client, r.outOfStepEntry(false), kind, attemptID(name, caller), caller, s)
-			for i := 1; i <= maxResumes && s.broken && ebonypulley.Sleep(ctx, max(resumePause, s.retryAfter)); i++ {
-				r.request(context.WithoutCancel(ctx), client, r.outOfStepEntry(true), kind, attemptID(fmt.Sprintf("%sr%d", name, i), caller), caller, s)
-			}
-			r.recordVersions(s)
+			r.call(context.WithoutCancel(ctx), client, kind, fmt.Sprintf("%d-o-%d", r.set.Seed, n), caller)
 		})
 	}
 }
--- a/soak/processes/run.go
+++ b/soak/processes/run.go
@@ -152,7 +152,7 @@
 	defer stop()
 	callerCtx, stopCallers := context.WithCancel(ctx)
 	defer stopCallers()
-	if !set.LateArrivals && set.OutOfStep == nil {
+	if !set.LateArrivals && (set.OutOfStep == nil || set.Fleet != nil) {
 		r.startCallers(callerCtx)
 	}
 	r.wg.Go(func() { r.watchMemory(callerCtx) })
