Streams: an event that is queued for a slow caller counts as delivered when its attempt ends

Cause: put queued an event and then reported the end of its attempt, while it waited for room or at once. Needed: the watchdog decides that an endpoint is gone in the moment in which its event arrives. Change: put fails only if the event will not be delivered. The end of the attempt shows at its next read. Ruled out: the same by a caller that is gone (nothing follows), by the sink's error (nothing follows) and by an attempt that ended before (nothing is queued; second case of the test).

--- a/router/delivery.go
+++ b/router/delivery.go
@@ -48,28 +48,27 @@
 	return d
 }
 
-// put queues an event, and blocks until there is room for the next one. It returns the sink's
-// error, if any.
+// put queues an event, and blocks until there is room for the next one. It fails if the event will not be
+// delivered: with the sink's error, or because ctx had ended. An event that was queued before ctx ends is
+// delivered, so that the next attempt must not begin with it.
 func (d *delivery) put(ctx context.Context, ev Event) error {
 	stop := context.AfterFunc(ctx, d.wake)
 	defer stop()
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if d.err == nil && ctx.Err() == nil {
-		d.queue = append(d.queue, ev)
-		d.resize(len(ev.Bytes))
-		d.changed.Broadcast()
-	}
-	for d.err == nil && ctx.Err() == nil && d.full() {
-		d.changed.Wait()
-	}
 	if d.err != nil {
 		return d.err
 	}
 	if ctx.Err() != nil {
 		return ErrCallerGone.Wrap(ctx.Err(), "deliver")
 	}
-	return nil
+	d.queue = append(d.queue, ev)
+	d.resize(len(ev.Bytes))
+	d.changed.Broadcast()
+	for d.err == nil && ctx.Err() == nil && d.full() {
+		d.changed.Wait()
+	}
+	return d.err
 }
 
 // full reports whether the endpoint must not be read further. The caller holds d.mu.
