Soak of processes: faults that may lose, double or reorder events, overlapping

A quarter of the callers read slowly; all keep connections. Not played: moves of runs, backups and preemption, which the stand-in's engine API doesn't know, and events without an ID.

--- a/cmd/ebonypulley/soak.go
+++ b/cmd/ebonypulley/soak.go
@@ -33,6 +33,7 @@
 			&cli.BoolFlag{Name: "claim-first-start", Usage: "with --processes: let the settings of entries say at each start, also at restarts, that no process has run before"},
 			&cli.BoolFlag{Name: "restarts", Usage: "with --processes: pause all entries and kill them, one by one and all at once in turn"},
 			&cli.BoolFlag{Name: "late-arrivals", Usage: "with --processes: instead of random faults, make requests arrive late: workers stop and connections hold bytes back while entries are paused and killed"},
+			&cli.BoolFlag{Name: "streams", Usage: "with --processes: instead of random faults, overlap those that may lose, double or reorder events of streams"},
 			&cli.StringFlag{Name: "out-of-step", Usage: "with --processes: instead of random faults, let workers of other software versions join while entries are stopped, refused or stopped-refused (by the store)"},
 			&cli.IntFlag{Name: "out-of-step-entries", Value: 1, Usage: "with --out-of-step: how many are so together"},
 			&cli.DurationFlag{Name: "out-of-step-for", Usage: "with --out-of-step: for how long; several lengths in turn by default"},
@@ -102,7 +103,7 @@
 			Program: program, Seed: seed, Entries: cmd.Int("entries"), For: cmd.Duration("for"),
 			BadPart: cmd.Bool("bad-part"), Failing: cmd.Bool("failing"), RestartAll: cmd.Bool("restart-all"),
 			ClaimFirstStart: cmd.Bool("claim-first-start"), Restarts: cmd.Bool("restarts"),
-			LateArrivals: cmd.Bool("late-arrivals"), OutOfStep: outOfStep, Deadly: cmd.Bool("deadly"), Fleet: fleet,
+			LateArrivals: cmd.Bool("late-arrivals"), Streams: cmd.Bool("streams"), OutOfStep: outOfStep, Deadly: cmd.Bool("deadly"), Fleet: fleet,
 		})
 		if err != nil {
 			return err
--- a/soak/processes/profilerun.go
+++ b/soak/processes/profilerun.go
@@ -125,7 +125,8 @@
 	for i, q := range r.set.Fleet.Requests {
 		kind := q.kind()
 		r.wg.Go(func() {
-			client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true, DisableCompression: true}}
+			client := &http.Client{Transport: &http.Transport{DisableKeepAlives: !r.set.Streams, MaxIdleConnsPerHost: 4, DisableCompression: true}}
+			defer client.CloseIdleConnections()
 			began := time.Now()
 			for n := 0; ctx.Err() == nil; n++ {
 				id := fmt.Sprintf("%d-p%d-%d", r.set.Seed, i, n)
@@ -168,6 +169,7 @@
 // streamOf returns a new stream of a kind of request.
 func (r *run) streamOf(k requestKind) *stream {
 	s := r.newStream()
+	s.readPause = r.readPause()
 	if q := k.profile; q != nil {
 		s.deadline = time.Now().Add(q.Timeout.D())
 		s.events = max(2, int(float64(q.Events.Mean)*(1+q.Events.Spread*(2*r.randomFloat()-1))))
--- a/soak/processes/release.go
+++ b/soak/processes/release.go
@@ -140,7 +140,7 @@
 	kind := requestKind{path: "/draft/", stream: true, breaks: true}
 	for i := range streamCallers {
 		r.wg.Go(func() {
-			client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true, DisableCompression: true}}
+			client := &http.Client{Transport: &http.Transport{DisableKeepAlives: !r.set.Streams, MaxIdleConnsPerHost: 4, DisableCompression: true}}
 			for n := 0; ctx.Err() == nil; n++ {
 				caller := identity{key: schoolKey, workspace: school, permanent: true}
 				r.call(context.WithoutCancel(ctx), client, kind, fmt.Sprintf("%d-s-%d-%d", r.set.Seed, i, n), caller)
--- a/soak/processes/run.go
+++ b/soak/processes/run.go
@@ -47,6 +47,9 @@
 	Restarts bool
 	// LateArrivals replaces the random faults by those that make requests arrive late at workers.
 	LateArrivals bool
+	// Streams replaces the random faults by those that may lose, double or reorder events, and lets
+	// some callers read slowly.
+	Streams bool
 	// OutOfStep replaces the random faults by entries that miss what is published; nil for none.
 	OutOfStep *OutOfStep
 	// Fleet describes the fleet and its load; nil for the usual ones.
@@ -171,6 +174,8 @@
 		r.delayArrivals(faultCtx)
 	case set.OutOfStep != nil:
 		r.playOutOfStep(faultCtx)
+	case set.Streams:
+		r.disturbStreams(faultCtx)
 	default:
 		r.injectFaults(faultCtx)
 	}
--- a/soak/processes/stream.go
+++ b/soak/processes/stream.go
@@ -32,6 +32,8 @@
 	retryAfter time.Duration
 	// breaksAfter is the event after which the caller's connection breaks, 0 for none.
 	breaksAfter int
+	// readPause is the pause of a caller that reads slowly before each event.
+	readPause time.Duration
 	// events is the number of events of the whole stream.
 	events int
 	// deadline is when the caller gives up, prompt the number of the prompt's own part.
@@ -89,6 +91,7 @@
 				return fmt.Errorf("%w: %w", errWrongAnswer, err)
 			}
 			number, text = "", ""
+			time.Sleep(s.readPause)
 			if s.next-1 == s.breaksAfter {
 				return errBrokenConn
 			}
--- a/soak/processes/worker.go
+++ b/soak/processes/worker.go
@@ -102,6 +102,10 @@
 	breaksEvents atomic.Bool
 	// breaksAfter is after how many events the worker ends its streams, 0 for never.
 	breaksAfter atomic.Int64
+	// largeEvents makes the worker write large events, extraAnswers an answer that nobody asked for
+	// after others. idle are connections on which one is about to follow.
+	largeEvents, extraAnswers atomic.Bool
+	idle                      sync.Map
 	// badPart records requests with the bad part, deadly those that crash their worker. crash crashes the worker and returns at once;
 	// crashing says that it has not restarted yet.
 	badPart  *badPartLog
@@ -125,6 +129,7 @@
 	memory        *memory   // of the current incarnation
 	drainingSince time.Time // when it was published as draining, zero if it was not
 	lastStart     time.Time // when it last began to run a request
+	lastAttempt   string    // the attempt that it then began to run
 }
 
 func newWorker(number int, kind workerKind, executions *executionLog, onViolation func(string, ...any)) (*worker, error) {
@@ -133,7 +138,7 @@
 		return nil, err
 	}
 	k := &worker{number: number, workerKind: kind, executions: executions, onViolation: onViolation}
-	k.server = &http.Server{Handler: k, ReadHeaderTimeout: time.Minute}
+	k.server = &http.Server{Handler: k, ReadHeaderTimeout: time.Minute, ConnState: k.onConnState}
 	go func() { _ = k.server.Serve(ln) }() // runs until tearDown closes the server
 	if k.proxy, err = newProxy("127.0.0.1:0", ln.Addr().String()); err != nil {
 		return nil, err
@@ -256,7 +261,7 @@
 	k.arrivals.runs.record(id, k)
 	defer k.executions.end(id)
 	k.mu.Lock()
-	k.lastStart = time.Now()
+	k.lastStart, k.lastAttempt = time.Now(), id
 	k.runs++
 	version, run, mem := k.softwareVersion(), fmt.Sprintf("%s/%d", k.id, k.runs), k.memory
 	k.mu.Unlock()
@@ -284,7 +289,7 @@
 		case <-time.After(k.eventGap):
 		}
 		mem.setEvents(id, i)
-		text := fmt.Sprintf("id: %d\ndata: %s\n\n", i, eventText(id, i, version, run))
+		text := fmt.Sprintf("id: %d\n%sdata: %s\n\n", i, k.padding(), eventText(id, i, version, run))
 		if n := int(k.breaksAfter.Load()); n > 0 && i > c.LastEvent+n || k.breaksEvents.Load() || i > midway && k.failureOf(id) == breakOffMidway {
 			_, _ = io.WriteString(answer, text[:len(text)/2])
 			return
