Soak of processes: workers listen at addresses of their own, so that their ports stay free while they are down

Cause: workers listened at ports of 127.0.0.1 that any outgoing connection or other process of the machine may take while one is down. Then the worker can't restart. Change: their addresses are on loopback addresses of the process, as those of the entries. Left: an entry passes on an unsigned 404 of whoever answers at a worker's address (platform/endpoints.go, not touched).

--- a/soak/processes/run.go
+++ b/soak/processes/run.go
@@ -238,16 +238,27 @@
 	return r.startEntries()
 }
 
-func (r *run) startEntries() error {
+// The last numbers of the loopback addresses of entries and of workers begin here.
+const (
+	firstEntryIP  = 10
+	firstWorkerIP = 100
+)
+
+// loopbackIP returns a loopback address of this process, with a last number. No connection goes out from it,
+// so that a port there stays free while the one who listened is down.
+func loopbackIP(n int) string {
 	pid := os.Getpid()
-	ip := func(i int) string { return fmt.Sprintf("127.%d.%d.%d", 128+pid>>8&0x3f, pid&0xff, 10+i) }
-	seeds := []string{ip(0) + ":8082", ip(1) + ":8082"}[:min(r.set.Entries, 2)]
+	return fmt.Sprintf("127.%d.%d.%d", 128+pid>>8&0x3f, pid&0xff, n)
+}
+
+func (r *run) startEntries() error {
+	seeds := []string{loopbackIP(firstEntryIP) + ":8082", loopbackIP(firstEntryIP+1) + ":8082"}[:min(r.set.Entries, 2)]
 	for i := range r.set.Entries {
 		e, err := newEntry(r, i)
 		if err != nil {
 			return err
 		}
-		if err := e.writeSettings(ip(i), r.set.entryDataCentre(i), seeds); err != nil {
+		if err := e.writeSettings(loopbackIP(firstEntryIP+i), r.set.entryDataCentre(i), seeds); err != nil {
 			return err
 		}
 		r.entries = append(r.entries, e)
--- a/soak/processes/streamfaults_test.go
+++ b/soak/processes/streamfaults_test.go
@@ -38,6 +38,19 @@
 	}
 }
 
+// TestPortOfWorkerStaysFree guards against workers whose port another connection of the machine takes while
+// they are down.
+func TestPortOfWorkerStaysFree(t *testing.T) {
+	k := startWorker(t)
+	k.proxy.stop()
+	_, port, err := net.SplitHostPort(k.proxy.addr())
+	require.NoError(t, err)
+	ln, err := net.Listen("tcp", "127.0.0.1:"+port)
+	require.NoError(t, err)
+	defer func() { _ = ln.Close() }()
+	assert.NoError(t, k.proxy.restart())
+}
+
 // TestSlowCallerReadsLargeEvents guards against a play whose callers take large events for wrong ones, or don't
 // read slowly.
 func TestSlowCallerReadsLargeEvents(t *testing.T) {
--- a/soak/processes/worker.go
+++ b/soak/processes/worker.go
@@ -140,7 +140,7 @@
 	k := &worker{number: number, workerKind: kind, executions: executions, onViolation: onViolation}
 	k.server = &http.Server{Handler: k, ReadHeaderTimeout: time.Minute, ConnState: k.onConnState}
 	go func() { _ = k.server.Serve(ln) }() // runs until tearDown closes the server
-	if k.proxy, err = newProxy("127.0.0.1:0", ln.Addr().String()); err != nil {
+	if k.proxy, err = newProxy(loopbackIP(firstWorkerIP+number)+":0", ln.Addr().String()); err != nil {
 		return nil, err
 	}
 	k.newIncarnation()
