--- a/soak/processes/run.go
+++ b/soak/processes/run.go
@@ -47,6 +47,9 @@
 	Restarts bool
 	// LateArrivals replaces the random faults by those that make requests arrive late at workers.
 	LateArrivals bool
+	// Streams replaces the random faults by those that may lose, double or reorder events, and lets
+	// some callers read slowly.
+	Streams bool
 	// OutOfStep replaces the random faults by entries that miss what is published; nil for none.
 	OutOfStep *OutOfStep
 	// Fleet describes the fleet and its load; nil for the usual ones.
@@ -152,7 +155,7 @@
 	defer stop()
 	callerCtx, stopCallers := context.WithCancel(ctx)
 	defer stopCallers()
-	if !set.LateArrivals && set.OutOfStep == nil {
+	if !set.LateArrivals && (set.OutOfStep == nil || set.Fleet != nil) {
 		r.startCallers(callerCtx)
 	}
 	r.wg.Go(func() { r.watchMemory(callerCtx) })
@@ -171,6 +174,8 @@
 		r.delayArrivals(faultCtx)
 	case set.OutOfStep != nil:
 		r.playOutOfStep(faultCtx)
+	case set.Streams:
+		r.disturbStreams(faultCtx)
 	default:
 		r.injectFaults(faultCtx)
 	}
@@ -233,16 +238,27 @@
 	return r.startEntries()
 }
 
-func (r *run) startEntries() error {
+// The last numbers of the loopback addresses of entries and of workers begin here.
+const (
+	firstEntryIP  = 10
+	firstWorkerIP = 100
+)
+
+// loopbackIP returns a loopback address of this process, with a last number. No connection goes out from it,
+// so that a port there stays free while the one who listened is down.
+func loopbackIP(n int) string {
 	pid := os.Getpid()
-	ip := func(i int) string { return fmt.Sprintf("127.%d.%d.%d", 128+pid>>8&0x3f, pid&0xff, 10+i) }
-	seeds := []string{ip(0) + ":8082", ip(1) + ":8082"}[:min(r.set.Entries, 2)]
+	return fmt.Sprintf("127.%d.%d.%d", 128+pid>>8&0x3f, pid&0xff, n)
+}
+
+func (r *run) startEntries() error {
+	seeds := []string{loopbackIP(firstEntryIP) + ":8082", loopbackIP(firstEntryIP+1) + ":8082"}[:min(r.set.Entries, 2)]
 	for i := range r.set.Entries {
 		e, err := newEntry(r, i)
 		if err != nil {
 			return err
 		}
-		if err := e.writeSettings(ip(i), r.set.entryDataCentre(i), seeds); err != nil {
+		if err := e.writeSettings(loopbackIP(firstEntryIP+i), r.set.entryDataCentre(i), seeds); err != nil {
 			return err
 		}
 		r.entries = append(r.entries, e)
