Versions of streams: those that have just broken off are told, too, when a change concerns them

Cause: a change of the endpoints makes the version of affected streams unknowable to others; their entry told those that ran, not those that had broken off a moment before, which are the ones that callers resume.

--- a/release/told.go
+++ b/release/told.go
@@ -47,11 +47,12 @@
 	}
 }
 
-// tellAffected tells the streams at this entry whose version can no longer be worked out after
-// a change of the endpoints. The caller holds t.mu.
+// tellAffected tells the streams of this entry whose version can no longer be worked out after a
+// change of the endpoints, also those that have just broken off. The caller holds t.mu.
 func (t *Tracker) tellAffected(now time.Time, name string) {
 	for key, x := range t.streams {
-		if !x.own || x.told || x.service != name {
+		ended := !x.own && now.Sub(x.begun) > toldRetention
+		if ended || x.told || x.service != name {
 			continue
 		}
 		if found, ok := t.compute(x.after, name, key); !ok || found != x.version {
