A leader that stood still starts anew before it gives orders

Cause: Members kept since when it had met the conditions to lead through a stop. An entry that wakes reads messages that had waited in its sockets, dates them by when they came in, and led at once, though another one had led meanwhile. The conditions were also only looked at when orders were due, so that they could lapse and come back unseen while a slow order was sent. Ruled out: a greater leadDelay (it is kept through a stop as well); asking for word from after the stop alone (what waited in a socket can't be told from it by its time). Change: each check of which entries are alive looks at the conditions; a pause above 1 s, by the monotonic or the wall clock, makes them count from 0.5 s after waking. Before: TestLeaderThatWasStopped failed at a stop of 1.1 s (it led 0 s after waking), TestLeaderThatIsNotAsked failed. After: no order within 3 s of waking in five orders of events and 110 lengths of 1.1 to 12 s; TestLeaderGoesOn passed before and after, with checks 1 s apart. Conclusion: a stop no longer shortens leadDelay; it costs 3.5 s without orders.

--- a/gossip/gossip_test.go
+++ b/gossip/gossip_test.go
@@ -76,6 +76,95 @@
 	assert.True(t, b.IsLeader(now))
 }
 
+// leader returns an entry that hears two others and has just begun to lead, because one with a
+// lower address is silent.
+func leader() (m *gossip.Members, now time.Time) {
+	m = gossip.NewMembers("b", "dc", []string{"a", "b"})
+	m.Observe(at(0), "a", "dc")
+	for now = at(0); !m.IsLeader(now) && now.Before(at(time.Minute)); now = now.Add(250 * time.Millisecond) {
+		m.Observe(now, "c", "dc")
+		m.Observe(now, "d", "dc")
+		m.ExpireSilent(now)
+	}
+	return m, now
+}
+
+// TestLeaderThatWasStopped guards against orders in turns with another leader: the entry was
+// stopped, another one with a lower address has led meanwhile, and word of others that waited in
+// a socket is read first.
+func TestLeaderThatWasStopped(t *testing.T) {
+	wake := map[string]func(m *gossip.Members, stopped, now time.Time){
+		"orders first": func(_ *gossip.Members, _, _ time.Time) {},
+		"hears first":  func(m *gossip.Members, stopped, now time.Time) { m.Observe(now, "c", "dc"); m.Observe(now, "d", "dc") },
+		"checks first": func(m *gossip.Members, stopped, now time.Time) {
+			m.ExpireSilent(now)
+			m.Observe(now, "c", "dc")
+			m.Observe(now, "d", "dc")
+		},
+		"read the time": func(m *gossip.Members, stopped, now time.Time) {
+			m.Observe(stopped, "c", "dc")
+			m.Observe(now, "d", "dc")
+		},
+		"checked in past": func(m *gossip.Members, stopped, now time.Time) {
+			m.ExpireSilent(stopped)
+			m.Observe(now, "c", "dc")
+			m.Observe(now, "d", "dc")
+		},
+	}
+	for name, hear := range wake {
+		for stop := 1100 * time.Millisecond; stop <= 12*time.Second; stop += 100 * time.Millisecond {
+			m, now := leader()
+			assert.True(t, m.IsLeader(now), name)
+			stopped := now
+			now = now.Add(stop)
+			hear(m, stopped, now)
+			for end := now.Add(3 * time.Second); !now.After(end); now = now.Add(100 * time.Millisecond) {
+				require.False(t, m.IsLeader(now), "%s, %v after a stop of %v", name, 3*time.Second-end.Sub(now), stop)
+				m.ExpireSilent(now)
+			}
+		}
+	}
+}
+
+// TestLeaderGoesOn guards against a leader that takes short pauses and late checks for a stop, so
+// that nobody gives orders.
+func TestLeaderGoesOn(t *testing.T) {
+	m, now := leader()
+	for range 20 {
+		assert.True(t, m.IsLeader(now))
+		now = now.Add(time.Second)
+		m.Observe(now, "c", "dc")
+		m.Observe(now, "d", "dc")
+		m.ExpireSilent(now)
+	}
+	now = now.Add(4 * time.Second)
+	for end := now.Add(4 * time.Second); now.Before(end); now = now.Add(250 * time.Millisecond) {
+		m.Observe(now, "c", "dc")
+		m.Observe(now, "d", "dc")
+		m.ExpireSilent(now)
+	}
+	assert.True(t, m.IsLeader(now), "it leads again once it has heard others for a while")
+}
+
+// TestLeaderThatIsNotAsked guards against an entry that leads at once because the conditions to
+// lead lapsed and came back while it sent orders and did not ask.
+func TestLeaderThatIsNotAsked(t *testing.T) {
+	m, now := leader()
+	assert.True(t, m.IsLeader(now))
+	for range 20 { // a leads meanwhile
+		now = now.Add(250 * time.Millisecond)
+		m.Observe(now, "a", "dc")
+		m.ExpireSilent(now)
+	}
+	for range 25 { // a is silent for just over 6 s
+		now = now.Add(250 * time.Millisecond)
+		m.Observe(now, "c", "dc")
+		m.Observe(now, "d", "dc")
+		m.ExpireSilent(now)
+	}
+	assert.False(t, m.IsLeader(now))
+}
+
 // TestMinorityDoesNotLead guards against two of five entries that are partitioned from the
 // others and give orders to engines that the others also control.
 func TestMinorityDoesNotLead(t *testing.T) {
--- a/gossip/members.go
+++ b/gossip/members.go
@@ -15,6 +15,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"ebonypulley"
 	"ebonypulley/rendezvous"
 )
 
@@ -64,6 +65,9 @@
 	// lowestSince is since when this entry has met the conditions to lead, except for leadDelay.
 	peakAlive   int
 	lowestSince time.Time
+	// pauses detects that this entry stood still, until recently at wokeAt.
+	pauses *ebonypulley.PauseDetector
+	wokeAt time.Time
 	// maxEntries is the largest fleet size known, and maxEntriesAt when it was seen.
 	maxEntries   int
 	maxEntriesAt time.Time
@@ -74,6 +78,7 @@
 	m := &Members{
 		self: self, dataCentre: dataCentre, dataCentres: make(map[string]string), access: make(map[string]StoreAccess), links: make(map[string]float64),
 		lastSeen: make(map[string]time.Time), aliveSince: make(map[string]time.Time), lastMentioned: make(map[string]time.Time),
+		pauses: ebonypulley.NewPauseDetector(leaderPause),
 	}
 	m.SetSeeds(seeds)
 	return m
@@ -270,24 +275,38 @@
 // in turns.
 const leadDelay = 3 * time.Second
 
+// leaderPause is how long a leader may stand still and go on leading. The sum with idleInterval
+// is below leadDelay, so that it hears of another leader before that one gives orders.
+const leaderPause = time.Second
+
 // IsLeader reports whether this entry gives orders: it has the lowest address of all that any
-// entry mentioned lately. It has to be called regularly.
+// entry mentioned lately.
 //
 // Entries that are partitioned from each other must not both give orders to an engine. An
 // entry leads only while more than half of the most entries that it has seen alive at a time
 // are alive, while at least one other entry is alive if there are seeds, and after all that
-// has been so for leadDelay.
+// has been so for leadDelay. It does not know what went on while it stood still, nor how long
+// a message waited in a socket: after a pause the conditions count from idleInterval on, when
+// what had waited is read.
 func (m *Members) IsLeader(now time.Time) bool {
+	m.checkLead(now)
+	return !m.lowestSince.IsZero() && now.Sub(m.lowestSince) >= leadDelay
+}
+
+// checkLead updates since when this entry has met the conditions to lead. It is called with
+// each check of which entries are alive.
+func (m *Members) checkLead(now time.Time) {
+	if m.pauses.Tick(now) > 0 {
+		m.wokeAt = now
+	}
 	alive := len(m.Alive(now)) + 1
 	m.peakAlive = max(m.peakAlive, alive)
-	if !m.isLowest(now) || 2*alive <= m.peakAlive || len(m.seeds) > 0 && alive == 1 {
+	switch {
+	case now.Sub(m.wokeAt) < idleInterval, !m.isLowest(now), 2*alive <= m.peakAlive, len(m.seeds) > 0 && alive == 1:
 		m.lowestSince = time.Time{}
-		return false
-	}
-	if m.lowestSince.IsZero() {
+	case m.lowestSince.IsZero():
 		m.lowestSince = now
 	}
-	return now.Sub(m.lowestSince) >= leadDelay
 }
 
 // MayBeCutOff reports whether most entries may be there without being heard: this one hears none,
@@ -311,6 +330,7 @@
 // ExpireSilent removes the entries that have fallen silent since the last call, and returns
 // them.
 func (m *Members) ExpireSilent(now time.Time) []string {
+	m.checkLead(now)
 	var list []string
 	for a, at := range m.lastSeen {
 		if now.Sub(at) > aliveTimeout {
