Each stage order asks for the authority

Cause: a group of orders was sent on one question to the authority. Ruled out: a bound on the time of a group alone (a stop between two orders has no bound). Change: the authority is asked before each order, for its fencing number as well. Before: TestOrdersEndWithAuthority saw four orders with one number, two of them after the authority had lapsed. After: two, each with the number of its time. Conclusion: what is left is a stop between the question and the write of one order; workers that check fencing numbers refuse it.

--- a/router/fake_test.go
+++ b/router/fake_test.go
@@ -34,6 +34,8 @@
 	generateAt func(ctx context.Context, e *router.Endpoint, c *router.Call) error
 	// connect runs before a generation is sent.
 	connect func(ctx context.Context, e *router.Endpoint) error
+	// order runs while a stage order is sent; it may be nil.
+	order func()
 	// reserve refuses the reservation if it returns an error.
 	reserve func(e *router.Endpoint) error
 	// breakAt lists event numbers; for each, one stream breaks off after that event.
@@ -136,6 +138,9 @@
 
 func (f *fakeEndpoints) Order(_ context.Context, e *router.Endpoint, _ router.Role, fence uint64) error {
 	f.record("order %s %d", e.ID, fence)
+	if f.order != nil {
+		f.order()
+	}
 	return nil
 }
 
--- a/router/stages.go
+++ b/router/stages.go
@@ -76,8 +76,7 @@
 func (r *Router) balanceStages(ctx context.Context, now time.Time, b *stageBalancer, s *Service, authority Authority) {
 	d := r.Directory()
 	prefills, decodes := d.Endpoints(s.Name, Prefill), d.Endpoints(s.Name, Decode)
-	fence, ok := authority()
-	if !ok || !b.settled(now, d, s) {
+	if _, ok := authority(); !ok || !b.settled(now, d, s) {
 		return
 	}
 	if b.peak.observe(now, len(prefills)+len(decodes)) > len(prefills)+len(decodes) {
@@ -93,6 +92,11 @@
 	}
 	b.orders = nil
 	for range max(n, -n) {
+		// An order may take long, and the process may have been stopped since the last one.
+		fence, ok := authority()
+		if !ok {
+			return
+		}
 		e := r.leastBusy(now, from)
 		from = slices.DeleteFunc(slices.Clone(from), func(o *Endpoint) bool { return o.ID == e.ID })
 		b.orders = append(b.orders, r.order(ctx, e, to, fence, load))
--- a/router/stages_test.go
+++ b/router/stages_test.go
@@ -43,6 +43,35 @@
 	})
 }
 
+// TestOrdersEndWithAuthority guards against orders in turns with another leader: a group of orders
+// takes long to send, or the process is stopped between two of them, and it leads no more.
+func TestOrdersEndWithAuthority(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var list []*router.Endpoint
+		for _, id := range []string{"p1", "p2", "p3", "p4", "p5", "p6"} {
+			list = append(list, engine(id, router.Prefill))
+		}
+		list = append(list, engine("d1", router.Decode), engine("d2", router.Decode))
+		var leads atomic.Bool
+		leads.Store(true)
+		fence := uint64(7)
+		sent := 0
+		f := &fakeEndpoints{order: func() {
+			time.Sleep(4 * time.Second)
+			fence++
+			sent++
+			leads.Store(sent < 2)
+		}}
+		r := newRouter(f, list...)
+		ctx, cancel := contextWithCancel(t)
+		go func() { _ = r.BalanceStages(ctx, func() (uint64, bool) { return fence, leads.Load() }) }()
+		time.Sleep(30 * time.Second)
+		assert.Equal(t, []string{"order p1 7", "order p2 8"}, f.recorded())
+		cancel()
+		time.Sleep(30 * time.Second)
+	})
+}
+
 // TestCrashKeepsStages: engines that are missing for a while must still count. Otherwise
 // the prefill stage stays too small permanently after some engines crash.
 func TestCrashKeepsStages(t *testing.T) {
