--- a/gossip/gossip_test.go
+++ b/gossip/gossip_test.go
@@ -146,6 +146,19 @@
 	assert.True(t, m.IsLeader(now), "it leads again once it has heard others for a while")
 }
 
+// TestLeaderThatSendsSlowOrders guards against a leader that takes the time in which it sends orders,
+// and does not ask whether it leads, for a stop.
+func TestLeaderThatSendsSlowOrders(t *testing.T) {
+	m, now := leader()
+	for range 20 {
+		now = now.Add(250 * time.Millisecond)
+		m.Observe(now, "c", "dc")
+		m.Observe(now, "d", "dc")
+		m.ExpireSilent(now)
+	}
+	assert.True(t, m.IsLeader(now))
+}
+
 // TestLeaderThatIsNotAsked guards against an entry that leads at once because the conditions to
 // lead lapsed and came back while it sent orders and did not ask.
 func TestLeaderThatIsNotAsked(t *testing.T) {
--- a/quota/news.go
+++ b/quota/news.go
@@ -121,10 +121,12 @@
 	return false
 }
 
-// OwnUse returns this entry's own use that is to be reported to others.
+// OwnUse returns this entry's own use that is to be reported to others. It begins a round of
+// reports, and has to be called in each.
 func (l *Ledger) OwnUse(now time.Time) []Use {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	l.beginRound(now)
 	type ranked struct {
 		Use
 		recent float64
