What an endpoint's limit is read after a pause counts as of its beginning

Cause: a limit named in an answer was dated by when it was read. At an entry that was stopped the answer had waited in a socket; the entry told it to the others as new, and all took it instead of what the endpoint had named since. What others report was dated alike. Ruled out: dating by when the request was sent (a long answer then loses to one that was sent later and answered sooner); trusting only the next answer (the others are misled meanwhile). Change: within 1 s after a pause of over 0.25 s between two rounds, what is read may be as old as the pause. It replaces what is known if it is newer for certain, or lower and may be newer. An answer held up on the way is dated by its arrival, as before.

--- a/quota/news.go
+++ b/quota/news.go
@@ -126,7 +126,7 @@
 func (l *Ledger) OwnUse(now time.Time) []Use {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.beginRound(now)
+	l.pauses.beginRound(now)
 	type ranked struct {
 		Use
 		recent float64
--- a/quota/part.go
+++ b/quota/part.go
@@ -1,22 +1,14 @@
 package quota
 
-import (
-	"time"
-
-	"ebonypulley"
-)
+import "time"
 
 // joinTime is how long after the start of an entry the others may not have heard of it, and
 // still use larger shares.
 const joinTime = 3 * time.Second
 
-const (
-	// catchUpTime is how long an entry that stood still may take to hear what went on.
-	catchUpTime = time.Second
-	// maxUnheard is how long an entry may stand still and not know of a newcomer: with
-	// catchUpTime, as long as an entry that runs.
-	maxUnheard = joinTime - catchUpTime
-)
+// maxUnheard is how long an entry may stand still and not know of a newcomer: with catchUpTime, as
+// long as an entry that runs.
+const maxUnheard = joinTime - catchUpTime
 
 // FixedShare is a process's share of a strict bound on what all entries together may use in any
 // window: nothing is tolerated beyond it.
@@ -45,24 +37,8 @@
 		return FixedShare{Amount: total, Sole: true}
 	case l.fleet.peak == 0 || newcomer || l.fleet.mayBeCutOff(now):
 		return FixedShare{}
-	case l.pauses != nil && l.stoodStill(now):
+	case l.pauses.before(now) > maxUnheard:
 		return FixedShare{}
 	}
 	return FixedShare{Amount: total / float64(l.fleet.peak)}
 }
-
-// beginRound records that the process, which reports in regular rounds, runs. The caller holds l.mu.
-func (l *Ledger) beginRound(now time.Time) {
-	if l.pauses == nil {
-		l.pauses = ebonypulley.NewPauseDetector(maxUnheard)
-	}
-	l.stoodStill(now)
-}
-
-// stoodStill reports whether the process has stood still until just now. The caller holds l.mu.
-func (l *Ledger) stoodStill(now time.Time) bool {
-	if l.pauses.Tick(now) > 0 {
-		l.wokeAt = now
-	}
-	return now.Sub(l.wokeAt) < catchUpTime
-}
--- a/quota/quota.go
+++ b/quota/quota.go
@@ -11,8 +11,6 @@
 	"time"
 
 	"golang.org/x/time/rate"
-
-	"ebonypulley"
 )
 
 const (
@@ -118,10 +116,7 @@
 	accounts       map[ID]*account
 	peers          map[string]*peer
 	fleet          fleetSize
-	// pauses detects that the process stood still, until recently at wokeAt; nil before the first
-	// round of reports.
-	pauses *ebonypulley.PauseDetector
-	wokeAt time.Time
+	pauses         pauses
 	// reachable is the number of entries that were reachable at reachableAt, this one
 	// included.
 	reachable   int
--- a/quota/stated.go
+++ b/quota/stated.go
@@ -61,14 +61,14 @@
 func (l *Ledger) SetEndpointLimit(now, asked time.Time, s EndpointLimit) (changed bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	validAt := now
+	valid := l.readAt(now)
 	if !s.Advertised {
-		validAt = asked
+		valid = span{asked, asked}
 	}
 	if l.endpointLimits[s.Endpoint] == nil && !s.Advertised {
 		return false // like most endpoints, it has no limit
 	}
-	changed = l.applyEndpointLimit(now, validAt, s)
+	changed = l.applyEndpointLimit(now, valid, s)
 	l.endpointLimits[s.Endpoint].lastOwn = now
 	return changed
 }
@@ -77,18 +77,22 @@
 // newer one is known. The caller holds l.mu.
 //
 // An answer without a limit may already have been on its way when another one advertised the
-// limit. Only an answer to a request sent after that shows that the limit is lifted.
-func (l *Ledger) applyEndpointLimit(now, validAt time.Time, s EndpointLimit) (changed bool) {
+// limit. Only an answer to a request sent after that shows that the limit is lifted. Of two
+// limits the lower one applies while it is not known which is newer.
+func (l *Ledger) applyEndpointLimit(now time.Time, valid span, s EndpointLimit) (changed bool) {
 	known := l.endpointLimits[s.Endpoint]
 	switch {
 	case known == nil:
 		known = new(endpointLimitState)
 		l.endpointLimits[s.Endpoint] = known
-	case !validAt.After(known.validAt):
+	case valid.first.After(known.validAt):
+	case valid.last.After(known.validAt) && s.Advertised && !(known.advertised && known.perSecond <= s.PerSecond):
+		valid.first = known.validAt
+	default:
 		return false
 	}
 	changed = known.advertised != s.Advertised || known.perSecond != s.PerSecond
-	known.advertised, known.perSecond, known.validAt = s.Advertised, s.PerSecond, validAt
+	known.advertised, known.perSecond, known.validAt = s.Advertised, s.PerSecond, valid.first
 	if changed {
 		known.limit = l.endpointLimit(s.PerSecond)
 		known.changed = now
@@ -127,8 +131,9 @@
 func (l *Ledger) MergeEndpointLimits(now time.Time, list []EndpointLimit) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	sent := l.readAt(now)
 	for _, s := range list {
-		l.applyEndpointLimit(now, now.Add(-max(s.Age, 0)), s)
+		l.applyEndpointLimit(now, sent.before(max(s.Age, 0)), s)
 	}
 }
 
--- a/quota/stopped_test.go
+++ b/quota/stopped_test.go
@@ -99,3 +99,61 @@
 	}
 	assert.Equal(t, slack/3, round(), "1 s later")
 }
+
+// TestLimitReadAfterStop guards against a limit that was true before a stop and replaces, here and at
+// the others, one that the endpoint named later: the answer waited in a socket.
+func TestLimitReadAfterStop(t *testing.T) {
+	const endpoint = quota.ID(7)
+	rates := func(l *quota.Ledger, now time.Time) (list []float64) {
+		for _, s := range l.OwnEndpointLimits(now) {
+			list = append(list, s.PerSecond)
+		}
+		return list
+	}
+	for stop := 300 * time.Millisecond; stop <= 5*time.Second; stop += 100 * time.Millisecond {
+		for _, first := range []string{"round", "answer", "report"} {
+			stopped, other := quota.NewLedger(quota.Settings{Started: start}), quota.NewLedger(quota.Settings{Started: start})
+			now := at(time.Minute)
+			stopped.OwnUse(now)
+			later := now.Add(stop - 100*time.Millisecond)
+			for at := now; !at.After(later); at = at.Add(50 * time.Millisecond) {
+				other.OwnUse(at)
+			}
+			other.SetEndpointLimit(later, later, quota.EndpointLimit{Endpoint: endpoint, Advertised: true, PerSecond: 5})
+			wakes := now.Add(stop)
+			switch first {
+			case "round":
+				stopped.OwnUse(wakes)
+			case "report": // of a third entry, sent at the beginning of the stop
+				stopped.MergeEndpointLimits(wakes, []quota.EndpointLimit{{Endpoint: endpoint, Advertised: true, PerSecond: 50}})
+			}
+			stopped.SetEndpointLimit(wakes, now, quota.EndpointLimit{Endpoint: endpoint, Advertised: true, PerSecond: 100})
+			stopped.OwnUse(wakes)
+			other.OwnUse(wakes)
+			other.MergeEndpointLimits(wakes, stopped.OwnEndpointLimits(wakes))
+			assert.Equal(t, []float64{5}, rates(other, wakes), "%s first, after a stop of %v", first, stop)
+			stopped.MergeEndpointLimits(wakes, other.OwnEndpointLimits(wakes))
+			assert.Equal(t, []float64{5}, rates(stopped, wakes), "%s first, after a stop of %v", first, stop)
+		}
+	}
+}
+
+// TestLimitsInTurnAfterStop guards against limits read after a stop that all count as of one time, so
+// that the last is not taken.
+func TestLimitsInTurnAfterStop(t *testing.T) {
+	const endpoint = quota.ID(7)
+	l := quota.NewLedger(quota.Settings{Started: start})
+	now := at(time.Minute)
+	l.OwnUse(now)
+	for _, perSecond := range []float64{50, 20, 5} {
+		now = now.Add(2 * time.Second)
+		l.SetEndpointLimit(now, now, quota.EndpointLimit{Endpoint: endpoint, Advertised: true, PerSecond: perSecond})
+		for range 2 {
+			now = now.Add(20 * time.Millisecond)
+			l.OwnUse(now)
+		}
+	}
+	now = now.Add(10 * time.Millisecond)
+	assert.True(t, l.SetEndpointLimit(now, now, quota.EndpointLimit{Endpoint: endpoint, Advertised: true, PerSecond: 3}))
+	assert.Equal(t, 3.0, l.OwnEndpointLimits(now)[0].PerSecond)
+}
