Slots of returns and of begun answers don't follow the time of day

Cause: the calendar of returns and the count of begun answers number their slots by Unix time. When the time of day is set, what was booked and counted before lies in the future or the past. Ruled out: a tolerance for small steps (the effect begins with one slot of 0.1 s). Change: slots count from the first time seen, on the monotonic clock. Conclusion: a bad part is judged by what was seen, whatever the clock.

--- a/poison/attempts.go
+++ b/poison/attempts.go
@@ -15,6 +15,9 @@
 
 // recentAttempts counts attempts of the last rateWindow.
 type recentAttempts struct {
+	// began is when the first answer was counted. Slots are counted from it, because steps of the
+	// time of day must not change them.
+	began time.Time
 	// own are the attempts of this entry that had no answer begun when their endpoint crashed.
 	own []ownCrash
 	// begun counts those that had, by slots of rateWindow.
@@ -31,10 +34,16 @@
 	at       time.Time
 }
 
-func begunSlot(now time.Time) int64 { return now.UnixNano() / int64(rateWindow/begunSlots) }
+// slot returns the number of the slot that contains a time; that of the first answer is begunSlots.
+func (a *recentAttempts) slot(at time.Time) int64 {
+	return int64(math.Floor(float64(at.Sub(a.began))/float64(rateWindow/begunSlots))) + begunSlots
+}
 
 func (a *recentAttempts) countBegun(now time.Time) {
-	slot := begunSlot(now)
+	if a.began.IsZero() {
+		a.began = now
+	}
+	slot := max(a.slot(now), 0)
 	b := &a.begun[slot%begunSlots]
 	if b.slot != slot {
 		b.slot, b.count = slot, 0
@@ -89,7 +98,7 @@
 	}
 	for _, b := range a.begun {
 		// The slot of since also holds answers before it.
-		if begunSlot(now)-b.slot < begunSlots && b.slot > begunSlot(since) {
+		if a.slot(now)-b.slot < begunSlots && b.slot > a.slot(since) {
 			begun += b.count
 		}
 	}
--- a/returns/news.go
+++ b/returns/news.go
@@ -62,15 +62,31 @@
 	return now.Sub(p.at) <= max(peerTimeout, 2*interval)
 }
 
-// slot is the number of a slot since the zero Unix time; slots holds the costs in some.
+// slot is the number of a slot by the calendar's clock; slots holds the costs in some.
 type (
 	slot  int64
 	slots map[slot]float64
 )
 
-func slotAt(t time.Time) slot { return slot(t.UnixNano() / int64(SlotTime)) }
+// clock counts slots from the zero Unix time, as of the first time that it is asked for. Steps of
+// the time of day after that don't change them.
+type clock struct {
+	first time.Time
+}
+
+func (c *clock) nanoseconds(t time.Time) int64 {
+	if c.first.IsZero() {
+		c.first = t
+	}
+	return c.first.UnixNano() + int64(t.Sub(c.first))
+}
+
+func (c *clock) slotAt(t time.Time) slot { return slot(c.nanoseconds(t) / int64(SlotTime)) }
 
-func (s slot) begin() time.Time { return time.Unix(0, int64(s)*int64(SlotTime)) }
+// until returns the time until a slot begins.
+func (c *clock) until(now time.Time, s slot) time.Duration {
+	return time.Duration(int64(s)*int64(SlotTime) - c.nanoseconds(now))
+}
 
 // positive reports whether a cost or rate is positive and finite.
 func positive(x float64) bool { return x > 0 && !math.IsInf(x, 1) }
@@ -110,8 +126,8 @@
 	c.forget(now)
 	var list []Promise
 	for key, s := range c.own {
-		if first, costs := s.booked.from(slotAt(now) - lateSlots); len(costs) > 0 {
-			list = append(list, Promise{Key: key, First: first.begin().Sub(now), Cost: costs})
+		if first, costs := s.booked.from(c.clock.slotAt(now) - lateSlots); len(costs) > 0 {
+			list = append(list, Promise{Key: key, First: c.clock.until(now, first), Cost: costs})
 		}
 	}
 	slices.SortFunc(list, func(a, b Promise) int {
@@ -134,10 +150,10 @@
 // Merge replaces the promises of another process. Promises are never withdrawn, so that a process
 // that lacks most of its own was restarted: what it promised before counts until it has passed.
 func (c *Calendar) Merge(now time.Time, from string, list []Promise) {
-	p := &peer{at: now, booked: decoded(now, list)}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	passed := slotAt(now) + earlySlots
+	p := &peer{at: now, booked: c.decoded(now, list)}
+	passed := c.clock.slotAt(now) + earlySlots
 	if old := c.peers[from]; old != nil && after(p.booked, passed) >= lostFraction*after(old.booked, passed) {
 		c.count(now, old.booked, -1)
 	}
@@ -145,14 +161,14 @@
 	c.peers[from] = p
 }
 
-// decoded returns the promises of a report by key and slot.
-func decoded(now time.Time, list []Promise) map[Key]slots {
+// decoded returns the promises of a report by key and slot. The caller holds c.mu.
+func (c *Calendar) decoded(now time.Time, list []Promise) map[Key]slots {
 	if len(list) == 0 {
 		return nil
 	}
 	booked := make(map[Key]slots, min(len(list), maxReportedKeys))
 	for _, p := range list[:min(len(list), maxReportedKeys)] {
-		first := slotAt(now.Add(p.First + roundingMargin))
+		first := c.clock.slotAt(now.Add(p.First + roundingMargin))
 		s := make(slots, len(p.Cost))
 		for i, cost := range p.Cost[:min(len(p.Cost), maxSlots)] {
 			if positive(cost) {
@@ -166,7 +182,7 @@
 
 // count adds promises to those of all other processes, or with a sign of -1 removes them.
 func (c *Calendar) count(now time.Time, booked map[Key]slots, sign float64) {
-	passed := slotAt(now) - lateSlots
+	passed := c.clock.slotAt(now) - lateSlots
 	for key, s := range booked {
 		sum := c.others[key]
 		if sum == nil {
@@ -190,7 +206,7 @@
 		return
 	}
 	c.forgot = now
-	passed := slotAt(now) - lateSlots
+	passed := c.clock.slotAt(now) - lateSlots
 	for key, s := range c.own {
 		s.booked.forget(passed)
 		s.returned.forget(passed)
--- a/returns/returns.go
+++ b/returns/returns.go
@@ -50,6 +50,7 @@
 // Calendar holds the promised returns. It is safe for concurrent use.
 type Calendar struct {
 	mu    sync.Mutex
+	clock clock
 	rnd   *rand.Rand
 	fleet int
 	own   map[Key]*schedule
@@ -105,7 +106,7 @@
 	if !ok {
 		return c.without(r), false
 	}
-	return at.begin().Sub(now) + time.Duration(c.rnd.Int64N(int64(SlotTime))), true
+	return c.clock.until(now, at) + time.Duration(c.rnd.Int64N(int64(SlotTime))), true
 }
 
 // without returns when a caller without a booking is to return: late, when the most others
@@ -119,7 +120,7 @@
 // find books the room that a request needs and returns the slot in which it has become
 // available.
 func (c *Calendar) find(now time.Time, key Key, s *schedule, r Request) (at slot, ok bool) {
-	first, last := slotAt(now.Add(max(r.Earliest, 0)))+1, slotAt(now.Add(time.Duration(bookedFraction*float64(r.Latest))))-1
+	first, last := c.clock.slotAt(now.Add(max(r.Earliest, 0)))+1, c.clock.slotAt(now.Add(time.Duration(bookedFraction*float64(r.Latest))))-1
 	last = min(last, first+maxSlots)
 	if !positive(r.Cost) || !positive(r.Rate) || last < first {
 		return 0, false
@@ -217,7 +218,7 @@
 func (c *Calendar) Due(now time.Time, key Key) (cost float64) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	for at := slotAt(now) - lateSlots; at <= slotAt(now)+earlySlots; at++ {
+	for at := c.clock.slotAt(now) - lateSlots; at <= c.clock.slotAt(now)+earlySlots; at++ {
 		cost += c.due(key, at)
 	}
 	return cost
@@ -241,7 +242,7 @@
 		s = &schedule{booked: make(slots), returned: make(slots)}
 		c.own[key] = s
 	}
-	for at := slotAt(now) - lateSlots; at <= slotAt(now)+earlySlots && cost > 0; at++ {
+	for at := c.clock.slotAt(now) - lateSlots; at <= c.clock.slotAt(now)+earlySlots && cost > 0; at++ {
 		part := min(c.due(key, at), cost)
 		s.returned[at] += part
 		cost -= part
