--- a/quota/part.go
+++ b/quota/part.go
@@ -6,6 +6,10 @@
 // still use larger shares.
 const joinTime = 3 * time.Second
 
+// maxUnheard is how long an entry may stand still and not know of a newcomer: with catchUpTime, as
+// long as an entry that runs.
+const maxUnheard = joinTime - catchUpTime
+
 // FixedShare is a process's share of a strict bound on what all entries together may use in any
 // window: nothing is tolerated beyond it.
 type FixedShare struct {
@@ -21,7 +25,8 @@
 // share again within one window after its restart. Therefore shares never grow: a process
 // that knows of no other has none while it may be cut off, and a new one has none for one
 // window after the others have heard of it. In that time it learns the fleet size, including the
-// entries that it can't reach.
+// entries that it can't reach. Nor has a process one that stood still so long that newcomers may
+// count on it to know of them, until it has heard others again.
 func (l *Ledger) FixedShare(now time.Time, total float64, window time.Duration) FixedShare {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -32,6 +37,8 @@
 		return FixedShare{Amount: total, Sole: true}
 	case l.fleet.peak == 0 || newcomer || l.fleet.mayBeCutOff(now):
 		return FixedShare{}
+	case l.pauses.before(now) > maxUnheard:
+		return FixedShare{}
 	}
 	return FixedShare{Amount: total / float64(l.fleet.peak)}
 }
--- a/quota/quota.go
+++ b/quota/quota.go
@@ -116,6 +116,7 @@
 	accounts       map[ID]*account
 	peers          map[string]*peer
 	fleet          fleetSize
+	pauses         pauses
 	// reachable is the number of entries that were reachable at reachableAt, this one
 	// included.
 	reachable   int
