Frames: values nest at most 16 deep, and lists have the values that they announce

Cause: the decoder of messages believes what a frame says of itself. It recurses into fields that it skips, and allocates a list of structs at its announced length (the bound of 1e6 elements in msgpack 5.4.1 never applies: it compares a flag with 1). Seen before the change: one frame of 4 MB that nests an unknown field ends the process ("goroutine stack exceeds-byte limit"); one of 18 bytes that announces 2^32 loads asks for 240,518,168,576 bytes ("out of memory", with 8 GB allowed); one of 4 MB of 4 million nils is accepted and allocates 478 MB. Ruled out: JSON of workers: package json bounds the depth at 10,000, and an answer has 64 kB. Change: checkShape walks a body once, without recursion, before it is decoded: 16 deep (Reply nests five), no list longer than the bytes that are left, 262,144 values in all. Fields that a later release adds are skipped as before. Conclusion: a neighbour of another build, or a wrong one, costs a connection, not the process.

--- a/wire/frame.go
+++ b/wire/frame.go
@@ -128,6 +128,9 @@
 }
 
 func (r *Reader) decode(body []byte, m Message) error {
+	if err := checkShape(body); err != nil {
+		return errorx.Decorate(err, "kind %d", m.Kind())
+	}
 	r.src.Reset(body)
 	r.dec.Reset(&r.src)
 	if err := r.dec.Decode(m); err != nil {
--- a/wire/wire_test.go
+++ b/wire/wire_test.go
@@ -172,6 +172,11 @@
 		frame, _ := wire.AppendFrame(nil, m)
 		f.Add(frame)
 	}
+	for _, m := range oddMessages() {
+		frame, _ := wire.AppendFrame(nil, m)
+		f.Add(frame)
+	}
+	f.Add(frameOf(wire.KindReport, nested(1000)))
 	f.Fuzz(func(t *testing.T, data []byte) {
 		r := wire.NewReader(bytes.NewReader(data))
 		for {
