Numbers of other entries: what no entry can mean is left out where it is merged

Cause: reports carry floats, counters and durations of a neighbour, and some are merged as they come. pace has checked them (valid) from its beginning; quota, share, returns, poison and the work in router have not. Seen before the change, each by one report: a limit of NaN or -Inf at an endpoint that said 10 a second (0 to 4 requests in 10 s instead of 100; 1,000 at +Inf), told on to others as one's own; counters of 1e15 and more (a workspace of 47,000 a second gets 0 to 610,000 tokens in 40 s; chargeExpected books the rate that it infers without a bound); a promise of 1e300 or a demand of NaN (the others' promises and demand count for nothing, also once it has gone); a crash rate of NaN, Inf or 1e300 (a request that crashes three endpoints isn't blocked); Left of 2^63 (an endpoint avoided for 292 years); an Age of -1 h (exp overflows, Inf-Inf leaves NaN: the failure rate of the endpoint is NaN for good); negative or overflowing work (an endpoint seems to have less than nothing to do). Ruled out: levels of buckets, paces, loads of endpoints, ages of crashes and parts: bounded before (cases of the tests). Change: one check in each merge. quota bounds what an entry uses between two reports by what the limit tolerates in that time, instead of dropping it. A counter that is wrong hides that entry's own later use until its next epoch or start: left, its limit is then a part too high. Conclusion: a wrong report counts as none.

--- a/poison/news.go
+++ b/poison/news.go
@@ -16,6 +16,9 @@
 	// entries are relayed, so that all entries learn of a content that crashes endpoints
 	// repeatedly, and entries that start learn it from any other.
 	relayThreshold = 2
+	// maxCrashRate bounds the crash rate that another entry observed: all endpoints that it counts
+	// and but one of them alive.
+	maxCrashRate = float64(maxEndpoints+1) / float64(rateWindow/time.Second)
 )
 
 // Update is an update that one entry sends others about a content: a crash during an
@@ -82,6 +85,9 @@
 			l.mergeSuccess(now.Add(-w.Age), w.Content)
 			continue
 		}
+		if !(w.Rate >= 0 && w.Rate <= maxCrashRate) {
+			w.Rate = 0
+		}
 		l.mergeCrash(now, w)
 	}
 }
--- a/quota/news.go
+++ b/quota/news.go
@@ -80,14 +80,15 @@
 	expected     float64
 }
 
-// update merges a report, and returns the use beyond what was expected.
-func (u *peerUse) update(now time.Time, latest Use) float64 {
+// update merges a report, and returns the use beyond what was expected. Between two reports an entry
+// uses no more than most: by a counter that is wrong, more would be expected from then on.
+func (u *peerUse) update(now time.Time, latest Use, most float64) float64 {
 	before := u.Use
 	u.Use = latest.merge(before)
 	if u.Epoch != before.Epoch {
 		before = Use{}
 	}
-	used := u.netSince(before)
+	used := min(max(u.netSince(before), -most), most)
 	since := now.Sub(u.at).Seconds()
 	unexpected := used - u.expected - u.expectedRate*expectedSeconds(now, u.at)
 	if since > 0 && !u.at.IsZero() {
@@ -191,8 +192,8 @@
 // since its last report is taken from the bucket. The caller holds l.mu.
 func (l *Ledger) mergeWorkspaceUse(now time.Time, from string, u *peerUse, use Use, charge bool) {
 	oldRate := u.expectedRate
-	unexpected := u.update(now, use)
 	limit, limited := l.limitOf(use.Workspace)
+	unexpected := u.update(now, use, l.maxUse(limit, now.Sub(u.at)))
 	if !limited || l.fleet.unknown() {
 		return
 	}
@@ -205,6 +206,13 @@
 	a.updateCutoff(now)
 }
 
+// maxUse returns the most that an entry can use of a limit since a report; a part of the tolerance
+// in each window.
+func (l *Ledger) maxUse(limit Limit, since time.Duration) float64 {
+	tolerance := l.toleranceOf(limit).withDefaults()
+	return (tolerance.allowed(limit) + tolerance.excess(limit)) * max(since.Seconds()/tolerance.Window.Seconds(), 1)
+}
+
 // markSilent expects no more use by an entry that has stopped reporting. The caller holds
 // l.mu.
 func (l *Ledger) markSilent(now time.Time, p *peer) {
--- a/quota/stated.go
+++ b/quota/stated.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 
@@ -123,11 +124,17 @@
 	return list[:min(len(list), maxEndpointLimits)]
 }
 
+// valid reports whether the limit is a number that an endpoint can mean.
+func (s EndpointLimit) valid() bool { return s.PerSecond >= 0 && s.PerSecond <= math.MaxFloat64 }
+
 // MergeEndpointLimits merges the limits advertised to another entry.
 func (l *Ledger) MergeEndpointLimits(now time.Time, list []EndpointLimit) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for _, s := range list {
+		if !s.valid() {
+			continue
+		}
 		l.applyEndpointLimit(now, now.Add(-max(s.Age, 0)), s)
 	}
 }
--- a/returns/news.go
+++ b/returns/news.go
@@ -24,6 +24,10 @@
 	// roundingMargin keeps a promise that arrives at once in its slot; one that travels longer
 	// than the rest of a slot counts one slot later.
 	roundingMargin = SlotTime / 10
+	// maxCost bounds a cost that another process promised, and maxAhead the time until it: larger
+	// sums would lose the costs of others, and no caller waits longer.
+	maxCost  = 1e12
+	maxAhead = time.Minute
 	// maxRank is the rank from which on all may book the same.
 	maxRank = 3
 )
@@ -152,10 +156,13 @@
 	}
 	booked := make(map[Key]slots, min(len(list), maxReportedKeys))
 	for _, p := range list[:min(len(list), maxReportedKeys)] {
+		if p.First < -maxAhead || p.First > maxAhead {
+			continue
+		}
 		first := slotAt(now.Add(p.First + roundingMargin))
 		s := make(slots, len(p.Cost))
 		for i, cost := range p.Cost[:min(len(p.Cost), maxSlots)] {
-			if positive(cost) {
+			if cost > 0 && cost <= maxCost {
 				s[first+slot(i)] = cost
 			}
 		}
--- a/router/health.go
+++ b/router/health.go
@@ -231,7 +231,10 @@
 	defer l.mu.Unlock()
 	failures := make(map[string]float64)
 	for _, a := range list {
-		if a.Left <= 0 {
+		if a.Age < 0 {
+			continue // no entry knows what is to come
+		}
+		if a.Left = min(a.Left, goneAvoidTime); a.Left <= 0 {
 			failures[a.Endpoint] += decayFactor(a.Age)
 			continue
 		}
--- a/router/others.go
+++ b/router/others.go
@@ -1,6 +1,9 @@
 package router
 
-import "time"
+import (
+	"maps"
+	"time"
+)
 
 // reportTTL is how long a report of another entry's work is valid. Entries repeat their
 // reports several times in that time.
@@ -36,8 +39,24 @@
 	return peerLoads{reports: make(map[string]peerReport), sums: make(map[string]Load), failures: make(map[string]float64)}
 }
 
+// maxReported bounds the numbers that another entry reports of an endpoint or a service, in calls
+// or tokens. The sums of larger ones would overflow, or lose what the others report.
+const maxReported = 1 << 40
+
+// odd reports whether no entry can have the work.
+func (l Load) odd() bool {
+	return min(l.Calls, l.PrefillTokens, l.Decodes, l.KVTokens) < 0 || max(l.Calls, l.PrefillTokens, l.Decodes, l.KVTokens) > maxReported
+}
+
+// odd reports whether no entry can have the demand.
+func (d Demand) odd() bool {
+	return !(d.Calls >= 0 && d.Calls <= maxReported && d.Tokens >= 0 && d.Tokens <= maxReported)
+}
+
 // setReport replaces the report of a process.
 func (o *peerLoads) setReport(now time.Time, process string, loads map[string]Load, demand map[string]Demand) {
+	maps.DeleteFunc(loads, func(_ string, l Load) bool { return l.odd() })
+	maps.DeleteFunc(demand, func(_ string, d Demand) bool { return d.odd() })
 	failures := o.reports[process].failures
 	o.remove(process)
 	o.reports[process] = peerReport{loads: loads, demand: demand, at: now}
--- a/share/share.go
+++ b/share/share.go
@@ -11,6 +11,9 @@
 // reportTTL is how long the demand of another entry counts without a new report.
 const reportTTL = time.Second
 
+// maxDemand bounds a demand that another entry reports: larger sums would lose the demand of others.
+const maxDemand = 1e12
+
 // Ranks of the demand for plain services.
 const (
 	// OnTime is the rank of calls that can still meet their target, Late that of the others.
@@ -29,6 +32,13 @@
 	Oldest time.Duration
 }
 
+// odd reports whether no entry can have the demand.
+func (d Demand) odd() bool {
+	return d.Rank < 0 || d.Oldest < 0 || isOdd(d.Waiting) || isOdd(d.Running)
+}
+
+func isOdd(x float64) bool { return !(x >= 0 && x <= maxDemand) }
+
 // WorkspaceDemand is the demand of one workspace at one entry.
 type WorkspaceDemand struct {
 	Service string
@@ -99,6 +109,8 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.remove(from)
+	demand = slices.DeleteFunc(demand, Demand.odd)
+	byWorkspace = slices.DeleteFunc(byWorkspace, func(d WorkspaceDemand) bool { return isOdd(d.Demand) })
 	if len(demand) == 0 {
 		return
 	}
