Messages of other entries: addresses, revisions, ages and fleet sizes that nobody can have

Cause: reports and replies are merged with whatever addresses, revisions and ages they hold. Seen before the change, each by one message: UpTo, an entry or an Era of 2^63 and 2^64-1 (all that the store lists from then on is older than what is known: the entry stops following it, and hands the revision on); an Age of a copy below zero, or of 2^63-1, which overflows when the time of the fetch is added (a copy of the future, never behind); Most of 2^63-1 (each share of a limit and of the retry budget is nothing for an hour, at all that are told); members and senders "", "10.0.0.1:70000", ":8" and others (dialed, counted as entries, the lowest address, so that nobody gives orders); a history of -2^63 old (-Age overflows: it reaches back 292 years). Ruled out: claims of a larger revision without entries: entries that are ahead are asked in turn. Conclusion: what the store lists is followed whatever a neighbour says of numbers.

--- a/gossip/node.go
+++ b/gossip/node.go
@@ -173,6 +173,10 @@
 
 // mergeReport merges a report.
 func (n *Node) mergeReport(now time.Time, r *wire.Report) {
+	if !isAddr(r.From) {
+		n.Metrics.Add("peer_reports_refused", 1)
+		return
+	}
 	n.observe(now, r.From, r.DataCentre, StoreAccess{LinkMbps: r.Link, StoreFailed: r.NoStore}, membersOf(r.Members, r.Centres, r.Links))
 	n.recordRevision(r.From, r.At())
 	work := make(map[string]router.Load, len(r.Work))
@@ -237,10 +241,17 @@
 	n.members.Learn(now, members)
 }
 
-// membersOf returns the members listed in a message; what the sender left out is unknown.
+// membersOf returns the members listed in a message; what the sender left out is unknown. None are
+// there if it lists more than any fleet has.
 func membersOf(addrs, centres []string, links []float64) []Member {
+	if len(addrs) > maxIncoming {
+		return nil
+	}
 	list := make([]Member, 0, len(addrs))
 	for i, addr := range addrs {
+		if !isAddr(addr) {
+			continue
+		}
 		e := Member{Addr: addr}
 		if i < len(centres) && i < len(links) {
 			e.DataCentre, e.LinkMbps = centres[i], links[i]
@@ -267,6 +278,9 @@
 func (n *Node) learnMaxEntries(now time.Time, most int, age time.Duration, counted bool) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
+	if most > maxIncoming {
+		return
+	}
 	n.members.LearnMaxEntries(now, most, age)
 	if counted && most > 0 {
 		n.OnFleetSize(n.members.maxEntries)
--- a/gossip/published.go
+++ b/gossip/published.go
@@ -59,6 +59,9 @@
 
 // recordRevision records the catalog revision of an entry.
 func (n *Node) recordRevision(addr string, at revision.Revision) {
+	if !isRevision(at.Era, at.Count) {
+		return
+	}
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	n.revisions[addr] = at
@@ -128,6 +131,10 @@
 	if r.UpTo == 0 && !r.Corrects || r.Era < n.catalog.Revision().Era {
 		return // knowledge from a former era is obsolete
 	}
+	if !hasSoundRevisions(r) {
+		n.Metrics.Add("peer_reports_refused", 1)
+		return
+	}
 	n.indexOwnValues(r.Entries)
 	now := time.Now()
 	n.finishFetch(now, n.beginFetch(now, addr, r, c))
@@ -243,7 +250,9 @@
 	if r.Keys != nil {
 		updated = append(updated, n.catalog.RemoveExcept(now, r.Keys, r.At())...)
 	}
-	n.OnReceive(r.Age + took)
+	if r.Age >= 0 && r.Age <= maxCopyAge {
+		n.OnReceive(r.Age + took)
+	}
 	return updated
 }
 
--- a/gossip/releases.go
+++ b/gossip/releases.go
@@ -91,6 +91,9 @@
 	}
 	histories := make([]release.History, 0, len(list))
 	for i, s := range list {
+		if s.Age < 0 {
+			continue
+		}
 		h := release.History{Service: s.Service, Age: s.Age, Published: published[i]}
 		for _, c := range s.Changes {
 			h.Changes = append(h.Changes, release.Change(c))
