Answers of workers and messages of agents: odd numbers end no stream, no endpoint and no entry

Cause: a few numbers of workers and agents are used as they come. Seen before the change: a stream whose first event has no ID and whose second has "id: 0" divides by zero (recordGap): the caller's stream is cut with a panic; events of IDs below zero are taken for repeated ones and dropped. Retry-After of 2^31-1 s: the endpoint is used no more for 68 years. Keep-Alive: timeout=: its connections idle for 292 years and take the place of others (512 for all endpoints). A head that can't be read is quoted in the error: 204,886 bytes in one line of the log. A chunk from an agent that begins at token -2^63 overflows: slice out of bounds, which ends the entry. A Reserve for -1 token is granted and makes room beyond the engine's memory. Ruled out, by test or by fuzzing: Server-Load and Server-Limit of any text (a limit of 1e300 is held to 1e6 by quota), Deadline-Ms, Token-Count, Prompt-Prefix, nesting of 20,000 in a report, statuses 099 and 999, Content-Length of any text; Length-Hint is read by nobody but the emulator; Weight-Versions is forwarded only.

--- a/entry/tokens.go
+++ b/entry/tokens.go
@@ -136,7 +136,7 @@
 // accept returns the tokens of a chunk that were not accepted before. It fails
 // if a token before them is missing.
 func (s *tokenSequence) accept(from int, tokens []string) ([]string, error) {
-	if from > s.next {
+	if from < 0 || from > s.next {
 		return nil, router.ErrLost.New("token %d expected, got a chunk from token %d", s.next, from)
 	}
 	n := from + len(tokens) - s.next
--- a/lease/table.go
+++ b/lease/table.go
@@ -191,7 +191,7 @@
 		return wire.ReasonDraining
 	case !r.Deadline.After(now):
 		return wire.ReasonDeadlinePassed
-	case t.capacity.Tokens > 0 && r.Tokens > t.capacity.Tokens:
+	case r.Tokens < 0 || t.capacity.Tokens > 0 && r.Tokens > t.capacity.Tokens:
 		return wire.ReasonFull
 	default:
 		return ""
--- a/lease/table_test.go
+++ b/lease/table_test.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/binary"
 	"fmt"
+	"math"
 	"testing"
 	"time"
 
@@ -258,6 +259,17 @@
 	assert.Equal(t, []lease.Change{{ID: id(3), Kind: lease.WasGranted}, {ID: id(4), Kind: lease.WasGranted}}, table.Tick(epoch))
 }
 
+// A request for less than no memory would make room for more than the engine has.
+func TestOddTokens(t *testing.T) {
+	table := lease.NewTable(lease.Capacity{Requests: 10, Tokens: 10, Queue: 10}, time.Hour)
+	for n, tokens := range []int{-1, math.MinInt, math.MaxInt, 10, 10} {
+		r := request(uint64(n+1), 0, false)
+		r.Tokens = tokens
+		assert.Equal(t, tokens == 10 && n == 3, table.Reserve(epoch, r).Granted, tokens)
+	}
+	assert.Equal(t, 10, table.Tokens())
+}
+
 // The queue is full of a spare request that the headroom holds back. A paid request of the
 // same priority must be granted the headroom, not refused.
 func TestWaitingSpareDoesNotBlockPaid(t *testing.T) {
--- a/router/health.go
+++ b/router/health.go
@@ -29,6 +29,9 @@
 	// goneAvoidTime is how long an endpoint is avoided that no longer runs. During an
 	// outage of the store it may stay published that long.
 	goneAvoidTime = 10 * time.Second
+	// maxBackoff bounds how long an endpoint is not used because it asked for that. It is longer than
+	// any need; a wrong number must not end the use of an endpoint.
+	maxBackoff = 10 * time.Minute
 	// maxFailuresReported is how many recent failures per endpoint are reported to other
 	// entries. More would not change their decisions.
 	maxFailuresReported = 4
@@ -280,7 +283,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	h := l.healthOf(now, endpoint)
-	if until := now.Add(lasting); until.After(h.backoffUntil) {
+	if until := now.Add(min(lasting, maxBackoff)); until.After(h.backoffUntil) {
 		h.backoffUntil = until
 	}
 }
--- a/router/odd_test.go
+++ b/router/odd_test.go
@@ -50,3 +50,14 @@
 		assert.Equal(t, Demand{Calls: 3, Tokens: 100}, d, x)
 	}
 }
+
+// TestOddBackoff guards against a Retry-After of years, by which an endpoint is used no more.
+func TestOddBackoff(t *testing.T) {
+	start := time.Unix(1000, 0)
+	for _, backoff := range []time.Duration{math.MaxInt64, math.MaxInt32 * time.Second, time.Hour} {
+		l := NewLoadTracker()
+		l.RecordBackoff(start, "e", backoff)
+		assert.True(t, l.View(start.Add(9*time.Minute), "e").BackingOff)
+		assert.False(t, l.View(start.Add(11*time.Minute), "e").BackingOff, backoff)
+	}
+}
--- a/router/stream.go
+++ b/router/stream.go
@@ -221,7 +221,7 @@
 	if !g.lastEventAt.IsZero() && ev.Number > g.lastEvent {
 		g.gap = now.Sub(g.lastEventAt)
 		g.longestGap = max(g.longestGap, g.gap)
-		g.r.metrics.Histogram("tbt." + g.c.class()).Record(g.gap / time.Duration(ev.Number-max(g.lastEvent, 0)))
+		g.r.metrics.Histogram("tbt." + g.c.class()).Record(g.gap / time.Duration(max(ev.Number-max(g.lastEvent, 0), 1)))
 	}
 	g.lastEventAt = now
 	g.learnGap(now, at)
--- a/upstream/exchange.go
+++ b/upstream/exchange.go
@@ -180,7 +180,17 @@
 	c.head.begin(read)
 	resp, err = http.ReadResponse(c.br, hr)
 	joined = c.head.end(c.br.Buffered())
-	return resp, joined, err
+	return resp, joined, quoteLittle(err)
+}
+
+// maxErrorText bounds the text of an error of package http, which quotes the line that it can't read.
+const maxErrorText = 200
+
+func quoteLittle(err error) error {
+	if err == nil || len(err.Error()) <= maxErrorText {
+		return err
+	}
+	return ErrLost.New("%s...", err.Error()[:maxErrorText])
 }
 
 // readHead reads the header of an answer and skips answers that don't match.
@@ -244,7 +254,7 @@
 	case io.EOF:
 		r.complete = true
 	default:
-		err = ErrLost.Wrap(err, "body from %s", r.target.Addr)
+		err = ErrLost.Wrap(quoteLittle(err), "body from %s", r.target.Addr)
 	}
 	return n, err
 }
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -43,6 +43,9 @@
 	// defaultIdleTimeout is how long an idle connection is kept if the endpoint
 	// does not advertise its own idle timeout.
 	defaultIdleTimeout = 4 * time.Second
+	// maxIdleTimeout bounds the idle timeout that an endpoint advertises, in seconds: connections with
+	// longer ones would take the place of those to other endpoints.
+	maxIdleTimeout = 300
 	// idleMargin is subtracted from the idle timeout that an endpoint advertises,
 	// so that this side closes first.
 	idleMargin = time.Second
@@ -289,6 +292,7 @@
 		if err != nil {
 			return 0
 		}
+		s = min(s, maxIdleTimeout)
 		return max(time.Duration(s)*time.Second-idleMargin, time.Duration(s)*time.Second/2)
 	}
 	return 0
