--- a/router/health.go
+++ b/router/health.go
@@ -29,6 +29,9 @@
 	// goneAvoidTime is how long an endpoint is avoided that no longer runs. During an
 	// outage of the store it may stay published that long.
 	goneAvoidTime = 10 * time.Second
+	// maxBackoff bounds how long an endpoint is not used because it asked for that. It is longer than
+	// any need; a wrong number must not end the use of an endpoint.
+	maxBackoff = 10 * time.Minute
 	// maxFailuresReported is how many recent failures per endpoint are reported to other
 	// entries. More would not change their decisions.
 	maxFailuresReported = 4
@@ -231,7 +234,10 @@
 	defer l.mu.Unlock()
 	failures := make(map[string]float64)
 	for _, a := range list {
-		if a.Left <= 0 {
+		if a.Age < 0 {
+			continue // no entry knows what is to come
+		}
+		if a.Left = min(a.Left, goneAvoidTime); a.Left <= 0 {
 			failures[a.Endpoint] += decayFactor(a.Age)
 			continue
 		}
@@ -277,7 +283,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	h := l.healthOf(now, endpoint)
-	if until := now.Add(lasting); until.After(h.backoffUntil) {
+	if until := now.Add(min(lasting, maxBackoff)); until.After(h.backoffUntil) {
 		h.backoffUntil = until
 	}
 }
