Log: a text of others takes at most 1 KiB of a line

Cause: a published `state` was quoted whole, and errors of decoders repeat the number or string that they could not decode; one line had 45 KB. Ruled out: a bound at each of the 43 places that log an error: the next one would forget it.

--- a/event/event.go
+++ b/event/event.go
@@ -8,6 +8,7 @@
 	"expvar"
 	"sort"
 	"strconv"
+	"strings"
 
 	"go.uber.org/zap"
 	"go.uber.org/zap/zapcore"
@@ -21,22 +22,55 @@
 	Level zapcore.Level
 	// Text is the constant message.
 	Text string
+	// long says that fields may exceed maxFieldBytes.
+	long bool
 }
 
+// maxFieldBytes bounds a text in a line: published values and answers of others may get
+// into any of them, and may have megabytes.
+const maxFieldBytes = 1 << 10
+
 var (
 	defined = make(map[int]Event)
 	counts  = expvar.NewMap("events")
 )
 
 func define(number int, level zapcore.Level, text string) Event {
-	if _, dup := defined[number]; dup {
-		panic("event: number defined twice: " + strconv.Itoa(number))
+	return register(Event{Number: number, Level: level, Text: text})
+}
+
+// defineLong defines an event whose fields are long and come from this process only.
+func defineLong(number int, level zapcore.Level, text string) Event {
+	return register(Event{Number: number, Level: level, Text: text, long: true})
+}
+
+func register(e Event) Event {
+	if _, dup := defined[e.Number]; dup {
+		panic("event: number defined twice: " + strconv.Itoa(e.Number))
 	}
-	e := Event{Number: number, Level: level, Text: text}
-	defined[number] = e
+	defined[e.Number] = e
 	return e
 }
 
+// Quote quotes a text of another process; what exceeds limit bytes is left out.
+func Quote(text string, limit int) string {
+	if len(text) <= limit {
+		return strconv.Quote(text)
+	}
+	return strconv.Quote(text[:limit]) + leftOut(len(text)-limit)
+}
+
+func leftOut(n int) string { return "... and " + strconv.Itoa(n) + " bytes" }
+
+// bound cuts texts that exceed maxFieldBytes.
+func bound(fields []zap.Field) {
+	for i, f := range fields {
+		if f.Type == zapcore.StringType && len(f.String) > maxFieldBytes {
+			fields[i].String = strings.ToValidUTF8(f.String[:maxFieldBytes], "") + leftOut(len(f.String)-maxFieldBytes)
+		}
+	}
+}
+
 // All returns all events, sorted by number.
 func All() []Event {
 	list := make([]Event, 0, len(defined))
@@ -79,5 +113,8 @@
 	if entry == nil {
 		return
 	}
+	if !e.long {
+		bound(fields)
+	}
 	entry.Write(append(fields, zap.Int("event", e.Number))...)
 }
--- a/event/event_test.go
+++ b/event/event_test.go
@@ -2,9 +2,11 @@
 
 import (
 	"bytes"
+	"errors"
 	"fmt"
 	"os"
 	"regexp"
+	"strings"
 	"testing"
 
 	"github.com/stretchr/testify/assert"
@@ -40,3 +42,18 @@
 	assert.Contains(t, out.String(), `"generation":4`)
 	assert.NotContains(t, out.String(), "4005", "debug events are below the log level")
 }
+
+// TestForeignTextIsBounded: one odd value of another writer, quoted whole, makes a line of 45 KB,
+// and a disk of logs is full in minutes. Goroutines of this process are logged whole.
+func TestForeignTextIsBounded(t *testing.T) {
+	var out bytes.Buffer
+	core := zapcore.NewCore(zapcore.NewJSONEncoder(zap.NewProductionEncoderConfig()), zapcore.AddSync(&out), zap.InfoLevel)
+	log, long := event.NewLog(zap.New(core)), strings.Repeat("é\x00", 1<<20)
+	log.Emit(event.EntryUnreadable, event.Err(errors.New(long)), zap.String("state", long))
+	assert.Less(t, out.Len(), 20<<10)
+	assert.Contains(t, out.String(), "3144704 bytes")
+	out.Reset()
+	log.Emit(event.StillRunning, zap.String("goroutines", strings.Repeat("g", 1<<16)))
+	assert.Greater(t, out.Len(), 1<<16)
+	assert.Equal(t, `"ab"... and 2 bytes`, event.Quote("abcd", 2))
+}
