--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -81,7 +81,7 @@
 	// irrelevant fields, such as the counter of a heartbeat. Such a change is not
 	// reported or relayed: the heartbeats of thousands of endpoints would fill every
 	// process's share of the network.
-	Equivalent func(a, b []byte) bool
+	Equivalent func(key string, a, b []byte) bool
 	// Supersedes, if set before use, reports whether value was written after other,
 	// by the counters that their writers put in them. It decides between a value from
 	// a backup and the value known before, where the store's revisions can't.
@@ -299,7 +299,7 @@
 // when the known one was received. The caller holds c.mu.
 func (c *Catalog) unchanged(e Entry) (since time.Time, same bool) {
 	old, ok := c.records[e.Key]
-	if !ok || c.Equivalent == nil || old.Removed || e.Removed || !c.Equivalent(old.Value, e.Value) {
+	if !ok || c.Equivalent == nil || old.Removed || e.Removed || !c.Equivalent(e.Key, old.Value, e.Value) {
 		return time.Time{}, false
 	}
 	return old.learnedAt, true
--- a/catalog/catalog_test.go
+++ b/catalog/catalog_test.go
@@ -91,7 +91,7 @@
 func TestHeartbeatsAreNotChanges(t *testing.T) {
 	now := time.Unix(100, 0)
 	c := catalog.New()
-	c.Equivalent = func(a, b []byte) bool { return a[0] == b[0] }
+	c.Equivalent = func(_ string, a, b []byte) bool { return a[0] == b[0] }
 	c.Merge(now, []catalog.Entry{{Key: "k", Revision: firstEra(1), Value: []byte("a1")}}, firstEra(1))
 	assert.Empty(t, c.Merge(now, []catalog.Entry{{Key: "k", Revision: firstEra(2), Value: []byte("a2")}}, firstEra(2)))
 	changes, upTo, _ := c.ChangesSince(firstEra(1))
--- a/catalog/era_test.go
+++ b/catalog/era_test.go
@@ -116,7 +116,7 @@
 func TestEraIsRelayed(t *testing.T) {
 	now := time.Unix(100, 0)
 	from, to := newVersioned(), newVersioned()
-	same := func(a, b []byte) bool { return a[0] == b[0] }
+	same := func(_ string, a, b []byte) bool { return a[0] == b[0] }
 	from.Equivalent, to.Equivalent = same, same
 	first := []catalog.Entry{{Key: "a", Value: []byte("1a"), Revision: firstEra(1)}, {Key: "b", Value: []byte("1"), Revision: firstEra(2)}}
 	from.Merge(now, first, firstEra(9))
