--- a/quota/quota.go
+++ b/quota/quota.go
@@ -425,9 +425,16 @@
 	if !p.alike() {
 		full *= a.cutoff.certainLevel(p)
 	}
-	return time.Duration(max(full-level, 0) / (a.full.Rate * share) * float64(time.Second))
+	seconds := max(full-level, 0) / (a.full.Rate * share)
+	if !(seconds < maxWait.Seconds()) {
+		return maxWait
+	}
+	return time.Duration(seconds * float64(time.Second))
 }
 
+// maxWait bounds the wait for a bucket: one with a tiny rate never fills.
+const maxWait = 24 * time.Hour
+
 // sweep drops accounts and peers that have been idle. The caller holds l.mu.
 func (l *Ledger) sweep(now time.Time) {
 	if now.Sub(l.swept) < sweepInterval {
