Watchdog: the timer waits until it is held

Cause: startWatchdog assigned w.timer after AfterFunc without w.mu. If the entry isn't run in between (stopped, or no processor time) for longer than the first silence allowed and pauseAfter, onSilence finds itself late, excuses the pause and resets a timer that is still nil: the process ends with all its answers. Seen as a data race in TestCutStreamIsNotComplete/length_1.1 with -race, in 2 of 4 plays beside a load of 55 to 65. Ruled out: the same in stall.Start, which holds its mutex, and in waitList, whose caller does. Change: startWatchdog holds w.mu until the timer is assigned. Conclusion: a fault of the product, which crashes an entry that is stopped at that moment.

--- a/router/watch.go
+++ b/router/watch.go
@@ -109,6 +109,8 @@
 	}
 	now := time.Now()
 	w := &watchdog{r: r, e: e, cancel: end, lastActivity: now, due: now.Add(l.probeAfter), silenceLimits: l}
+	w.mu.Lock() // the timer may fire before it is assigned
+	defer w.mu.Unlock()
 	w.timer = time.AfterFunc(l.probeAfter, w.onSilence)
 	return w
 }
--- a/router/watchpause_test.go
+++ b/router/watchpause_test.go
@@ -102,3 +102,16 @@
 		assert.Equal(t, hanging, w.verdict())
 	})
 }
+
+// TestTimerFiresAtOnce guards against an entry that crashes because it isn't run while it begins to
+// watch an endpoint: the timer fires before the watchdog holds it.
+func TestTimerFiresAtOnce(t *testing.T) {
+	const watches = 100
+	m := metrics.NewSet()
+	r := New(Settings{}, nil, event.Nop(), m)
+	for range watches {
+		w := r.startWatchdog(&Endpoint{ID: "e"}, silenceLimits{probeAfter: -2 * pauseAfter}, func() {})
+		defer w.stop()
+	}
+	assert.Eventually(t, func() bool { return m.Count("silences_excused") >= watches }, 5*time.Second, time.Millisecond)
+}
