Soak of processes: rounds of entries out of step note the joined streams so far

Cause: a described fleet's streams outlast their round, so that the history said 0 in each round of a play with 5 joined.

--- a/soak/processes/outofstep.go
+++ b/soak/processes/outofstep.go
@@ -123,7 +123,7 @@
 
 // outOfStepRound lets workers of a new version join while entries are out of step.
 func (r *run) outOfStepRound(n int, d time.Duration) {
-	o, joined := r.set.OutOfStep, r.joined.Load()
+	o := r.set.OutOfStep
 	how := outOfStepFaults[o.How]
 	victims := make([]*entry, 0, o.Entries)
 	for i := range o.Entries {
@@ -147,7 +147,7 @@
 	for _, k := range joining {
 		k.breaksAfter.Store(0)
 	}
-	r.note("%d streams joined", r.joined.Load()-joined)
+	r.note("%d streams joined so far", r.joined.Load())
 	r.leaveOldest(joiningWorkers)
 }
 
