Watchdog: an entry that is stopped as it begins to watch an engine doesn't end when it goes on

Cause: startWatchdog starts the timer and only then keeps it. The panic is in the timer's goroutine, so the process ends. Found by -race in platform beside a load of 60 (one report: watch.go:119 reads what watch.go:112 writes; six tests that ran then are marked by it). Ruled out: the tests that the race report is attached to (TestOddEventIDs and five others ran at the time). Change: the timer is set with the lock held, as everywhere else. Conclusion: one way in which a process ends by itself after a freeze; whether it is what operators saw is not known.

--- a/router/watch.go
+++ b/router/watch.go
@@ -109,7 +109,9 @@
 	}
 	now := time.Now()
 	w := &watchdog{r: r, e: e, cancel: end, lastActivity: now, due: now.Add(l.probeAfter), silenceLimits: l}
-	w.timer = time.AfterFunc(l.probeAfter, w.onSilence)
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.timer = time.AfterFunc(l.probeAfter, w.onSilence) // may fire at once if the process is paused here
 	return w
 }
 
