Answers to questions that this entry hasn't sent confirm nothing; ages below zero reach nowhere

Cause: found on reading the merged changes for odd values: a neighbour that repeats a time of the future would confirm this entry's list for ever, and a history with an age below zero overflows. Only gossip guarded the second.

Ruled out: other uses of times in replies (their ages are bounded on merging).

Figures: TestAnswersCountFromTheirQuestion, "not sent yet", failed before.

--- a/gossip/answers.go
+++ b/gossip/answers.go
@@ -15,10 +15,10 @@
 
 // recordAnswer records that an entry has answered a report, after its published entries were merged.
 func (n *Node) recordAnswer(l *link, m *wire.Reply) {
-	if m.Sent <= 0 {
-		return // of a release that doesn't repeat it
-	}
 	asked := n.started.Add(m.Sent - 1)
+	if m.Sent <= 0 || asked.After(time.Now()) {
+		return // of a release that doesn't repeat it, or none that this entry sent
+	}
 	own := n.catalog.Revision()
 	if m.Checked && !m.At().After(own) {
 		n.OnChecked(asked.Add(-max(m.CheckedAge, 0)))
--- a/gossip/answers_test.go
+++ b/gossip/answers_test.go
@@ -17,6 +17,7 @@
 // entry that knows more than was received of it, and that counts as word of now.
 func TestAnswersCountFromTheirQuestion(t *testing.T) {
 	const own = 7
+	const future = time.Hour
 	cases := map[string]struct {
 		reply   wire.Reply
 		checked time.Duration // before the report was sent
@@ -25,6 +26,7 @@
 		"current":              {wire.Reply{Revision: own, Checked: true}, 0, true},
 		"read a second ago":    {wire.Reply{Revision: own - 1, Checked: true, CheckedAge: time.Second}, time.Second, true},
 		"never read":           {wire.Reply{Revision: own, CheckedAge: time.Second}, 0, false},
+		"not sent yet":         {wire.Reply{Revision: own, Checked: true, Sent: future}, 0, false},
 		"knows more":           {wire.Reply{Revision: own + 1, Checked: true}, 0, false},
 		"a read in the future": {wire.Reply{Revision: own, Checked: true, CheckedAge: -time.Hour}, 0, true},
 	}
@@ -34,8 +36,10 @@
 			n := NewNode(Self{Addr: "self:1", DataCentre: "dc"}, nil, router.NewLoadTracker(), cat, event.Nop(), nil)
 			cat.Merge(time.Now(), nil, revision.Revision{Count: own})
 			asked := time.Now()
-			if c.reply.Sent = 0; repeats {
-				c.reply.Sent = n.sentAt(asked)
+			if repeats {
+				c.reply.Sent += n.sentAt(asked)
+			} else {
+				c.reply.Sent = 0
 			}
 			var got []time.Time
 			n.OnChecked = func(at time.Time) { got = append(got, at) }
--- a/release/history.go
+++ b/release/history.go
@@ -130,7 +130,7 @@
 	for _, c := range h.Changes {
 		s.merge(h.at, c)
 	}
-	if since := h.at.Add(-min(h.Age, historyTime)); since.Before(s.since) {
+	if since := h.at.Add(-min(max(h.Age, 0), historyTime)); since.Before(s.since) {
 		s.since = since
 	}
 }
