Versions of streams: a process whose rounds come late doesn't refuse resumes for ever

Callers would get 503 for each resumed stream that nobody told, for as long as rounds come over 0.2 s apart.

Cause: each late round counted as a pause and renewed the time from which others had to be heard, so that the bound of 1.5 s never came.

Ruled out: a longer limit for a pause; it moves the same to slower machines.

Change: the bound counts from the first pause since all others were heard.

Conclusion: on such a machine what waits in connections isn't awaited; the list still has to be confirmed.

--- a/release/gap.go
+++ b/release/gap.go
@@ -23,8 +23,9 @@
 	current time.Time
 	// heardAll is when all other entries were sent a question that each has answered.
 	heardAll time.Time
-	// checked is when this process ran last, woke when it last did so after a pause.
-	checked, woke time.Time
+	// checked is when this process ran last, woke when it last did so after a pause. behindSince is
+	// when it first did since it had heard all others.
+	checked, woke, behindSince time.Time
 	// settledAt is when others have told what they did during a gap.
 	settledAt time.Time
 }
@@ -57,7 +58,10 @@
 func (t *Tracker) HeardAll(at time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.contact.heardAll = at
+	c := &t.contact
+	if c.heardAll = at; !at.Before(c.woke) {
+		c.behindSince = time.Time{}
+	}
 }
 
 // Await records that a request waits until this entry is in step, until end is called.
@@ -97,6 +101,9 @@
 func (c *contact) noteRunning(now time.Time) {
 	if !c.checked.IsZero() && now.Sub(c.checked) > maxPause {
 		c.woke = now
+		if c.behindSince.IsZero() {
+			c.behindSince = now
+		}
 	}
 	c.checked = now
 }
@@ -105,7 +112,7 @@
 // connections while this process didn't run.
 func (c *contact) inStep(now, at time.Time) bool {
 	c.noteRunning(now)
-	caughtUp := !c.heardAll.Before(c.woke) || now.Sub(c.woke) > catchUpTime
+	caughtUp := !c.heardAll.Before(c.woke) || now.Sub(c.behindSince) > catchUpTime
 	return !c.others || caughtUp && !c.current.Before(at)
 }
 
--- a/release/gap_test.go
+++ b/release/gap_test.go
@@ -337,3 +337,26 @@
 		}
 	}
 }
+
+// TestLateRoundsDoNotRefuseForEver guards against an entry on a slow machine, whose rounds come 0.25 s
+// apart, that is never caught up although each entry answers each report within 0.3 s.
+func TestLateRoundsDoNotRefuseForEver(t *testing.T) {
+	const round, answer = 250 * time.Millisecond, 300 * time.Millisecond
+	tracker := release.NewTracker()
+	tracker.ExpectOthers()
+	tracker.SetEndpoints(epoch, gapService, endpoints("v1", "v2"))
+	refused, asked := 0, 0
+	for d := time.Duration(0); d < time.Minute; d += round {
+		now := epoch.Add(d)
+		tracker.CheckContact(now)
+		tracker.Confirm(now, now)
+		tracker.HeardAll(now.Add(-answer))
+		if d < 30*time.Second {
+			continue
+		}
+		if asked++; tracker.Find(now, release.Query{Service: gapService, Request: "x", After: now.Add(-gapTimeout), Before: now}).Behind {
+			refused++
+		}
+	}
+	assert.Less(t, refused, asked/2, "of %d", asked)
+}
