Versions of streams: what another entry relays doesn't replace what is known

A stream could go on at a version at which it no longer was.

Cause: an entry that stood still relays the exceptions that it knows when a connection opens; they replaced later ones.

Ruled out: an entry's own exceptions, which come in order on a connection.

Change: where relayed and known versions differ the stream is at none that can be told.

Conclusion: the same class; a number of the move in each exception would tell which is newer, and is not built.

--- a/gossip/link.go
+++ b/gossip/link.go
@@ -159,7 +159,7 @@
 			n.observe(time.Now(), l.addr, m.DataCentre, StoreAccess{LinkMbps: m.Link, StoreFailed: m.NoStore}, membersOf(m.Members, m.Centres, m.Links))
 			n.learnMaxEntries(time.Now(), m.Most, m.MostAge, m.Counted)
 			n.mergeVersionHistory(time.Now(), m.Versions, m.Published)
-			n.mergeStreams(time.Now(), m.Begun, m.Prompts)
+			n.mergeRelayed(time.Now(), m.Begun, m.Prompts)
 			n.recordRevision(l.addr, m.At())
 			n.handlePublished(l.addr, m, c)
 			n.recordAnswer(l, m)
--- a/gossip/releases.go
+++ b/gossip/releases.go
@@ -42,8 +42,18 @@
 }
 
 // mergeStreams merges the software versions of streams and of cached prompts that another entry
-// told.
+// told of its own.
 func (n *Node) mergeStreams(now time.Time, streams, prompts []wire.StreamVersion) {
+	n.Releases.Merge(now, updatesOf(streams, prompts))
+}
+
+// mergeRelayed merges those that another entry has heard.
+func (n *Node) mergeRelayed(now time.Time, streams, prompts []wire.StreamVersion) {
+	n.Releases.MergeRelayed(now, updatesOf(streams, prompts))
+}
+
+// updatesOf decodes the versions of streams and of cached prompts.
+func updatesOf(streams, prompts []wire.StreamVersion) []release.Update {
 	updates := make([]release.Update, 0, len(streams)+len(prompts))
 	for _, s := range streams {
 		updates = append(updates, release.Update{Request: s.Request, Version: s.Version})
@@ -51,7 +61,7 @@
 	for _, p := range prompts {
 		updates = append(updates, release.Update{Request: p.Request, Version: p.Version, Prompt: true})
 	}
-	n.Releases.Merge(now, updates)
+	return updates
 }
 
 // ToAsk reports whether this entry is the one of all that are alive to ask an endpoint of a data
--- a/release/told.go
+++ b/release/told.go
@@ -126,6 +126,22 @@
 
 // Merge merges what another entry told. Of a stream that runs here this entry knows more.
 func (t *Tracker) Merge(now time.Time, list []Update) {
+	t.merge(now, list, func(u Update, _ *stream) string { return u.Version })
+}
+
+// MergeRelayed merges what another entry has heard, which may be older than what this one knows: a
+// stream of which they differ is at no version that can be told.
+func (t *Tracker) MergeRelayed(now time.Time, list []Update) {
+	t.merge(now, list, func(u Update, known *stream) string {
+		if known != nil && known.version != u.Version {
+			return ""
+		}
+		return u.Version
+	})
+}
+
+// merge merges updates; version returns that of a stream that may be known.
+func (t *Tracker) merge(now time.Time, list []Update, version func(u Update, known *stream) string) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.sweep(now)
@@ -134,9 +150,10 @@
 			t.addPrompt(now, u)
 			continue
 		}
-		if x := t.streams[u.Request]; x != nil && x.own {
+		x := t.streams[u.Request]
+		if x != nil && x.own {
 			continue
 		}
-		t.streams[u.Request] = &stream{version: u.Version, begun: now, told: true}
+		t.streams[u.Request] = &stream{version: version(u, x), begun: now, told: true}
 	}
 }
