Lists of engines: one odd row loses itself, not the list

Cause: the list of cached prompts and the report of runs were decoded as a whole. One row with a number too large, of another type or nested too deep made the answer fail, so that streams which the engine runs or has cached were not found. Rows too short or without an ID were skipped in silence, and what was left counted as all that the engine has.

Ruled out: to decode each row to raw text only; package json refuses the whole of a text that is nested deeper than 10,000 levels anywhere.

A list of prompts that lacks rows comes with ErrPartial: a prompt that it has is found, one that it lacks is unknown, as if the engine had not answered.

TestPartOfAListIsNoProof: with a miss in such a list taken for proof, a stream is resumed at the other version.

Conclusion: an answer above 64 KiB still fails as a whole.

--- a/router/answer.go
+++ b/router/answer.go
@@ -32,6 +32,8 @@
 	// ErrExpired is an ErrLost from an endpoint that dropped the work because it received
 	// no heartbeat from this process. It does not indicate an outage of the endpoint.
 	ErrExpired = ErrLost.NewSubtype("expired")
+	// ErrPartial is returned with what could be read of an endpoint's list.
+	ErrPartial = routerErrors.NewType("partial")
 	// ErrCallerGone is returned by a Sink whose caller has disconnected.
 	ErrCallerGone = routerErrors.NewType("caller")
 )
@@ -188,7 +190,8 @@
 	// Drop frees a result that will not be used. It does not block.
 	Drop(r *PrefillResult)
 	// Cached returns the sessions whose prompts an engine has in its cache; see
-	// Call.Session. The map is not nil if the engine answered.
+	// Call.Session. The map is not nil if the engine answered. It returns ErrPartial if the engine
+	// may have cached others, which the client logs.
 	Cached(ctx context.Context, e *Endpoint) (map[string]bool, error)
 	// Running returns the IDs of the requests that an engine answers; see Call.ID.
 	Running(ctx context.Context, e *Endpoint) ([]string, error)
--- a/router/asked_test.go
+++ b/router/asked_test.go
@@ -22,6 +22,8 @@
 	cache, runs map[string][]string
 	// silent engines answer nothing; of the others, some fail in one call, always or once.
 	silent, failCached, failRunningOnce map[string]bool
+	// partial engines list only a part of their cache.
+	partial map[string]bool
 	// displacedAt is when other prompts have displaced those in the caches; zero if never.
 	displacedAt time.Time
 }
@@ -41,6 +43,9 @@
 	for _, s := range f.cache[e.ID] {
 		sessions[s] = !displaced
 	}
+	if f.partial[e.ID] {
+		return sessions, router.ErrPartial.New("odd rows")
+	}
 	return sessions, nil
 }
 
@@ -130,3 +135,19 @@
 		synctest.Test(t, func(t *testing.T) { assert.True(t, resumeAfterStart(t, f, false)) })
 	}
 }
+
+// TestPartOfAListIsNoProof guards against a list with rows that can't be read that is taken for all
+// that the engine has, while one of another version has the prompt, and against a sound row that is lost.
+func TestPartOfAListIsNoProof(t *testing.T) {
+	for engine, goesOn := range map[string]bool{"a": true, "c": false} {
+		synctest.Test(t, func(t *testing.T) {
+			f := &askedEngines{silent: map[string]bool{"c": true}, partial: map[string]bool{"a": true}, cache: map[string][]string{engine: {"s1"}}}
+			time.AfterFunc(1900*time.Millisecond, func() {
+				f.mu.Lock()
+				f.silent = nil
+				f.mu.Unlock()
+			})
+			assert.Equal(t, goesOn, resumeAfterStart(t, f, false), engine)
+		})
+	}
+}
--- a/router/cached.go
+++ b/router/cached.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"github.com/joomcode/errorx"
 	"go.uber.org/zap"
 
 	"ebonypulley/event"
@@ -45,6 +46,8 @@
 	at       time.Time
 	done     chan struct{}
 	sessions map[string]bool
+	// complete says that the engine has cached no other sessions.
+	complete bool
 }
 
 // cachingEngine returns the engine of a software version, empty for any, that caches a session's
@@ -116,7 +119,8 @@
 }
 
 // has waits for the list and reports whether it has a session. It returns false if the engine
-// did not answer. A list that has come counts also once ctx has ended.
+// did not answer, or the session may be in a part that can't be read. A list that has come counts
+// also once ctx has ended.
 func (l *cachedSessions) has(ctx context.Context, session string) (cached, answered bool) {
 	select {
 	case <-l.done:
@@ -127,7 +131,8 @@
 			return false, false
 		}
 	}
-	return l.sessions[session], l.sessions != nil
+	cached = l.sessions[session]
+	return cached, cached || l.complete
 }
 
 // enginesByHash returns the engines to ask for a call's prompt, in rendezvous order.
@@ -205,9 +210,18 @@
 	ctx, cancel := context.WithTimeout(context.Background(), cacheLookupTimeout)
 	defer cancel()
 	sessions, err := r.endpoints.Cached(ctx, e)
-	if err != nil {
+	if withoutPartial(err) != nil {
 		r.log.Emit(event.CacheStateUnknown, zap.String("endpoint", e.ID), event.Err(err))
 		return
 	}
-	list.sessions = sessions
+	list.sessions, list.complete = sessions, err == nil && sessions != nil
+}
+
+// withoutPartial returns err unless it says that only a part of a list is missing, which the
+// client has logged.
+func withoutPartial(err error) error {
+	if errorx.IsOfType(err, ErrPartial) {
+		return nil
+	}
+	return err
 }
--- a/router/recovery.go
+++ b/router/recovery.go
@@ -159,7 +159,7 @@
 	for session := range cached {
 		state.Sessions = append(state.Sessions, session)
 	}
-	if err = errors.Join(failed, err); err != nil {
+	if err = errors.Join(failed, withoutPartial(err)); err != nil {
 		v.r.log.Emit(event.CacheStateUnknown, zap.String("endpoint", e.ID), event.Err(err))
 	}
 	return state, err == nil
