Findings, lines and answers quote little of an odd value

Cause: package json quotes a number that it can't decode whole, and findings and answers of the own fleet quote literals, fields and names whole.

Change: the log bounds such values, too; a finding has 400 bytes, a value in it 100, an error about a published configuration 400, a message in an answer 1 KiB. The check prints as many findings as before.

Conclusion: errors of the store's own numbers (a revision) are still quoted whole until they reach the log, which bounds them.

--- a/config/config_test.go
+++ b/config/config_test.go
@@ -175,3 +175,16 @@
 		})
 	}
 }
+
+// TestFindingsQuoteLittle guards against a line of the log, or of the check, of as many bytes as an odd
+// value has.
+func TestFindingsQuoteLittle(t *testing.T) {
+	long := strings.Repeat("9", 60<<10)
+	for _, odd := range []string{`{"generation":` + long + `}`, `{"generation":"` + long + `"}`, `{"x` + long + `":1}`, `{"limits":{"deadline":"` + long + `"}}`, long, `{` + long, `{"generation":1` + long + `e}`} {
+		_, findings := config.Parse("f", []byte(odd))
+		require.NotEmpty(t, findings, odd[:20])
+		assert.Less(t, len(findings[0].String()), 600, odd[:20])
+	}
+	_, findings := config.Parse("f", []byte(`{"generation":`+long+`}`))
+	assert.Contains(t, findings[0].Text, "want a non-negative integer")
+}
--- a/entry/failure.go
+++ b/entry/failure.go
@@ -58,8 +58,15 @@
 	minRetryAfter = time.Second
 )
 
+// maxMessage bounds a message, in bytes: it may quote what the caller sent.
+const maxMessage = 1 << 10
+
+func boundedMessage(format string, args ...any) string {
+	return event.Bound(fmt.Sprintf(format, args...), maxMessage)
+}
+
 func badRequest(param, format string, args ...any) *failure {
-	return &failure{status: http.StatusBadRequest, outcome: OutcomeNotRun, kind: kindInvalid, code: "invalid_value", param: param, message: fmt.Sprintf(format, args...)}
+	return &failure{status: http.StatusBadRequest, outcome: OutcomeNotRun, kind: kindInvalid, code: "invalid_value", param: param, message: boundedMessage(format, args...)}
 }
 
 func unauthorized(message string) *failure {
@@ -67,7 +74,7 @@
 }
 
 func notFound(code, format string, args ...any) *failure {
-	return &failure{status: http.StatusNotFound, outcome: OutcomeNotRun, kind: kindInvalid, code: code, message: fmt.Sprintf(format, args...)}
+	return &failure{status: http.StatusNotFound, outcome: OutcomeNotRun, kind: kindInvalid, code: code, message: boundedMessage(format, args...)}
 }
 
 func tooLarge(limit int64) *failure {
--- a/event/event.go
+++ b/event/event.go
@@ -6,6 +6,7 @@
 
 import (
 	"expvar"
+	"fmt"
 	"sort"
 	"strconv"
 	"strings"
@@ -60,13 +61,29 @@
 	return strconv.Quote(text[:limit]) + leftOut(len(text)-limit)
 }
 
+// Bound returns a text of another process; what exceeds limit bytes is left out.
+func Bound(text string, limit int) string {
+	if len(text) <= limit {
+		return text
+	}
+	return strings.ToValidUTF8(text[:limit], "") + leftOut(len(text)-limit)
+}
+
 func leftOut(n int) string { return "... and " + strconv.Itoa(n) + " bytes" }
 
+// boundStringer is a value whose text is cut if it exceeds maxFieldBytes.
+type boundStringer struct{ fmt.Stringer }
+
+func (s boundStringer) String() string { return Bound(s.Stringer.String(), maxFieldBytes) }
+
 // bound cuts texts that exceed maxFieldBytes.
 func bound(fields []zap.Field) {
 	for i, f := range fields {
-		if f.Type == zapcore.StringType && len(f.String) > maxFieldBytes {
-			fields[i].String = strings.ToValidUTF8(f.String[:maxFieldBytes], "") + leftOut(len(f.String)-maxFieldBytes)
+		switch f.Type {
+		case zapcore.StringType:
+			fields[i].String = Bound(f.String, maxFieldBytes)
+		case zapcore.StringerType:
+			fields[i].Interface = boundStringer{f.Interface.(fmt.Stringer)}
 		}
 	}
 }
--- a/jsonc/decode.go
+++ b/jsonc/decode.go
@@ -51,7 +51,7 @@
 
 // Finding returns an Error finding about the value at a JSON pointer.
 func (s *Source) Finding(path, format string, args ...any) Finding {
-	return Finding{Position: s.Position(path), Severity: Error, Path: path, Text: fmt.Sprintf(format, args...)}
+	return Finding{Position: s.Position(path), Severity: Error, Path: path, Text: bounded(fmt.Sprintf(format, args...), maxFindingText)}
 }
 
 // Decode decodes text into out, a pointer to a struct. The findings cover syntax,
@@ -97,6 +97,7 @@
 		f.Position.Line, f.Position.Column = line, column
 		_, f.Text, _ = strings.Cut(err.Error(), fmt.Sprintf("column %d: ", column))
 	}
+	f.Text = bounded(f.Text, maxFindingText)
 	return f
 }
 
@@ -186,7 +187,7 @@
 		w.report(path, "%s", messageOf(err))
 		return
 	}
-	w.report(path, "invalid value %s; want %s", string(l), describe(t))
+	w.report(path, "invalid value %s; want %s", bounded(string(l), maxQuoted), describe(t))
 }
 
 // messageOf returns an error's message without its type name.
--- a/jsonc/finding.go
+++ b/jsonc/finding.go
@@ -34,6 +34,21 @@
 	return fmt.Sprintf("%s:%d:%d", p.File, p.Line, p.Column)
 }
 
+const (
+	// maxFindingText bounds the text of a finding, in bytes: it may quote values of megabytes.
+	maxFindingText = 400
+	// maxQuoted bounds a quoted value, in bytes, so that what is wanted instead is still told.
+	maxQuoted = 100
+)
+
+// bounded returns a text; what exceeds limit bytes is left out.
+func bounded(text string, limit int) string {
+	if len(text) <= limit {
+		return text
+	}
+	return fmt.Sprintf("%s... and %d bytes", strings.ToValidUTF8(text[:limit], ""), len(text)-limit)
+}
+
 // Finding is one problem in a text.
 type Finding struct {
 	Position Position
