Handles of engines that can't be sent back are not used

Cause: the names of reservations and prefilled prompts went unchecked from an engine's answer into headers of later requests. An empty one, or one of 64 kB, with a line break or of another type, makes decode engines refuse the request or answer 400, which callers get; none of them retries a 400.

Ruled out: to treat a reservation without a name as a refusal; the engine says that it has room, and where it is the only one all requests would be refused from 55 % of its memory on.

Without one a reservation is not used, and the request goes on.

--- a/router/answer.go
+++ b/router/answer.go
@@ -181,7 +181,8 @@
 type EndpointClient interface {
 	// Call executes a plain call.
 	Call(ctx context.Context, e *Endpoint, c *Call) (*Answer, error)
-	// Reserve reserves memory for a call.
+	// Reserve reserves memory for a call. It returns none, without an error, if the engine has room
+	// but can't be told to use the reservation.
 	Reserve(ctx context.Context, e *Endpoint, c *Call, ask ReserveRequest) (*Reservation, error)
 	// Release releases an unused reservation. It does not block.
 	Release(r *Reservation)
