Entries that stay cut off: changes that they missed count as recent

Cause: an entry that is cut off from the store and the others begins streams by its old list, and can't tell others. These took a change for recent for the callers' longest timeout and 2.5 s, and worked out the newer version after that.

Ruled out: that the cut-off entry refuses new streams: it can't tell a cut from an outage of all, in which it would refuse every stream; and it would know some tenths of a second too late.

Change: an answer to a report tells up to when its sender had read the store. The least of these, of entries heard within a minute, is how far others look back for changes (release.Tracker.OthersKnew), if it is over 2 s old and until 2.5 to 5 s after. The streams that this makes unknown are told if they begin at an entry in touch. Not before the endpoints were known here, so that nothing is unknown that was known from then on alone.

Each guard of the change was removed and has a test that fails then.

Conclusion: mended up to a minute; open beyond it.

--- a/gossip/answers.go
+++ b/gossip/answers.go
@@ -26,6 +26,9 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	l.answered, l.revision = asked, m.At()
+	if m.Checked {
+		n.knew[l.addr] = asked.Add(-max(m.CheckedAge, 0))
+	}
 	n.recordHeard(time.Now())
 }
 
@@ -34,6 +37,24 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	n.recordHeard(now)
+	n.recordKnew(now)
+}
+
+// lateRetention is for how long an entry that isn't heard, or hears of no changes, is expected to
+// begin streams by what it knew.
+const lateRetention = time.Minute
+
+// recordKnew records up to when all others knew what was published. The caller holds n.mu.
+func (n *Node) recordKnew(now time.Time) {
+	var oldest time.Time
+	for addr, at := range n.knew {
+		if now.Sub(at) > lateRetention {
+			delete(n.knew, addr)
+		} else if oldest.IsZero() || at.Before(oldest) {
+			oldest = at
+		}
+	}
+	n.Releases.OthersKnew(now, oldest)
 }
 
 // recordHeard records when all other entries were heard, and if the store isn't, when none of them
--- a/gossip/answers_test.go
+++ b/gossip/answers_test.go
@@ -81,3 +81,19 @@
 	_, ok = n.agreedAt(now.Add(aliveTimeout + time.Second))
 	assert.False(t, ok, "most are not heard any more")
 }
+
+// TestOthersKnow guards against an entry that never read the store counting as one that knows what is
+// published, and against one that is gone for good making changes count as recent for ever.
+func TestOthersKnow(t *testing.T) {
+	n := NewNode(Self{Addr: "self:1", DataCentre: "dc"}, nil, router.NewLoadTracker(), catalog.New(), event.Nop(), nil)
+	asked := time.Now()
+	read := wire.Reply{Sent: n.sentAt(asked), Checked: true, CheckedAge: time.Second}
+	n.recordAnswer(&link{addr: "a:1"}, &read)
+	n.recordAnswer(&link{addr: "a:1"}, &wire.Reply{Sent: n.sentAt(asked)})
+	n.recordAnswer(&link{addr: "b:1"}, &wire.Reply{Sent: n.sentAt(asked)})
+	n.checkHeard(asked.Add(lateRetention - time.Second))
+	assert.Len(t, n.knew, 1)
+	assert.WithinDuration(t, asked.Add(-time.Second), n.knew["a:1"], 0)
+	n.checkHeard(asked.Add(lateRetention))
+	assert.Empty(t, n.knew)
+}
--- a/gossip/node.go
+++ b/gossip/node.go
@@ -95,6 +95,8 @@
 	answering sync.Mutex
 	// revisions holds the catalog revision of each other entry.
 	revisions map[string]revision.Revision
+	// knew holds up to when each other entry had read the store when it last answered.
+	knew map[string]time.Time
 	// eraAnswers holds the last answer to each entry that asks from a former era.
 	eraAnswers map[string]eraAnswer
 	index      *parts.Index
@@ -115,7 +117,7 @@
 		Metrics: metrics.NewSet(), Crashes: poison.NewDetector(), CrashingParts: poison.NewPartDetector(), Quotas: quota.NewLedger(quota.Settings{}),
 		Paces: pace.NewTracker(), Shares: share.NewTable(), Returns: returns.NewCalendar(), Releases: release.NewTracker(),
 		members: NewMembers(self.Addr, self.DataCentre, seeds), links: make(map[string]*link), conns: make(map[*wire.Conn]peerConn), stalledAt: make(map[string]time.Time),
-		revisions: make(map[string]revision.Revision), eraAnswers: make(map[string]eraAnswer), index: parts.NewIndex(),
+		revisions: make(map[string]revision.Revision), knew: make(map[string]time.Time), eraAnswers: make(map[string]eraAnswer), index: parts.NewIndex(),
 	}
 }
 
--- a/release/release.go
+++ b/release/release.go
@@ -54,6 +54,7 @@
 	// unreached says that not all entries hear of exceptions.
 	unreached bool
 	contact   contact
+	late      late
 	// awaited counts the requests that wait until this entry is in step.
 	awaited atomic.Int32
 }
@@ -235,7 +236,8 @@
 	if request != "" {
 		return t.compute(after, name, rendezvous.Hash(request))
 	}
-	return t.services[name].onlyVersion(after.Add(-viewLag))
+	s := t.services[name]
+	return s.onlyVersion(t.reach(after, s).Add(-viewLag))
 }
 
 // knows reports whether all endpoints are known that were published after a time.
@@ -265,8 +267,8 @@
 // depends on when, or on endpoints that were removed before this entry knew them. The caller
 // holds t.mu.
 func (t *Tracker) compute(after time.Time, name string, key uint64) (version string, ok bool) {
-	after = after.Add(-viewLag)
 	s := t.services[name]
+	after = t.reach(after, s).Add(-viewLag)
 	if !s.knows(after) {
 		return "", false
 	}
