Resumed streams: the route's timeout is looked up once in step

Cause: when a stream began at the earliest follows from the route's timeout of the configuration by which the attempt was read. An entry that stood still reads the attempt first and the configuration after; with a timeout raised meanwhile it looked back too little.

Ruled out: only the callers' longest timeout seen here: it isn't known before such a caller has come.

Change: the timeout published now counts, too, at each look.

--- a/router/software.go
+++ b/router/software.go
@@ -144,14 +144,23 @@
 }
 
 // earliestBegin returns when the caller's stream began at the earliest: with the caller's first
-// attempt, whose timeout was no longer than that of the route or the longest seen. What was left of
+// attempt, whose timeout was no longer than that of the route, then or now, or the longest seen. What was left of
 // it when this attempt was sent doesn't tell, as the attempt may have waited in a connection. The
 // zero time says that it is unknown.
 func (g *generationRun) earliestBegin() time.Time {
 	if !g.r.knowsTimeouts(g.c) {
 		return time.Time{}
 	}
-	return g.c.ReceivedAt.Add(-max(g.r.longestTimeout(g.c), g.c.Route.Timeout))
+	return g.c.ReceivedAt.Add(-max(g.r.longestTimeout(g.c), g.c.Route.Timeout, g.currentTimeout()))
+}
+
+// currentTimeout returns the timeout of the call's route by what is published now: that of the call
+// is from when it was read.
+func (g *generationRun) currentTimeout() time.Duration {
+	if route := g.r.Directory().Route(g.c.Route.Host, g.c.Route.Prefix); route != nil {
+		return route.Timeout
+	}
+	return 0
 }
 
 // fixVersion records at which software version the stream goes on from now on.
