Exceptions begin once all entries have answered that they heard of them

Cause: a stream that finds no room at its version begins at another one as soon as that is told. An entry that is cut off from the others for less than they notice (1.2 to 1.5 s), and reads the store, is in step, has not heard, and resumes it at its first version.

Change: such a stream is withheld first: others are told that its version can't be worked out. It is sent to its decode endpoint once each entry that was mentioned in the last 30 s has answered a report that tells that, on the connection that is open; the prompt is prefilled meanwhile. After 0.4 s it waits for room at its own version, and no other is withheld until the answer comes. A report remembers what it told by its time; the receiver answers after it has merged. Reports that tell it leave at once, as often as reports do anyway. In gossip the fixture of four entries returns the node instead of its tracker; no check of its two tests changes.

--- a/gossip/answers.go
+++ b/gossip/answers.go
@@ -17,8 +17,10 @@
 func (n *Node) recordAnswer(l *link, m *wire.Reply) {
 	asked := n.started.Add(m.Sent - 1)
 	if m.Sent <= 0 || asked.After(time.Now()) {
+		n.recordTold(l, m.Sent == 0, time.Time{})
 		return // of a release that doesn't repeat it, or none that this entry sent
 	}
+	n.recordTold(l, false, asked)
 	own := n.catalog.Revision()
 	if m.Checked && !m.At().After(own) {
 		n.OnChecked(asked.Add(-max(m.CheckedAge, 0)))
@@ -34,6 +36,7 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	n.recordHeard(now)
+	n.updateHeard(now)
 }
 
 // recordHeard records when all other entries were heard, and if the store isn't, when none of them
--- a/gossip/link.go
+++ b/gossip/link.go
@@ -57,6 +57,7 @@
 	// entry's catalog revision in it.
 	answered time.Time
 	revision revision.Revision
+	told     toldReports
 }
 
 // manageLinks keeps a link to each target until ctx ends.
@@ -178,6 +179,6 @@
 	l.conn = c
 	l.sent, l.workSent, l.membersSent, l.useSent = time.Time{}, time.Time{}, time.Time{}, time.Time{}
 	l.crashSeq, l.partSeq, l.streamSeq = 0, 0, 0
-	l.answered = time.Time{}
+	l.answered, l.told = time.Time{}, toldReports{}
 	l.connected = time.Now()
 }
--- a/gossip/node.go
+++ b/gossip/node.go
@@ -101,6 +101,8 @@
 	source     SourceSelector
 	// corrections is used by sendReports only.
 	corrections correctionRequests
+	// urgentSent is when reports were last sent ahead of their time; it is used by sendReports only.
+	urgentSent time.Time
 	// fetch is the current fetch or the last abandoned one; nil if there is none.
 	fetch *fetch
 }
--- a/gossip/report.go
+++ b/gossip/report.go
@@ -6,7 +6,6 @@
 	"slices"
 	"time"
 
-	"ebonypulley"
 	"ebonypulley/event"
 	"ebonypulley/quota"
 	"ebonypulley/wire"
@@ -37,26 +36,46 @@
 
 // sendReports reports to all linked entries until ctx ends.
 func (n *Node) sendReports(ctx context.Context) error {
-	for ebonypulley.Sleep(ctx, roundInterval) {
-		n.sendRound(time.Now())
+	next := time.NewTimer(roundInterval)
+	defer next.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-n.Releases.Urgent():
+			n.sendUrgent(time.Now())
+		case <-next.C:
+			n.sendRound(time.Now())
+			next.Reset(roundInterval)
+		}
 	}
-	return nil
 }
 
-// sendRound sends the reports that are due. A report that goes to many entries is encoded
-// once: hundreds of entries change their work all the time, and with one encoding for each of
-// them an entry with a seventh of a core would spend a third of it on reports.
+// sendRound sends the reports that are due.
 func (n *Node) sendRound(now time.Time) {
 	n.Releases.CheckContact(now)
 	work, changed := n.ownWork(now)
-	uses, limits := n.Quotas.OwnUse(now), n.endpointLimits(now)
 	n.checkHeard(now)
 	asked := n.sourceToAsk(now)
+	due := n.dueReports(now, changed, asked)
+	// Only the first report of a round asks for corrections. It goes to the entry that has
+	// waited longest for a report, so that each is asked in turn.
+	if len(due) > 0 {
+		due[0].unsure = n.corrections.due(now, n.catalog.Revision())
+	}
+	n.send(now, work, due, asked)
+}
+
+// send sends reports. One that goes to many entries is encoded once: hundreds of entries change
+// their work all the time, and with one encoding for each of them an entry with a seventh of a
+// core would spend a third of it on reports.
+func (n *Node) send(now time.Time, work []wire.EndpointWork, due []dueReport, asked string) {
+	uses, limits := n.Quotas.OwnUse(now), n.endpointLimits(now)
 	frames := make(map[reportVariant][]byte)
 	updates := make(map[uint64]crashUpdates)
 	parts := make(map[uint64]partUpdates)
 	streams := make(map[uint64]streamUpdates)
-	for i, s := range n.dueReports(now, changed, asked) {
+	for _, s := range due {
 		crashes, ok := updates[s.crashSeq]
 		if !ok {
 			crashes = n.crashUpdates(now, s.crashSeq)
@@ -72,13 +91,11 @@
 			begun = n.streamUpdates(now, s.streamSeq)
 			streams[s.streamSeq] = begun
 		}
-		v := reportVariant{asksPublished: s.addr == asked, members: s.members, use: s.use && (len(uses) > 0 || len(limits) > 0), levels: s.use && s.levels && len(uses) > 0, crashSeq: s.crashSeq, partSeq: s.partSeq, streamSeq: s.streamSeq}
-		// Only the first report of a round asks for corrections. It goes to the entry that has
-		// waited longest for a report, so that each is asked in turn.
-		v.unsure = i == 0 && n.corrections.due(now, n.catalog.Revision())
+		v := reportVariant{asksPublished: s.addr == asked, unsure: s.unsure, members: s.members, use: s.use && (len(uses) > 0 || len(limits) > 0), levels: s.use && s.levels && len(uses) > 0, crashSeq: s.crashSeq, partSeq: s.partSeq, streamSeq: s.streamSeq}
 		if frames[v] == nil {
 			frames[v] = n.encodeReport(now, work, uses, limits, v, crashes, suspects, begun)
 		}
+		n.recordTelling(s, now, begun.upTo)
 		if n.sendFrame(s.conn, reportsSent, frames[v]) {
 			n.recordUpdatesSent(s, crashes.upTo, suspects.upTo, begun.upTo)
 		}
@@ -104,8 +121,8 @@
 	addr    string
 	conn    *wire.Conn
 	members int
-	// use and levels are as in reportVariant.
-	use, levels bool
+	// use, levels and unsure are as in reportVariant.
+	use, levels, unsure bool
 
 	crashSeq, partSeq, streamSeq uint64
 }
--- a/gossip/unheard_test.go
+++ b/gossip/unheard_test.go
@@ -10,16 +10,15 @@
 
 	"ebonypulley/gossip"
 	"ebonypulley/internal/simnet"
-	"ebonypulley/release"
 )
 
-// startFour starts four entries. It returns the versions that the first one knows.
-func startFour(t *testing.T, n *simnet.Net) (first *release.Tracker, end func()) {
+// startFour starts four entries. It returns the first one.
+func startFour(t *testing.T, n *simnet.Net) (first *gossip.Node, end func()) {
 	var ends []func()
 	for i := range 4 {
 		ends = append(ends, startSimNode(t, n, fmt.Sprint("entry-", i), "dc", []string{"entry-0:1", "entry-1:1"}, func(node *gossip.Node) {
 			if i == 0 {
-				first = node.Releases
+				first = node
 			}
 		}))
 	}
@@ -42,17 +41,17 @@
 				first, end := startFour(t, n)
 				defer end()
 				time.Sleep(5 * time.Second)
-				assert.True(t, first.MayDiffer(), "all hear it")
+				assert.True(t, first.Releases.MayDiffer(), "all hear it")
 				n.Partition(cutOff...)
 				time.Sleep(noticed)
 				for until := time.Now().Add(cutFor); time.Now().Before(until); time.Sleep(50 * time.Millisecond) {
-					if !assert.False(t, first.MayDiffer(), "cut off for %s", time.Since(until.Add(-cutFor-noticed))) {
+					if !assert.False(t, first.Releases.MayDiffer(), "cut off for %s", time.Since(until.Add(-cutFor-noticed))) {
 						break
 					}
 				}
 				n.Partition()
 				time.Sleep(5 * time.Second)
-				assert.True(t, first.MayDiffer(), "all hear it again")
+				assert.True(t, first.Releases.MayDiffer(), "all hear it again")
 				n.Close()
 			})
 		})
@@ -68,10 +67,39 @@
 		first, end := startFour(t, n)
 		defer end()
 		time.Sleep(5 * time.Second)
-		assert.False(t, first.MayDiffer(), "cut off since its start")
+		assert.False(t, first.Releases.MayDiffer(), "cut off since its start")
 		n.Partition()
 		time.Sleep(5 * time.Second)
-		assert.True(t, first.MayDiffer(), "all hear it")
+		assert.True(t, first.Releases.MayDiffer(), "all hear it")
 		n.Close()
 	})
 }
+
+// TestWithheldStreamIsToldAtOnce guards against callers that wait for the next round of reports, and
+// against reports to all for each of many streams.
+func TestWithheldStreamIsToldAtOnce(t *testing.T) {
+	const roundTrip, atOnce = 2 * time.Millisecond, 5 * time.Millisecond
+	const streams, maxReportsPerEntry = 500, 45 // in a second
+	synctest.Test(t, func(t *testing.T) {
+		n := simnet.New()
+		n.Latency = roundTrip / 2
+		first, end := startFour(t, n)
+		time.Sleep(5 * time.Second)
+		for i := range 7 {
+			began := time.Now()
+			assert.True(t, first.Releases.AwaitHeard(t.Context(), first.Releases.Withhold(began, "llm", fmt.Sprint(i))))
+			assert.GreaterOrEqual(t, time.Since(began), roundTrip)
+			assert.Less(t, time.Since(began), atOnce)
+			time.Sleep(333 * time.Millisecond)
+		}
+		before := first.Metrics.Count("reports_out")
+		for i := range streams {
+			first.Releases.Withhold(time.Now(), "llm", fmt.Sprint("r", i))
+			time.Sleep(time.Second / streams)
+		}
+		assert.Less(t, first.Metrics.Count("reports_out")-before, int64(3*maxReportsPerEntry))
+		n.Close()
+		end()
+		time.Sleep(10 * time.Second)
+	})
+}
--- a/release/release.go
+++ b/release/release.go
@@ -53,6 +53,7 @@
 	toldPrompts int
 	// unreached says that not all entries hear of exceptions.
 	unreached bool
+	acks      acks
 	contact   contact
 	// awaited counts the requests that wait until this entry is in step.
 	awaited atomic.Int32
@@ -101,7 +102,7 @@
 
 // NewTracker returns an empty Tracker.
 func NewTracker() *Tracker {
-	return &Tracker{services: make(map[string]*service), streams: make(map[uint64]*stream), prompts: make(map[uint64]*prompt)}
+	return &Tracker{services: make(map[string]*service), streams: make(map[uint64]*stream), prompts: make(map[uint64]*prompt), acks: newAcks()}
 }
 
 // SetEndpoints sets the published endpoints of a service.
--- a/release/told.go
+++ b/release/told.go
@@ -69,11 +69,11 @@
 }
 
 // MayDiffer reports whether a new stream may begin at another version than the preferred one. If
-// some entries don't hear of it, they would resume it at the preferred one.
+// some entries don't hear of it, they would resume it at the preferred one. See also Withhold.
 func (t *Tracker) MayDiffer() bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return !t.unreached
+	return !t.unreached && t.acks.missed <= t.acks.heard
 }
 
 // forgetTold forgets old exceptions. The caller holds t.mu.
--- a/router/admit.go
+++ b/router/admit.go
@@ -207,7 +207,7 @@
 	if !leave {
 		p, ok, deferred = g.placeAt(now, rule, g.version)
 	}
-	if !ok && !leave && g.version != "" && !g.versionFixed && g.r.releases.MayDiffer() {
+	if !ok && !leave && g.version != "" && !g.versionFixed && !g.unheard && g.r.releases.MayDiffer() {
 		p, ok, deferred = g.placeAt(now, rule, "") // rather another version than late or not at all
 	}
 	rule.refuse = rule.refuse || deferred && !g.policy.retried && now.Sub(began) >= minWait
--- a/router/generate.go
+++ b/router/generate.go
@@ -74,6 +74,8 @@
 	// fixed once the caller has an event.
 	version      string
 	versionFixed bool
+	// unheard says that not all entries heard in time that the stream may begin at another version.
+	unheard bool
 	// failedAnswer is an endpoint's own failure, delivered if no later attempt succeeds.
 	failedAnswer *Answer
 }
@@ -322,13 +324,16 @@
 	}
 	defer a.release()
 	start := Start{After: g.lastEvent, Reservation: a.reservation}
+	withheld := g.withholdVersion(a.decode) // others hear of it while the prompt is prefilled
 	start.Result, err = g.result(ctx, a)
 	if err != nil {
 		g.release(start.Reservation)
 		return err
 	}
 	before := g.lastEvent
-	err = g.decode(ctx, a, start)
+	if err = g.awaitHeard(ctx, withheld, a.decode); err == nil {
+		err = g.decode(ctx, a, start)
+	}
 	if err != nil && errorx.IsOfType(err, ErrNotRun) {
 		g.release(start.Reservation)
 		g.kept = start.Result
