Guards of odd values in answers, findings and needs

Ruled out: the first form of two tests, which passed without their guard: TestPartOfAListIsNoProof found the prompt by the recovery after the start, so the engine is silent until the lookup now; TestAnswersQuoteLittle took its bound from the code, and has 1,100 bytes now.

Conclusion: none.

--- a/entry/odd_test.go
+++ b/entry/odd_test.go
@@ -27,6 +27,6 @@
 	err := json.Unmarshal([]byte(`{"n":`+strings.Repeat("9", 60<<10)+`}`), &c)
 	require.Error(t, err)
 	for _, f := range []*failure{badRequest("", "the body is not a completion request: %v", err), notFound("model_not_found", "the model %q does not exist", strings.Repeat("m", 60<<10))} {
-		assert.LessOrEqual(t, len(f.body().Error.Message), maxMessage+40)
+		assert.LessOrEqual(t, len(f.body().Error.Message), 1100)
 	}
 }
--- a/router/asked_test.go
+++ b/router/asked_test.go
@@ -141,7 +141,7 @@
 func TestPartOfAListIsNoProof(t *testing.T) {
 	for engine, goesOn := range map[string]bool{"a": true, "c": false} {
 		synctest.Test(t, func(t *testing.T) {
-			f := &askedEngines{silent: map[string]bool{"c": true}, partial: map[string]bool{"a": true}, cache: map[string][]string{engine: {"s1"}}}
+			f := &askedEngines{silent: map[string]bool{"a": true, "c": true}, partial: map[string]bool{"a": true}, cache: map[string][]string{engine: {"s1"}}}
 			time.AfterFunc(1900*time.Millisecond, func() {
 				f.mu.Lock()
 				f.silent = nil
