Test: guards of entries in step that had no test

Cause: a reviewer removed guards of the fix, and no test failed.

No product code.

Removing the check in answeredAt that a link is connected fails no test: the end of a connection clears what it answered. By reading, the same in agreedAt. Both were left.

--- a/gossip/answers_test.go
+++ b/gossip/answers_test.go
@@ -1,6 +1,7 @@
 package gossip
 
 import (
+	"bytes"
 	"testing"
 	"time"
 
@@ -8,6 +9,7 @@
 
 	"ebonypulley/catalog"
 	"ebonypulley/event"
+	"ebonypulley/release"
 	"ebonypulley/revision"
 	"ebonypulley/router"
 	"ebonypulley/wire"
@@ -97,3 +99,78 @@
 	n.checkHeard(asked.Add(lateRetention))
 	assert.Empty(t, n.knew)
 }
+
+// TestHeardFromWhenAsked guards against an answer that waited on the way, one on a connection that has
+// ended, or that of one entry alone, that counts as having heard what others told.
+func TestHeardFromWhenAsked(t *testing.T) {
+	const second = time.Second
+	for name, c := range map[string]struct {
+		answered  map[string]time.Duration // how long ago the reports were sent
+		reconnect string
+		behind    bool
+	}{
+		"all since":          {answered: map[string]time.Duration{"a:1": second, "b:1": second}},
+		"one asked before":   {answered: map[string]time.Duration{"a:1": second, "b:1": 3 * second}, behind: true},
+		"other asked before": {answered: map[string]time.Duration{"a:1": 3 * second, "b:1": second}, behind: true},
+		"one reconnected":    {answered: map[string]time.Duration{"a:1": second, "b:1": second}, reconnect: "a:1", behind: true},
+		"one not connected":  {answered: map[string]time.Duration{"a:1": second, "b:1": -second}, behind: true},
+	} {
+		n := NewNode(Self{Addr: "self:1", DataCentre: "dc"}, nil, router.NewLoadTracker(), catalog.New(), event.Nop(), nil)
+		now := time.Now()
+		n.started = now.Add(-time.Minute)
+		woke := now.Add(-1500 * time.Millisecond)
+		n.Releases.ExpectOthers()
+		n.Releases.SetEndpoints(n.started, "llm", []release.Endpoint{{ID: "e", Version: "v1"}})
+		n.Releases.CheckContact(woke.Add(-second)) // and then it stands still
+		n.Releases.Confirm(woke, now)
+		for addr, ago := range c.answered {
+			n.members.Observe(now, addr, "dc")
+			n.links[addr] = &link{addr: addr}
+			if ago >= 0 {
+				n.links[addr].conn = new(wire.Conn)
+			}
+		}
+		for _, addr := range []string{"a:1", "b:1"} {
+			if ago := c.answered[addr]; ago >= 0 {
+				n.recordAnswer(n.links[addr], &wire.Reply{Sent: n.sentAt(now.Add(-ago))})
+			}
+			if addr == c.reconnect {
+				n.setConn(n.links[addr], new(wire.Conn))
+			}
+		}
+		n.checkHeard(now)
+		for at := woke; at.Before(now); at = at.Add(100 * time.Millisecond) {
+			n.Releases.CheckContact(at)
+		}
+		f := n.Releases.Find(now.Add(-50*time.Millisecond), release.Query{Service: "llm", Request: "x", After: now.Add(-second), Before: now.Add(-second)})
+		assert.Equal(t, c.behind, f.Behind, name)
+	}
+}
+
+// TestRefreshIsAskedOfReader guards against a request that waits for what is published now at an entry
+// that the store refuses, while the reader of its data centre isn't asked, or entries that don't read are.
+func TestRefreshIsAskedOfReader(t *testing.T) {
+	for name, c := range map[string]struct{ awaited, refused, reader bool }{
+		"waits and is refused":  {true, true, true},
+		"waits and reads":       {true, false, true},
+		"refused, nobody waits": {false, true, true},
+		"another one reads":     {true, true, false},
+	} {
+		asking := NewNode(Self{Addr: "c:1", DataCentre: "dc"}, nil, router.NewLoadTracker(), catalog.New(), event.Nop(), nil)
+		asked := NewNode(Self{Addr: "b:1", DataCentre: "dc"}, nil, router.NewLoadTracker(), catalog.New(), event.Nop(), nil)
+		if c.awaited {
+			defer asking.Releases.Await()()
+		}
+		asking.StoreFailed = func() bool { return c.refused }
+		if !c.reader {
+			asked.observe(time.Now(), "a:1", "dc", StoreAccess{}, nil)
+		}
+		refreshed := false
+		asked.OnRefresh = func() { refreshed = true }
+		frame := asking.encodeReport(time.Now(), nil, nil, nil, reportVariant{}, crashUpdates{}, partUpdates{}, streamUpdates{})
+		m, err := wire.NewReader(bytes.NewReader(frame)).Next()
+		assert.NoError(t, err)
+		asked.mergeReport(time.Now(), m.(*wire.Report))
+		assert.Equal(t, c.awaited && c.refused && c.reader, refreshed, name)
+	}
+}
