--- a/gossip/answers.go
+++ b/gossip/answers.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"ebonypulley/revision"
 	"ebonypulley/wire"
 )
 
@@ -20,7 +21,7 @@
 		return // of a release that doesn't repeat it, or none that this entry sent
 	}
 	own := n.catalog.Revision()
-	if m.Checked && !m.At().After(own) {
+	if m.Checked && covers(own, m.At()) {
 		n.OnChecked(asked.Add(-max(m.CheckedAge, 0)))
 	}
 	n.mu.Lock()
@@ -32,6 +33,10 @@
 	n.recordHeard(time.Now())
 }
 
+// covers reports whether a copy of what is published at a revision has all that one at another revision
+// has. What a former era had may be missing in a later one.
+func covers(own, other revision.Revision) bool { return own.Era == other.Era && !other.After(own) }
+
 // checkHeard is called in each round: links may have ended since the last answer.
 func (n *Node) checkHeard(now time.Time) {
 	n.mu.Lock()
@@ -100,7 +105,7 @@
 	own := n.catalog.Revision()
 	for i, addr := range n.mayServe(now) {
 		l := n.links[addr]
-		if l == nil || l.conn == nil || l.answered.IsZero() || l.revision.After(own) {
+		if l == nil || l.conn == nil || l.answered.IsZero() || !covers(own, l.revision) {
 			return at, false
 		}
 		if i == 0 || l.answered.Before(at) {
--- a/gossip/answers_test.go
+++ b/gossip/answers_test.go
@@ -30,13 +30,17 @@
 		"never read":           {wire.Reply{Revision: own, CheckedAge: time.Second}, 0, false},
 		"not sent yet":         {wire.Reply{Revision: own, Checked: true, Sent: future}, 0, false},
 		"knows more":           {wire.Reply{Revision: own + 1, Checked: true}, 0, false},
+		"of a former era":      {wire.Reply{Revision: own, Checked: true}, 0, false},
 		"a read in the future": {wire.Reply{Revision: own, Checked: true, CheckedAge: -time.Hour}, 0, true},
 	}
 	for name, c := range cases {
 		for _, repeats := range []bool{true, false} { // a former release doesn't repeat the time
 			cat := catalog.New()
 			n := NewNode(Self{Addr: "self:1", DataCentre: "dc"}, nil, router.NewLoadTracker(), cat, event.Nop(), nil)
-			cat.Merge(time.Now(), nil, revision.Revision{Count: own})
+			cat.Merge(time.Now(), nil, revision.Revision{Era: 1, Count: own})
+			if name != "of a former era" {
+				c.reply.Era = 1
+			}
 			asked := time.Now()
 			if repeats {
 				c.reply.Sent += n.sentAt(asked)
@@ -60,10 +64,10 @@
 func TestAgreementNeedsAll(t *testing.T) {
 	now := time.Now()
 	n := NewNode(Self{Addr: "self:1", DataCentre: "dc"}, nil, router.NewLoadTracker(), catalog.New(), event.Nop(), nil)
-	n.catalog.Merge(now, nil, revision.Revision{Count: 7})
+	n.catalog.Merge(now, nil, revision.Revision{Era: 1, Count: 7})
 	for _, addr := range []string{"a:1", "b:1", "c:1"} {
 		n.members.Observe(now, addr, "dc")
-		n.links[addr] = &link{addr: addr, conn: new(wire.Conn), answered: now, revision: revision.Revision{Count: 7}}
+		n.links[addr] = &link{addr: addr, conn: new(wire.Conn), answered: now, revision: revision.Revision{Era: 1, Count: 7}}
 	}
 	n.links["b:1"].answered = now.Add(-time.Second)
 	at, ok := n.agreedAt(now)
@@ -72,7 +76,8 @@
 	for name, change := range map[string]func(l *link){
 		"has not answered": func(l *link) { l.answered = time.Time{} },
 		"not connected":    func(l *link) { l.conn = nil },
-		"knows more":       func(l *link) { l.revision = revision.Revision{Count: 8} },
+		"knows more":       func(l *link) { l.revision.Count = 8 },
+		"of a former era":  func(l *link) { l.revision.Era = 0 },
 	} {
 		before := *n.links["c:1"]
 		change(n.links["c:1"])
