An entry that has heard nobody for 20 s works out no version while there are several

Cause: others forget an entry 30 s after they heard of it last, and no longer wait for its answer before a stream begins at another version than its own. An entry that is cut off from them for longer, and reads the store, is in step and resumes such streams at the wrong one.

Change: such an entry works nothing out, until 2.5 s after it hears one again, and tells the streams that it begins; its own it knows, and with one version nothing changes. It counts from its start, so that newcomers work out as before (TestNewcomerHearsOfVersions found that).

The four conditions in release removed one at a time: each fails TestEntryThatIsAloneDoesNotWorkOutVersions.

Conclusion: mended for an entry that hears nobody. Two that hear each other, and one that starts cut off, remain.

--- a/gossip/link.go
+++ b/gossip/link.go
@@ -91,6 +91,9 @@
 	lost = n.members.ExpireSilent(now)
 	n.reconcileLinks(ctx, n.members.Targets(now))
 	n.Releases.SetReachesAll(n.reachesAll(now))
+	if now.Sub(n.members.heardAt) > aloneTimeout && now.Sub(n.started) > aloneTimeout {
+		n.Releases.NoteAlone(now)
+	}
 	for _, addr := range lost {
 		delete(n.revisions, addr)
 		delete(n.eraAnswers, addr)
--- a/gossip/members.go
+++ b/gossip/members.go
@@ -59,6 +59,8 @@
 	lastSeen      map[string]time.Time
 	aliveSince    map[string]time.Time
 	lastMentioned map[string]time.Time
+	// heardAt is when any entry was last heard.
+	heardAt time.Time
 	// listCursor is the last address in the last list of members.
 	listCursor string
 	// peakAlive is the most entries that were ever alive at a time, this one included;
@@ -106,7 +108,7 @@
 	if joined {
 		m.aliveSince[addr] = now
 	}
-	m.lastSeen[addr] = now
+	m.lastSeen[addr], m.heardAt = now, now
 	m.lastMentioned[addr] = now
 	return joined
 }
--- a/gossip/releases.go
+++ b/gossip/releases.go
@@ -7,6 +7,10 @@
 	"ebonypulley/wire"
 )
 
+// aloneTimeout is how long after the last word of any entry others still wait for the answer of this
+// one: they remember it for forgetTimeout, perhaps since an earlier moment.
+const aloneTimeout = 20 * time.Second
+
 // streamUpdates holds the software versions of streams and of cached prompts after a sequence
 // number, and the number up to which they are complete.
 type streamUpdates struct {
--- a/release/release.go
+++ b/release/release.go
@@ -53,8 +53,10 @@
 	toldPrompts int
 	// unreached says that not all entries hear of exceptions.
 	unreached bool
-	acks      acks
-	contact   contact
+	// aloneUntil is until when others may have begun streams without this entry having heard of them.
+	aloneUntil time.Time
+	acks       acks
+	contact    contact
 	// awaited counts the requests that wait until this entry is in step.
 	awaited atomic.Int32
 }
@@ -190,7 +192,7 @@
 	t.streams[key] = x
 	moved := before != nil && before.version != version
 	t.contact.noteRunning(now)
-	if found, ok := t.compute(after, name, key); moved || !ok || found != version || !t.contact.confirmedWithin(now, viewLag) {
+	if found, ok := t.compute(after, name, key); moved || !ok || found != version || !t.contact.confirmedWithin(now, viewLag) || t.isAlone(now) {
 		t.tell(now, key, x)
 	}
 }
@@ -221,7 +223,7 @@
 	if f.Behind = !t.contact.inStep(now, q.Before); f.Behind {
 		return f
 	}
-	if version, ok := t.find(q.After, q.Service, q.Request); ok {
+	if version, ok := t.find(q.After, q.Service, q.Request); ok && !t.mayHaveMissed(now, q.After, q.Service) {
 		f.Version, f.Source = version, Computed
 		return f
 	}
--- a/release/withheld.go
+++ b/release/withheld.go
@@ -112,3 +112,25 @@
 
 // IsZero reports whether no other entry needs to hear of the stream.
 func (w Withheld) IsZero() bool { return w.seq == 0 }
+
+// NoteAlone records that this entry has heard no other one for so long that they may have forgotten
+// it and no longer wait for its answer. Once it hears one again, they have yet to tell what they began.
+func (t *Tracker) NoteAlone(now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.aloneUntil = now.Add(viewLag)
+}
+
+// isAlone reports whether others may have begun streams of which this entry has not heard. The caller
+// holds t.mu.
+func (t *Tracker) isAlone(now time.Time) bool { return t.contact.others && now.Before(t.aloneUntil) }
+
+// mayHaveMissed reports whether a stream that began after a time may be at another version than is
+// worked out. The caller holds t.mu.
+func (t *Tracker) mayHaveMissed(now, after time.Time, name string) bool {
+	if !t.isAlone(now) {
+		return false
+	}
+	_, only := t.services[name].onlyVersion(after.Add(-viewLag))
+	return !only
+}
--- a/release/withheld_test.go
+++ b/release/withheld_test.go
@@ -1,6 +1,7 @@
 package release_test
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"testing"
@@ -89,3 +90,36 @@
 		wait(true, 0)
 	})
 }
+
+// TestEntryThatIsAloneDoesNotWorkOutVersions guards against an entry that others have forgotten, reads the
+// store, and resumes streams of which it could not hear; and against refusals where it can't be wrong.
+func TestEntryThatIsAloneDoesNotWorkOutVersions(t *testing.T) {
+	const catchUp = 2500 * time.Millisecond
+	now := time.Now()
+	for _, c := range []struct {
+		others, several bool
+		later           time.Duration
+		found           bool
+	}{
+		{true, true, 0, false}, {true, true, catchUp - 1, false}, {true, true, catchUp, true},
+		{true, false, 0, true}, {false, true, 0, true},
+	} {
+		r := release.NewTracker()
+		list := []release.Endpoint{{ID: "a", Version: "v1"}, {ID: "b", Version: "v2"}}
+		if !c.several {
+			list = list[:1]
+		}
+		r.SetEndpoints(now.Add(-time.Minute), "llm", list)
+		if c.others {
+			r.ExpectOthers()
+		}
+		r.NoteAlone(now)
+		at := now.Add(c.later)
+		r.Confirm(at, at)
+		r.Begin(at, at, "llm", "own", cmp.Or(r.Preferred("llm", "own"), "v1"))
+		_, told := r.Updates(at, 0)
+		assert.Equal(t, !c.found, told > 0 && c.several, "its own streams are told")
+		assert.Equal(t, c.found, r.Find(at, release.Query{Service: "llm", Request: "r", After: at, Before: at}).Found(), c)
+		assert.True(t, r.Find(at, release.Query{Service: "llm", Request: "own", After: at, Before: at}).Found(), "its own")
+	}
+}
