New streams choose their version anew when it has left, and reserve for as long as others may take to hear

A stream kept the version that it preferred when it arrived: if no endpoint had it any more, it was refused while others had room; if there was none yet, it was placed anywhere, and held for 0.4 s although it was known that not all would hear. A reservation didn't last for that wait, so that the engine could give the memory to others.

Ruled out: to choose at each look: that hashes all endpoints for each waiting stream. To begin anywhere once the version has left, as before exceptions were heard first: others may still work out the old one.

Change: the version is chosen again when the directory has changed and the chosen one is missing, and once more before the stream is withheld. A reservation for a stream that differs lasts for the wait, too.

What is left of a prefilled result after the wait (112 of 500 ms in the test) is not looked at.

--- a/release/withheld.go
+++ b/release/withheld.go
@@ -7,10 +7,10 @@
 	"ebonypulley/rendezvous"
 )
 
-// maxHeardWait is how long a new stream that may begin at another version than others work out waits
+// MaxHeardWait is how long a new stream that may begin at another version than others work out waits
 // until all have acknowledged that. An entry that is cut off is noticed later, and the caller should
 // have its first event from the preferred version in time.
-const maxHeardWait = 400 * time.Millisecond
+const MaxHeardWait = 400 * time.Millisecond
 
 // Withheld is a stream whose version others no longer work out, once all have heard of it.
 type Withheld struct {
@@ -49,7 +49,7 @@
 	case t.acks.urgent <- struct{}{}:
 	default:
 	}
-	return Withheld{seq: t.latest, by: now.Add(maxHeardWait)}
+	return Withheld{seq: t.latest, by: now.Add(MaxHeardWait)}
 }
 
 // AwaitHeard waits until all other entries have heard of a withheld stream. It returns false if they
--- a/router/admit.go
+++ b/router/admit.go
@@ -9,6 +9,7 @@
 
 	"ebonypulley"
 	"ebonypulley/event"
+	"ebonypulley/release"
 )
 
 const (
@@ -149,6 +150,9 @@
 // holdTime returns how long memory is reserved for a placement.
 func (g *generationRun) holdTime(p placement) time.Duration {
 	d := reserveHoldFactor * (p.firstEvent.UpperBound() + networkAllowance)
+	if g.differs(p.decode) {
+		d += release.MaxHeardWait
+	}
 	if eng := g.c.Service.Engine; eng != nil && eng.MaxHold > 0 {
 		d = min(d, eng.MaxHold)
 	}
@@ -198,6 +202,7 @@
 	if g.kept != nil {
 		rule.fill = maxFill // its prompt is already prefilled, and the result expires soon
 	}
+	g.updateVersion()
 	if g.versionGone() {
 		g.r.metrics.Add("version_gone", 1)
 		return placement{}, false, errVersionGone.New("no engine of %s has the software version %s of the stream", g.c.Service.Name, g.version)
--- a/router/generate.go
+++ b/router/generate.go
@@ -74,6 +74,8 @@
 	// fixed once the caller has an event.
 	version      string
 	versionFixed bool
+	// versionFrom is the directory by which the version was chosen.
+	versionFrom *Directory
 	// unheard says that not all entries heard in time that the stream may begin at another version.
 	unheard bool
 	// failedAnswer is an endpoint's own failure, delivered if no later attempt succeeds.
--- a/router/software.go
+++ b/router/software.go
@@ -65,7 +65,7 @@
 		return nil
 	}
 	if g.c.ResumeAfter == NoEvent {
-		g.version = g.r.releases.Preferred(g.c.Service.Name, g.c.ID)
+		g.updateVersion()
 		return nil
 	}
 	f := g.findVersion(ctx)
@@ -187,10 +187,13 @@
 
 // versionGone reports whether the stream can go on only at a software version that no endpoint
 // has, although there are others.
-func (g *generationRun) versionGone() bool {
-	if !g.versionFixed {
+func (g *generationRun) versionGone() bool { return g.versionFixed && g.lacksVersion() }
+
+// lacksVersion reports whether there are endpoints, and none has the software version.
+func (g *generationRun) lacksVersion() bool {
+	if g.version == "" {
 		return false
 	}
 	endpoints := g.r.Directory().Endpoints(g.c.Service.Name, Decode)
-	return len(endpoints) > 0 && len(ofVersion(endpoints, g.version)) == 0
+	return len(endpoints) > 0 && !slices.ContainsFunc(endpoints, func(e *Endpoint) bool { return e.SoftwareVersion == g.version })
 }
--- a/router/withheld.go
+++ b/router/withheld.go
@@ -14,18 +14,32 @@
 // withholdVersion tells other entries that the stream may begin at another version than they work
 // out, if it is to begin at such an endpoint.
 func (g *generationRun) withholdVersion(at *Endpoint) *release.Withheld {
-	id := g.c.beginnerID()
-	if id == "" || g.versionFixed || !g.tracksVersion() {
+	g.versionFrom = nil // the versions of a directory are known a moment after it
+	g.updateVersion()
+	if !g.differs(at) {
 		return nil
 	}
-	if g.version == "" { // there were no several versions when it arrived
-		g.version = g.r.releases.Preferred(g.c.Service.Name, id)
+	w := g.r.releases.Withhold(time.Now(), g.c.Service.Name, g.c.beginnerID())
+	return &w
+}
+
+// updateVersion chooses the version of a stream that has not begun, if there were no several versions
+// when it was last placed, or no endpoint has the one chosen any more.
+func (g *generationRun) updateVersion() {
+	d := g.r.Directory()
+	if d == g.versionFrom || g.versionFixed || !g.tracksVersion() {
+		return
 	}
-	if g.version == "" || g.version == at.SoftwareVersion {
-		return nil
+	g.versionFrom = d
+	if g.version == "" || g.lacksVersion() {
+		g.version = g.r.releases.Preferred(g.c.Service.Name, g.c.beginnerID())
 	}
-	w := g.r.releases.Withhold(time.Now(), g.c.Service.Name, id)
-	return &w
+}
+
+// differs reports whether a stream that has not begun would begin at an endpoint at another version
+// than other entries work out.
+func (g *generationRun) differs(at *Endpoint) bool {
+	return g.tracksVersion() && g.c.beginnerID() != "" && !g.versionFixed && g.version != "" && g.version != at.SoftwareVersion
 }
 
 // awaitHeard waits until all other entries have heard of a withheld version; nil is none. From then on
