Versions of streams: a late entry doesn't tell when a stream began

Cause: found by reading. Where it is unknown when a stream began (no caller's timeout has been seen since the start), its version is unknown. While another entry was late, what that one knew took the place of the unknown time, and a version was worked out (ORDER).

Ruled out: nothing.

Change: an unknown time stays unknown.

Figures: TestLateEntryTellsNoBegin: found before, not found after.

--- a/release/late.go
+++ b/release/late.go
@@ -37,11 +37,11 @@
 	return a
 }
 
-// reach returns from when on changes concern a stream that began after a time: an entry that is late
-// began it by what it knew. It is not before the endpoints were known here.
+// reach returns from when on changes concern a stream that began after a time, zero if it is unknown
+// when: an entry that is late began it by what it knew. It is not before the endpoints were known here.
 func (t *Tracker) reach(after time.Time, s *service) time.Time {
 	knew := oldest(t.late.earlier, t.late.lately)
-	if s == nil || knew.IsZero() {
+	if s == nil || after.IsZero() || knew.IsZero() {
 		return after
 	}
 	if known := s.since.Add(viewLag); knew.Before(known) {
--- a/release/late_test.go
+++ b/release/late_test.go
@@ -58,3 +58,13 @@
 		assert.Equal(t, c.ambiguous, found[""] > 0, "%s: %v", name, found)
 	}
 }
+
+// TestLateEntryTellsNoBegin guards against a stream of which it is unknown when it began, and that goes on
+// at another version because an entry that is late is known to have known the endpoints.
+func TestLateEntryTellsNoBegin(t *testing.T) {
+	now := time.Now()
+	tracker := release.NewTracker()
+	tracker.SetEndpoints(now.Add(-time.Minute), "s", []release.Endpoint{{ID: "b", Version: "v2"}})
+	tracker.OthersKnew(now, now.Add(-5*time.Second))
+	assert.False(t, tracker.Find(now, release.Query{Service: "s", Request: "x"}).Found())
+}
