Gossip: an entry that gets no reports any more isn't late

Cause: up to when an entry knew the changes stays recorded for a minute after its link is dropped. In a fleet of over 97, links are dropped to entries that live and are heard; these counted as entries that hear of no changes, and resumed streams were unknown for a minute. Ruled out: forgetting it with each link that is dropped: an entry that is silent for 30 s loses its link too, and may go on beginning streams by an old list. Change: it is forgotten with the link if the entry is still heard. Before: TestFormerTargetIsNotLate (96 entries, then 288, virtual time) fails: unknown 28 s after the change, 96 links, 156 entries counted. After: it passes, as do the package's tests (without -race). Conclusion: mended.

--- a/gossip/link.go
+++ b/gossip/link.go
@@ -121,6 +121,9 @@
 		if !wanted[addr] {
 			l.cancel()
 			delete(n.links, addr)
+			if n.members.Heard(addr) {
+				delete(n.knew, addr) // in a large fleet: it no longer tells
+			}
 		}
 	}
 }
--- a/gossip/members.go
+++ b/gossip/members.go
@@ -203,6 +203,12 @@
 	return list
 }
 
+// Heard reports whether an entry was alive when it was last looked.
+func (m *Members) Heard(addr string) bool {
+	_, ok := m.lastSeen[addr]
+	return ok
+}
+
 // Recent returns the other entries that were heard or mentioned lately. One that is not alive may
 // be cut off, and serve callers.
 func (m *Members) Recent(now time.Time) []string {
