Gossip: what entries that are cut off knew outlives restarts

Cause: up to when the others knew the changes is known to a process alone. One that is started while an entry is cut off never heard it, and takes changes for old that the other has not heard of. One that ends while cut off and is started again answers as a process that knows all, and nobody tells what the former one began. Ruled out: telling it in the first reply only (an entry that starts within 2 s of the cut would not hear it); keeping it for a minute after every reconnect (a cut that heals needs 2.5 to 5 s). Change: a reply tells how long the process has run in its first minute, and how old the least that another entry knows is, if one is late. What a former process knew, if that was over 2 s old when the next one started, and what is told to a process in its first minute, count for what is left of the minute. Ages below zero or beyond it count as none; what is told again doesn't get older. A release that doesn't know the fields skips them and tells none, which changes nothing.

--- a/gossip/answers.go
+++ b/gossip/answers.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"ebonypulley/release"
 	"ebonypulley/wire"
 )
 
@@ -28,6 +29,7 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	l.answered, l.revision = asked, m.At()
+	n.mergeLate(l.addr, asked, m)
 	if m.Checked {
 		n.knew[l.addr] = asked.Add(-max(m.CheckedAge, 0))
 	}
@@ -50,16 +52,54 @@
 // recordKnew records up to when all others knew what was published. The caller holds n.mu.
 func (n *Node) recordKnew(now time.Time) {
 	var oldest time.Time
-	for addr, at := range n.knew {
-		if now.Sub(at) > lateRetention {
-			delete(n.knew, addr)
-		} else if oldest.IsZero() || at.Before(oldest) {
-			oldest = at
+	for _, known := range []map[string]time.Time{n.knew, n.formerKnew, n.toldKnew} {
+		for addr, at := range known {
+			if now.Sub(at) > lateRetention {
+				delete(known, addr)
+			} else if oldest.IsZero() || at.Before(oldest) {
+				oldest = at
+			}
 		}
 	}
 	n.Releases.OthersKnew(now, oldest)
 }
 
+// mergeLate keeps, for the rest of lateRetention, up to when the former process of an entry knew what
+// was published, as nobody tells what that one began; and what the entry tells of the others, if
+// this one can't know it. The caller holds n.mu.
+func (n *Node) mergeLate(addr string, asked time.Time, m *wire.Reply) {
+	knew, known := n.knew[addr]
+	if known && m.UpFor > 0 && asked.Add(-m.UpFor).Sub(knew) > release.LateAfter {
+		setIfAbsent(n.formerKnew, addr, knew)
+	}
+	if m.LateAge > 0 && m.LateAge <= lateRetention && asked.Sub(n.started) <= lateRetention {
+		setIfAbsent(n.toldKnew, addr, asked.Add(-m.LateAge))
+	}
+}
+
+// setIfAbsent sets a time that isn't set: entries that tell each other must not make it ever older.
+func setIfAbsent(times map[string]time.Time, addr string, at time.Time) {
+	if _, ok := times[addr]; !ok {
+		times[addr] = at
+	}
+}
+
+// upFor returns Reply.UpFor.
+func (n *Node) upFor(now time.Time) time.Duration {
+	if up := now.Sub(n.started); up <= lateRetention {
+		return up
+	}
+	return 0
+}
+
+// lateAge returns Reply.LateAge.
+func (n *Node) lateAge(now time.Time) time.Duration {
+	if knew := n.Releases.LateKnew(); !knew.IsZero() {
+		return now.Sub(knew)
+	}
+	return 0
+}
+
 // recordHeard records when all other entries were heard, and if the store isn't, when none of them
 // knew more than this one. The caller holds n.mu.
 func (n *Node) recordHeard(now time.Time) {
--- a/gossip/node.go
+++ b/gossip/node.go
@@ -97,6 +97,9 @@
 	revisions map[string]revision.Revision
 	// knew holds up to when each other entry had read the store when it last answered.
 	knew map[string]time.Time
+	// formerKnew holds up to when the former process of each entry had, if that was late when it
+	// ended. toldKnew holds what each entry told of the others when this one had just started.
+	formerKnew, toldKnew map[string]time.Time
 	// eraAnswers holds the last answer to each entry that asks from a former era.
 	eraAnswers map[string]eraAnswer
 	index      *parts.Index
@@ -119,7 +122,7 @@
 		Metrics: metrics.NewSet(), Crashes: poison.NewDetector(), CrashingParts: poison.NewPartDetector(), Quotas: quota.NewLedger(quota.Settings{}),
 		Paces: pace.NewTracker(), Shares: share.NewTable(), Returns: returns.NewCalendar(), Releases: release.NewTracker(),
 		members: NewMembers(self.Addr, self.DataCentre, seeds), links: make(map[string]*link), conns: make(map[*wire.Conn]peerConn), stalledAt: make(map[string]time.Time),
-		revisions: make(map[string]revision.Revision), knew: make(map[string]time.Time), eraAnswers: make(map[string]eraAnswer), index: parts.NewIndex(),
+		revisions: make(map[string]revision.Revision), knew: make(map[string]time.Time), formerKnew: make(map[string]time.Time), toldKnew: make(map[string]time.Time), eraAnswers: make(map[string]eraAnswer), index: parts.NewIndex(),
 	}
 }
 
@@ -226,6 +229,7 @@
 	reply := &wire.Reply{
 		DataCentre: n.self.DataCentre, Age: n.CatalogAge(),
 		Link: n.self.LinkMbps, NoStore: n.StoreFailed(), Revision: own.Count, Era: own.Era, Sent: r.Sent, CheckedAge: age, Checked: checked,
+		UpFor: n.upFor(now), LateAge: n.lateAge(now),
 	}
 	if first {
 		reply.Members, reply.Centres, reply.Links = n.membersToList(now, maxListedFirst)
--- a/release/late.go
+++ b/release/late.go
@@ -2,9 +2,9 @@
 
 import "time"
 
-// lateAfter is from when on others are late: shorter than viewLag, within which none of them needs to
+// LateAfter is from when on others are late: shorter than viewLag, within which none of them needs to
 // know a change, by more than it takes to notice.
-const lateAfter = 2 * time.Second
+const LateAfter = 2 * time.Second
 
 // late is what entries knew that don't hear of changes. They may begin streams by it, and can't tell
 // others that they do.
@@ -24,11 +24,21 @@
 	if now.Sub(l.turned) > viewLag {
 		l.earlier, l.lately, l.turned = l.lately, time.Time{}, now
 	}
-	if !upTo.IsZero() && now.Sub(upTo) > lateAfter {
+	if !upTo.IsZero() && now.Sub(upTo) > LateAfter {
 		l.lately = oldest(l.lately, upTo)
 	}
 }
 
+// LateKnew returns up to when the one of the others that knew least knew all changes, zero if none was
+// late recently.
+func (t *Tracker) LateKnew() time.Time {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.late.knew()
+}
+
+func (l *late) knew() time.Time { return oldest(l.earlier, l.lately) }
+
 // oldest returns the earlier of two times, or the one that isn't zero.
 func oldest(a, b time.Time) time.Time {
 	if a.IsZero() || !b.IsZero() && b.Before(a) {
@@ -40,7 +50,7 @@
 // reach returns from when on changes concern a stream that began after a time: an entry that is late
 // began it by what it knew. It is not before the endpoints were known here.
 func (t *Tracker) reach(after time.Time, s *service) time.Time {
-	knew := oldest(t.late.earlier, t.late.lately)
+	knew := t.late.knew()
 	if s == nil || knew.IsZero() {
 		return after
 	}
--- a/wire/report.go
+++ b/wire/report.go
@@ -262,6 +262,10 @@
 	Sent       time.Duration
 	Checked    bool
 	CheckedAge time.Duration
+	// UpFor is how long the sender's process has run, 0 if that is over a minute or unknown.
+	// LateAge is how long ago the other entry that knows least knew all changes, 0 if none is late.
+	UpFor   time.Duration
+	LateAge time.Duration
 }
 
 // At returns the revision of the sender's catalog.
--- a/wire/shape_test.go
+++ b/wire/shape_test.go
@@ -89,7 +89,7 @@
 				WaitingBy: []wire.WorkspaceWaiting{{Service: "s", Demand: x}}, Returns: []wire.PromisedReturns{{Key: 1, First: age, Cost: []float64{x}}},
 			})
 		}
-		list = append(list, &wire.Reply{Age: age, UpTo: math.MaxUint64, Era: 1 << 63, Versions: []wire.ServiceVersions{{Service: "s", Age: age, Changes: []wire.EndpointVersion{{Added: age, Removed: age}}}}})
+		list = append(list, &wire.Reply{Age: age, UpFor: age, LateAge: age, UpTo: math.MaxUint64, Era: 1 << 63, Versions: []wire.ServiceVersions{{Service: "s", Age: age, Changes: []wire.EndpointVersion{{Added: age, Removed: age}}}}})
 	}
 	return list
 }
