Forget the oldest exceptions first, and work nothing out for their time

Cause: once 16,384 streams were remembered, all exceptions that others told were forgotten at once. What was forgotten was then worked out again, at the preferred version, which is not where it began.

Ruled out: a larger bound, as memory stays as it is; a search for the oldest at each call, as it holds the tracker's mutex; checking whether a forgotten one could be worked out, as updates don't name the service.

Change: of too many, the oldest exceptions are forgotten until 12,288 are left. Tracker.displaced is when the latest of these began or was told; nothing is worked out for streams that may have begun by then. Such a stream is unknown here; engines may still be asked.

Conclusion: unknown instead of wrong. With many exceptions and a long timeout, untold streams are unknown, too.

--- a/release/release.go
+++ b/release/release.go
@@ -11,6 +11,7 @@
 
 import (
 	"maps"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -26,8 +27,9 @@
 	retention = 5 * time.Minute
 	// sweepInterval is the pause between two searches for what is to be forgotten.
 	sweepInterval = 5 * time.Second
-	// maxStreams bounds the streams that are remembered.
-	maxStreams = 1 << 14
+	// maxStreams bounds the streams that are remembered, keptStreams is how many are kept of too many.
+	maxStreams  = 1 << 14
+	keptStreams = maxStreams * 3 / 4
 )
 
 // Endpoint is a published endpoint that can write streams.
@@ -45,6 +47,9 @@
 	// prompts holds prompts that engines had cached, by promptKey.
 	prompts map[uint64]*prompt
 	swept   time.Time
+	// displaced is when the latest of the exceptions began, or was told, that were forgotten because
+	// there were too many.
+	displaced time.Time
 	// told holds what this entry tells others in the order of the sequence numbers; latest is
 	// the last number.
 	told   []toldStream
@@ -222,6 +227,9 @@
 	if f.Behind = !t.contact.inStep(now, q.Before); f.Behind {
 		return f
 	}
+	if q.Request != "" && !t.displaced.IsZero() && !q.After.After(t.displaced) {
+		return f // it may be an exception that was forgotten
+	}
 	if version, ok := t.find(q.After, q.Service, q.Request); ok {
 		f.Version, f.Source = version, Computed
 		return f
@@ -305,7 +313,7 @@
 }
 
 // sweep forgets old streams. Of too many, those are forgotten first whose version can be worked
-// out. The caller holds t.mu.
+// out, then the oldest. The caller holds t.mu.
 func (t *Tracker) sweep(now time.Time) {
 	if now.Sub(t.swept) < sweepInterval && len(t.streams) < maxStreams {
 		return
@@ -318,8 +326,34 @@
 		t.forget(func(x *stream) bool { return !x.told })
 	}
 	if len(t.streams) >= maxStreams {
-		t.forget(func(*stream) bool { return true })
+		t.forgetOldest(len(t.streams) - keptStreams)
+	}
+}
+
+// forgetOldest forgets the n oldest exceptions. The caller holds t.mu.
+func (t *Tracker) forgetOldest(n int) {
+	var begun []time.Time
+	for _, x := range t.streams {
+		if !x.own {
+			begun = append(begun, x.begun)
+		}
 	}
+	n = min(n, len(begun))
+	if n == 0 {
+		return
+	}
+	slices.SortFunc(begun, time.Time.Compare)
+	last := begun[n-1]
+	if last.After(t.displaced) {
+		t.displaced = last
+	}
+	t.forget(func(x *stream) bool {
+		if n == 0 || x.begun.After(last) {
+			return false
+		}
+		n--
+		return true
+	})
 }
 
 // forget forgets the streams, other than those that run at this entry, for which old reports true.
