A relayed withheld word doesn't replace a known version

Cause: an entry that connected anew relayed that a stream was withheld, which it had heard before the version. MergeRelayed then emptied the version that others knew, also at the entry that began it, and its resumes were refused.

Ruled out: the same for what the sender itself tells: it may withhold a stream again, to begin it at another version. Its lists are sent whole and in order, so that a version follows the withheld word when both are resent.

Change: a relayed empty version leaves a known one. That of a recovered stream still empties it, as engines of several versions ran it.

Conclusion: mended, but for a withheld word from a connection that is read after its successor's: unknown, not wrong.

--- a/release/told.go
+++ b/release/told.go
@@ -130,13 +130,17 @@
 }
 
 // MergeRelayed merges what another entry has heard, which may be older than what this one knows: a
-// stream of which they differ is at no version that can be told.
+// stream of which they differ is at no version that can be told. That it was withheld says less than a
+// version does; of a recovered stream, it says that engines of several versions ran it.
 func (t *Tracker) MergeRelayed(now time.Time, list []Update) {
 	t.merge(now, list, func(u Update, known *stream) string {
-		if known != nil && known.version != u.Version {
-			return ""
+		switch {
+		case known == nil || known.version == u.Version:
+			return u.Version
+		case u.Version == "" && !known.recovered:
+			return known.version
 		}
-		return u.Version
+		return ""
 	})
 }
 
